--- /dev/null
+++ b/scripts/tools.sh
@@ -0,0 +1,23 @@
+# Pinned development tools. Sourced by the other scripts; installs a tool only
+# when the pinned version is absent.
+GOLANGCI_LINT_VERSION=v2.15.0
+GOFUMPT_VERSION=v0.12.0
+TOOLS="$(go env GOPATH)/bin"
+export PATH="$TOOLS:$PATH"
+
+# install_tool NAME PACKAGE VERSION
+install_tool() {
+	if go version -m "$TOOLS/$1" 2>/dev/null | grep -q "mod.*$3"; then
+		return
+	fi
+	echo "installing $1 $3"
+	(cd / && go install "$2@$3")
+}
+
+install_tools() {
+	install_tool golangci-lint github.com/golangci/golangci-lint/v2/cmd/golangci-lint "$GOLANGCI_LINT_VERSION"
+	install_tool gofumpt mvdan.cc/gofumpt "$GOFUMPT_VERSION"
+}
+
+# Modules of the workspace, in dependency order.
+MODULES="core io cmd standin e2e"
