--- /dev/null
+++ b/io/backendserver/connection.go
@@ -0,0 +1,358 @@
+package backendserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+const (
+	// smallWrite is the size up to which a flush is written without a
+	// goroutine. It fits the send buffer of a socket, so the write does not
+	// wait for the server, which may itself wait for its answers to be read.
+	smallWrite = 16 << 10
+
+	// maxAnswer bounds one message of a server and with it the memory of a
+	// conversation. PostgreSQL's rows are smaller unless they hold large values.
+	maxAnswer = 64 << 20
+)
+
+var errReleased = errors.New("the conversation was released")
+
+// past is a deadline that interrupts a blocked read or write at once.
+var past = time.Unix(1, 0)
+
+// connection is one open connection. All fields but conn are used by the
+// goroutine of the conversation or, while idle, by that of watchIdle.
+type connection struct {
+	conn     net.Conn
+	frontend *pgproto3.Frontend
+	prepared *prepared
+	// status is the transaction status of the last ReadyForQuery and zero
+	// while an answer is due.
+	status byte
+	// due counts the ReadyForQuery messages that are still due.
+	due    int
+	sent   bool
+	broken error
+
+	writing chan error // result of a write in the background
+
+	watched     context.Context
+	stopWatched func() bool
+
+	idle     chan struct{} // closed when watchIdle has ended
+	idleLost error
+
+	// origin sends cancel requests.
+	origin *pgconn.PgConn
+}
+
+func newConnection(conn *pgconn.PgConn) (*connection, error) {
+	h, err := conn.Hijack()
+	if err != nil {
+		return nil, err
+	}
+	h.Frontend.SetMaxBodyLen(maxAnswer)
+	_ = h.Conn.SetDeadline(time.Time{})
+	return &connection{
+		conn:     h.Conn,
+		frontend: h.Frontend,
+		prepared: newPrepared(),
+		status:   h.TxStatus,
+		origin:   conn,
+	}, nil
+}
+
+func (c *connection) send(ctx context.Context, batch []pgproto3.FrontendMessage) error {
+	if c.broken != nil {
+		return lost(c.sent, c.broken)
+	}
+	if err := c.awaitWrite(); err != nil {
+		return c.fail(err)
+	}
+	if err := ctx.Err(); err != nil {
+		return c.fail(err)
+	}
+	c.watch(ctx)
+	if c.due == 0 && c.status != 0 {
+		c.sent = false // of this batch, nothing yet
+	}
+	size := 0
+	for _, m := range batch {
+		switch m.(type) {
+		case *pgproto3.Sync, *pgproto3.Query, *pgproto3.FunctionCall:
+			c.due++
+		}
+		for _, out := range c.prepared.outgoing(m) {
+			c.frontend.Send(out)
+			size += sizeOf(out)
+		}
+	}
+	c.status = 0
+	if size > smallWrite {
+		c.sent = true
+		c.writing = make(chan error, 1)
+		go c.flush(c.writing)
+		return nil
+	}
+	err := c.frontend.Flush()
+	var safe interface{ SafeToRetry() bool }
+	if err == nil || !errors.As(err, &safe) || !safe.SafeToRetry() {
+		c.sent = true
+	}
+	if err != nil {
+		return c.fail(err)
+	}
+	return nil
+}
+
+// flush writes what is buffered. A failure interrupts the pending Receive.
+func (c *connection) flush(done chan<- error) {
+	err := c.frontend.Flush()
+	if err != nil {
+		_ = c.conn.SetReadDeadline(past)
+	}
+	done <- err
+}
+
+func (c *connection) awaitWrite() error {
+	if c.writing == nil {
+		return nil
+	}
+	err := <-c.writing
+	c.writing = nil
+	return err
+}
+
+// sizeOf estimates the encoded size of the messages that can be large.
+func sizeOf(m pgproto3.FrontendMessage) int {
+	const overhead = 64
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		return overhead + len(m.String)
+	case *pgproto3.Parse:
+		return overhead + len(m.Query) + 4*len(m.ParameterOIDs)
+	case *pgproto3.Bind:
+		size := overhead + 2*len(m.ParameterFormatCodes) + 2*len(m.ResultFormatCodes)
+		for _, p := range m.Parameters {
+			size += 4 + len(p)
+		}
+		return size
+	case *pgproto3.CopyData:
+		return overhead + len(m.Data)
+	default:
+		return overhead
+	}
+}
+
+func (c *connection) receive(ctx context.Context) (pgproto3.BackendMessage, error) {
+	if c.broken != nil {
+		return nil, lost(c.sent, c.broken)
+	}
+	c.watch(ctx)
+	for {
+		m, err := c.frontend.Receive()
+		if err != nil {
+			return nil, c.fail(err)
+		}
+		if e, ok := m.(*pgproto3.ErrorResponse); ok && isFatal(e) {
+			return nil, c.fail(pgconn.ErrorResponseToPgError(e))
+		}
+		if z, ok := m.(*pgproto3.ReadyForQuery); ok {
+			c.due--
+			if c.due == 0 {
+				c.status = z.TxStatus
+			}
+		}
+		if m = c.prepared.incoming(m); m != nil {
+			return m, nil
+		}
+	}
+}
+
+func isFatal(e *pgproto3.ErrorResponse) bool {
+	severity := e.SeverityUnlocalized
+	if severity == "" {
+		severity = e.Severity
+	}
+	return severity == "FATAL" || severity == "PANIC"
+}
+
+// watch interrupts reads and writes when ctx ends. It keeps the registration
+// while the same context is used, because Receive is called for every row.
+func (c *connection) watch(ctx context.Context) {
+	if c.watched == ctx {
+		return
+	}
+	c.unwatch()
+	c.watched = ctx
+	c.stopWatched = context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(past) })
+}
+
+// unwatch ends the registration. A context that has ended may have
+// interrupted the connection, which is then of no further use.
+func (c *connection) unwatch() {
+	if c.watched == nil {
+		return
+	}
+	if !c.stopWatched() && c.broken == nil {
+		c.broken = context.Cause(c.watched)
+	}
+	c.watched, c.stopWatched = nil, nil
+}
+
+// fail marks the connection as lost and returns the error with its outcome.
+func (c *connection) fail(cause error) error {
+	if c.watched != nil && c.watched.Err() != nil {
+		cause = context.Cause(c.watched)
+	}
+	c.broken = cause
+	_ = c.conn.Close()
+	return lost(c.sent, cause)
+}
+
+// ready reports whether another session may use the connection.
+func (c *connection) ready() bool {
+	return c.broken == nil && c.due == 0 && c.status == 'I'
+}
+
+// startIdle begins to watch for the loss of the idle connection, which is
+// reported to observe. Nothing is due, so only notices can arrive.
+func (c *connection) startIdle(observe func(error)) {
+	c.sent = false
+	c.idle = make(chan struct{})
+	go c.watchIdle(observe)
+}
+
+func (c *connection) watchIdle(observe func(error)) {
+	defer close(c.idle)
+	for {
+		m, err := c.frontend.Receive()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		if e, ok := m.(*pgproto3.ErrorResponse); ok && err == nil {
+			err = pgconn.ErrorResponseToPgError(e)
+		}
+		if _, ok := m.(*pgproto3.ReadyForQuery); ok && err == nil {
+			err = errors.New("answer without a request")
+		}
+		if err != nil {
+			c.idleLost = err
+			observe(err)
+			return
+		}
+	}
+}
+
+// stopIdle ends the watch and reports whether the connection is still usable.
+func (c *connection) stopIdle() bool {
+	if c.idle == nil {
+		return true
+	}
+	_ = c.conn.SetReadDeadline(past)
+	<-c.idle
+	c.idle = nil
+	if c.idleLost != nil {
+		c.broken = c.idleLost
+		return false
+	}
+	return c.conn.SetReadDeadline(time.Time{}) == nil
+}
+
+// close says goodbye if the server can still listen and closes the socket.
+func (c *connection) close() {
+	c.stopIdle()
+	c.unwatch()
+	if c.broken == nil && c.writing == nil {
+		_ = c.conn.SetDeadline(time.Now().Add(time.Second))
+		c.frontend.Send(&pgproto3.Terminate{})
+		_ = c.frontend.Flush()
+	}
+	_ = c.conn.Close()
+	_ = c.awaitWrite()
+}
+
+// conversation lends a connection until it is released.
+type conversation struct {
+	*connection
+	release func(*connection, bool)
+
+	mu       sync.Mutex
+	released bool
+	// cancelled is set once a cancel request was sent. The server may act on
+	// it after the statement has ended, so the connection is not used again.
+	cancelled bool
+}
+
+// Send implements Conversation.
+func (c *conversation) Send(ctx context.Context, batch ...pgproto3.FrontendMessage) error {
+	if c.ended() {
+		return lost(false, errReleased)
+	}
+	return c.send(ctx, batch)
+}
+
+// Receive implements Conversation.
+func (c *conversation) Receive(ctx context.Context) (pgproto3.BackendMessage, error) {
+	if c.ended() {
+		return nil, lost(false, errReleased)
+	}
+	return c.receive(ctx)
+}
+
+// ended guards the connection against use by a conversation that has given
+// it back, because it may serve another session by then.
+func (c *conversation) ended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.released
+}
+
+// Cancel implements Conversation. It is without effect after Release.
+func (c *conversation) Cancel(ctx context.Context) (err error) {
+	c.mu.Lock()
+	if c.released {
+		c.mu.Unlock()
+		return nil
+	}
+	c.cancelled = true
+	c.mu.Unlock()
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("backendserver: cancel: %w", err)
+		}
+	}()
+	return c.origin.CancelRequest(ctx)
+}
+
+// Release implements Conversation.
+func (c *conversation) Release(reusable bool) {
+	c.mu.Lock()
+	done := c.released
+	c.released = true
+	reusable = reusable && !c.cancelled
+	c.mu.Unlock()
+	if done {
+		return
+	}
+	if c.writing != nil {
+		reusable = reusable && c.ready()
+		if !reusable {
+			_ = c.conn.Close()
+		}
+		_ = c.awaitWrite()
+	}
+	c.unwatch()
+	c.release(c.connection, reusable && c.ready())
+}
+
+var _ Conversation = (*conversation)(nil)
--- /dev/null
+++ b/io/backendserver/local.go
@@ -0,0 +1,222 @@
+package backendserver
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"basilmill/core/account"
+	"basilmill/core/group"
+	"basilmill/core/outcome"
+	"basilmill/core/pool"
+)
+
+// LocalConfig sets up a Local. Zero values select the defaults of core/pool.
+type LocalConfig struct {
+	Dialer Dialer
+	// Limit bounds the connections to one server until SetLimit changes it.
+	Limit      int
+	MaxOpening int
+	QueueLimit int
+	// ObserveQueueTime, if set, receives the time each request waited.
+	ObserveQueueTime func(account.ID, time.Duration)
+	// ObserveLoss, if set, receives the loss of a connection to a server, also
+	// of an idle one, and failed openings. It must not block.
+	ObserveLoss func(group.ID, group.ServerID, error)
+}
+
+// Local opens conversations over this host's own connections.
+//
+// It keeps one pool for each server, keyed by database, because the
+// connection limit of a server covers all its databases together. The pool
+// closes an idle connection to one database to make room for another.
+type Local struct {
+	config LocalConfig
+
+	mu       sync.Mutex
+	servers  map[server]*servedBy
+	draining bool
+}
+
+type server struct {
+	group group.ID
+	id    group.ServerID
+}
+
+// servedBy is the pool of one server at one address.
+type servedBy struct {
+	address netip.AddrPort
+	limit   int
+	pool    *pool.Pool[*connection]
+}
+
+// NewLocal returns a Local without connections.
+func NewLocal(config LocalConfig) *Local {
+	return &Local{config: config, servers: map[server]*servedBy{}}
+}
+
+// Acquire returns a conversation on a connection to the target's database.
+func (l *Local) Acquire(ctx context.Context, target Target) (Conversation, error) {
+	key := server{group: target.Group, id: target.Server}
+	p, err := l.pool(key, target.Address)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		c, err := p.Get(ctx, pool.Key(target.Database), target.Account)
+		if err != nil {
+			return nil, notRun(err)
+		}
+		if !c.stopIdle() {
+			p.Put(c, false)
+			continue
+		}
+		return &conversation{connection: c, release: func(c *connection, reusable bool) {
+			l.release(key, p, c, reusable)
+		}}, nil
+	}
+}
+
+// notRun makes sure that an error carries its outcome: nothing was sent.
+func notRun(err error) error {
+	var o *outcome.Error
+	if errors.As(err, &o) {
+		return o
+	}
+	return refused(err)
+}
+
+func (l *Local) release(key server, p *pool.Pool[*connection], c *connection, reusable bool) {
+	if c.broken != nil && !errors.Is(c.broken, context.Canceled) {
+		l.observe(key, c.broken)
+	}
+	if reusable {
+		c.startIdle(func(err error) { l.observe(key, err) })
+	}
+	p.Put(c, reusable)
+}
+
+func (l *Local) observe(key server, err error) {
+	if l.config.ObserveLoss != nil {
+		l.config.ObserveLoss(key.group, key.id, err)
+	}
+}
+
+// pool returns the pool of the server. A server that has moved to another
+// address gets a new pool, and the old one is drained.
+func (l *Local) pool(key server, address netip.AddrPort) (*pool.Pool[*connection], error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.draining {
+		return nil, outcome.NoPrimary("the host is draining", nil)
+	}
+	s, ok := l.servers[key]
+	if !ok {
+		s = &servedBy{limit: l.config.Limit}
+		l.servers[key] = s
+	}
+	if s.pool != nil && s.address == address {
+		return s.pool, nil
+	}
+	if s.pool != nil {
+		s.pool.Drain()
+	}
+	s.address = address
+	s.pool = l.newPool(key, s)
+	return s.pool, nil
+}
+
+func (l *Local) newPool(key server, s *servedBy) *pool.Pool[*connection] {
+	address := s.address
+	return pool.New(pool.Config[*connection]{
+		Limit:            s.limit,
+		MaxOpening:       l.config.MaxOpening,
+		QueueLimit:       l.config.QueueLimit,
+		ObserveQueueTime: l.config.ObserveQueueTime,
+		Open: func(ctx context.Context, database pool.Key) (*connection, error) {
+			c, err := l.open(ctx, address, string(database))
+			if err != nil {
+				l.observe(key, err)
+			}
+			return c, refused(err)
+		},
+		Close: (*connection).close,
+	})
+}
+
+func (l *Local) open(ctx context.Context, address netip.AddrPort, database string) (*connection, error) {
+	conn, err := l.config.Dialer.open(ctx, address, database)
+	if err != nil {
+		return nil, err
+	}
+	return newConnection(conn)
+}
+
+// SetLimit sets the connection limit of a server for this host.
+func (l *Local) SetLimit(id group.ID, s group.ServerID, limit int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	key := server{group: id, id: s}
+	entry, ok := l.servers[key]
+	if !ok {
+		entry = &servedBy{}
+		l.servers[key] = entry
+	}
+	entry.limit = limit
+	if entry.pool != nil {
+		entry.pool.SetLimit(limit)
+	}
+}
+
+// SetShare sets an account's share of the connections to a server that has
+// been used. It reports whether the server has a pool.
+func (l *Local) SetShare(id group.ID, s group.ServerID, a account.ID, share pool.Share) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry, ok := l.servers[server{group: id, id: s}]
+	if !ok || entry.pool == nil {
+		return false
+	}
+	entry.pool.SetShare(a, share)
+	return true
+}
+
+// Lost tells that the server is lost: idle connections are closed and waiting
+// requests end as NotRun, so that they can be routed elsewhere.
+func (l *Local) Lost(id group.ID, s group.ServerID, cause error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry, ok := l.servers[server{group: id, id: s}]
+	if !ok || entry.pool == nil {
+		return
+	}
+	entry.pool.CloseIdle()
+	entry.pool.RefuseWaiting("the backend server was lost", cause)
+}
+
+// Stats returns the state of a server's pool.
+func (l *Local) Stats(id group.ID, s group.ServerID) pool.Stats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry, ok := l.servers[server{group: id, id: s}]
+	if !ok || entry.pool == nil {
+		return pool.Stats{}
+	}
+	return entry.pool.Stats()
+}
+
+// Drain refuses new conversations and closes connections as they come back.
+func (l *Local) Drain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.draining = true
+	for _, s := range l.servers {
+		if s.pool != nil {
+			s.pool.Drain()
+		}
+	}
+}
+
+var _ Connector = (*Local)(nil)
