backendserver: end conversations with a lost server

A server that is isolated does not answer, so a statement in flight waited for it after its replacement. Local.Lost now interrupts conversations in use. Also keeps columns named temp from pinning a connection in core/statement.

--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -171,7 +171,7 @@
 		follows(t, "for", "share"), follows(t, "for", "no"), follows(t, "for", "key"):
 		s.Class = Write
 	}
-	s.Pins = contains(t, "temp", "temporary", "pg_temp")
+	s.Pins = contains(t, "pg_temp") || follows(t, "into", "temp") || follows(t, "into", "temporary")
 	for i, token := range t {
 		if word(t, i+1) != "(" {
 			continue
@@ -262,13 +262,17 @@
 	return s
 }
 
+// maxTemporary is the number of tokens of CREATE OR REPLACE LOCAL TEMPORARY;
+// after these the word is a name.
+const maxTemporary = 5
+
 func classifyWrite(t []token) Statement {
 	switch t[0].word {
 	case "insert", "update", "delete", "merge", "truncate", "alter", "drop", "grant", "revoke", "comment",
 		"call", "do", "lock", "reindex", "vacuum", "analyze", "cluster", "refresh", "notify": //nolint:misspell // SQL keyword
 		return Statement{Class: Write, Pins: contains(t, "pg_temp") || callsSession(t)}
 	case "create":
-		return Statement{Class: Write, Pins: contains(t, "temp", "temporary", "pg_temp")}
+		return Statement{Class: Write, Pins: contains(t, "pg_temp") || contains(t[:min(len(t), maxTemporary)], "temp", "temporary")}
 	case "copy":
 		return Statement{Class: Write, CopyIn: follows(t, "from", "stdin")}
 	case "declare":
--- a/io/backendserver/connection.go
+++ b/io/backendserver/connection.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -53,6 +54,9 @@
 
 	// origin sends cancel requests.
 	origin *pgconn.PgConn
+
+	// interrupted is the reason why another goroutine ended the use.
+	interrupted atomic.Pointer[error]
 }
 
 func newConnection(conn *pgconn.PgConn) (*connection, error) {
@@ -214,14 +218,24 @@
 	if c.watched != nil && c.watched.Err() != nil {
 		cause = context.Cause(c.watched)
 	}
+	if reason := c.interrupted.Load(); reason != nil {
+		cause = *reason
+	}
 	c.broken = cause
 	_ = c.conn.Close()
 	return lost(c.sent, cause)
 }
 
+// interrupt makes the pending and every later use fail. It may be called from
+// any goroutine while the connection is lent.
+func (c *connection) interrupt(cause error) {
+	c.interrupted.Store(&cause)
+	_ = c.conn.SetDeadline(past)
+}
+
 // ready reports whether another session may use the connection.
 func (c *connection) ready() bool {
-	return c.broken == nil && c.due == 0 && c.status == 'I'
+	return c.broken == nil && c.interrupted.Load() == nil && c.due == 0 && c.status == 'I'
 }
 
 // startIdle begins to watch for the loss of the idle connection, which is
--- a/io/backendserver/local.go
+++ b/io/backendserver/local.go
@@ -50,6 +50,7 @@
 	address netip.AddrPort
 	limit   int
 	pool    *pool.Pool[*connection]
+	inUse   map[*connection]struct{}
 }
 
 // NewLocal returns a Local without connections.
@@ -73,12 +74,27 @@
 			p.Put(c, false)
 			continue
 		}
+		l.use(key, c)
 		return &conversation{connection: c, release: func(c *connection, reusable bool) {
 			l.release(key, p, c, reusable)
 		}}, nil
 	}
 }
 
+func (l *Local) use(key server, c *connection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.servers[key].inUse[c] = struct{}{}
+}
+
+// unuse reports whether the connection may still be used.
+func (l *Local) unuse(key server, c *connection) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.servers[key].inUse, c)
+	return c.interrupted.Load() == nil
+}
+
 // notRun makes sure that an error carries its outcome: nothing was sent.
 func notRun(err error) error {
 	var o *outcome.Error
@@ -92,6 +108,7 @@
 	if c.broken != nil && !errors.Is(c.broken, context.Canceled) {
 		l.observe(key, c.broken)
 	}
+	reusable = l.unuse(key, c) && reusable
 	if reusable {
 		c.startIdle(func(err error) { l.observe(key, err) })
 	}
@@ -114,8 +131,7 @@
 	}
 	s, ok := l.servers[key]
 	if !ok {
-		s = &servedBy{limit: l.config.Limit}
-		l.servers[key] = s
+		s = l.add(key, l.config.Limit)
 	}
 	if s.pool != nil && s.address == address {
 		return s.pool, nil
@@ -128,6 +144,12 @@
 	return s.pool, nil
 }
 
+func (l *Local) add(key server, limit int) *servedBy {
+	s := &servedBy{limit: limit, inUse: map[*connection]struct{}{}}
+	l.servers[key] = s
+	return s
+}
+
 func (l *Local) newPool(key server, s *servedBy) *pool.Pool[*connection] {
 	address := s.address
 	return pool.New(pool.Config[*connection]{
@@ -161,8 +183,7 @@
 	key := server{group: id, id: s}
 	entry, ok := l.servers[key]
 	if !ok {
-		entry = &servedBy{}
-		l.servers[key] = entry
+		entry = l.add(key, limit)
 	}
 	entry.limit = limit
 	if entry.pool != nil {
@@ -183,8 +204,10 @@
 	return true
 }
 
-// Lost tells that the server is lost: idle connections are closed and waiting
-// requests end as NotRun, so that they can be routed elsewhere.
+// Lost tells that the server was lost or replaced as primary. Conversations
+// in use fail at once, because a server that is isolated would not answer;
+// idle connections are closed; waiting requests end as NotRun, so that they
+// can be routed elsewhere.
 func (l *Local) Lost(id group.ID, s group.ServerID, cause error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -192,6 +215,9 @@
 	if !ok || entry.pool == nil {
 		return
 	}
+	for c := range entry.inUse {
+		c.interrupt(cause)
+	}
 	entry.pool.CloseIdle()
 	entry.pool.RefuseWaiting("the backend server was lost", cause)
 }
--- a/io/backendserver/local_test.go
+++ b/io/backendserver/local_test.go
@@ -139,6 +139,22 @@
 	})
 }
 
+// Guards against a statement that waits for an isolated server after the
+// server was declared lost.
+func TestLostServerEndsConversations(t *testing.T) {
+	silent := func(*pgproto3.Backend, pgproto3.FrontendMessage) bool { return true }
+	run(t, &fake{answer: silent}, func(t *testing.T, l *backendserver.Local) {
+		c := acquire(t, l)
+		time.AfterFunc(time.Second, func() { l.Lost("g", "s", errors.New("replaced")) })
+		_, err := exchange(t, c, 1, query("INSERT"))
+		assert.Equal(t, outcome.Of(err), outcome.Unknown)
+		assert.ErrorContains(t, err, "replaced")
+		c.Release(true)
+		synctest.Wait()
+		assert.Equal(t, l.Stats("g", "s").Open, 0)
+	})
+}
+
 // Guards against a deadlock when the server answers a large batch before it
 // has read all of it.
 func TestLargeBatchIsReadWhileWritten(t *testing.T) {
