caller: test COPY, TLS, limits and the extended protocol

They found one fault: the context of the wait for a server was used for the start-up parameters too, and its end interrupted the conversation. The parameters now use the session's context, and Conversation states when a context ends it.

--- a/io/backendserver/backendserver.go
+++ b/io/backendserver/backendserver.go
@@ -30,7 +30,9 @@
 
 // Conversation is the exclusive use of one connection to a backend server.
 // Errors are *outcome.Error. Send and Receive are used by one goroutine;
-// Cancel may be called from any.
+// Cancel may be called from any. A context that was given to Send or Receive
+// ends the conversation when it ends, until another one is given or the
+// conversation is released.
 type Conversation interface {
 	// Send sends the messages in one flush. Their contents are copied.
 	Send(ctx context.Context, batch ...pgproto3.FrontendMessage) error
--- a/io/backendserver/connection.go
+++ b/io/backendserver/connection.go
@@ -85,7 +85,9 @@
 	if err := ctx.Err(); err != nil {
 		return c.fail(err)
 	}
-	c.watch(ctx)
+	if c.watch(ctx); c.broken != nil {
+		return c.fail(c.broken)
+	}
 	if c.due == 0 && c.status != 0 {
 		c.sent = false // of this batch, nothing yet
 	}
@@ -161,7 +163,9 @@
 	if c.broken != nil {
 		return nil, lost(c.sent, c.broken)
 	}
-	c.watch(ctx)
+	if c.watch(ctx); c.broken != nil {
+		return nil, c.fail(c.broken)
+	}
 	for {
 		m, err := c.frontend.Receive()
 		if err != nil {
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -134,7 +134,7 @@
 
 // connect routes the batch and opens a conversation.
 func (s *session) connect(ctx context.Context, b *batch, class statement.Class, excluded []group.ServerID) verdict {
-	ctx, cancel := context.WithCancelCause(ctx)
+	waiting, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s.setInterrupt(cancel)
 	defer s.setInterrupt(nil)
@@ -142,17 +142,17 @@
 		class = statement.SessionSetting // the connection will be kept
 	}
 	s.decision = Decision{}
-	decision, err := s.host.Route(ctx, Request{
+	decision, err := s.host.Route(waiting, Request{
 		Identity: s.identity, SQL: b.sql, Class: class, Floor: s.floor, Excluded: excluded,
 	})
 	if err != nil {
-		return verdict{failure: interruption(ctx, err)}
+		return verdict{failure: interruption(waiting, err)}
 	}
 	s.decision = decision
 	s.raise(decision.Floor)
-	conv, err := s.host.Acquire(ctx, decision.Target)
+	conv, err := s.host.Acquire(waiting, decision.Target)
 	if err != nil {
-		failure := interruption(ctx, err)
+		failure := interruption(waiting, err)
 		overloaded := failure.SQLState == outcome.TooManyConnections
 		if !overloaded {
 			s.host.Observe(ConnectionLost{Target: decision.Target, Err: err})
--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -52,6 +52,7 @@
 	dropAfter            // the statement runs and the connection is lost
 	truncate             // a part of the answer is sent and the connection is lost
 	refuseReadOnly       // 25006
+	truncateLarge        // as truncate, after more than the caller's buffer
 )
 
 var addresses = map[string]netip.AddrPort{
@@ -62,10 +63,16 @@
 // newWorld runs a test in a bubble.
 func newWorld(t *testing.T, test func(*testing.T, *world)) {
 	t.Helper()
+	configuredWorld(t, caller.Config{}, test)
+}
+
+func configuredWorld(t *testing.T, config caller.Config, test func(*testing.T, *world)) {
+	t.Helper()
+	config.HostKey = 7
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{t: t, keys: map[string]string{}, locks: map[string]chan struct{}{}}
 		w.local = backendserver.NewLocal(backendserver.LocalConfig{Limit: 4, Dialer: backendserver.Dialer{User: "b", DialFunc: w.dial}})
-		w.server = caller.New(w, caller.Config{HostKey: 7})
+		w.server = caller.New(w, config)
 		w.ln = &listener{conns: make(chan net.Conn), closed: make(chan struct{})}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
@@ -179,7 +186,7 @@
 	client, server := net.Pipe()
 	for name, a := range addresses {
 		if a.String() == address {
-			go (&backend{world: w, name: name, wire: pgproto3.NewBackend(server, server), status: 'I'}).serve(server)
+			go (&backend{world: w, name: name, wire: pgproto3.NewBackend(server, nonEmpty{server}), status: 'I'}).serve(server)
 		}
 	}
 	return client, nil
@@ -200,11 +207,21 @@
 	skipping bool
 }
 
+// nonEmpty drops empty writes, for which net.Pipe would wait for a reader.
+type nonEmpty struct{ net.Conn }
+
+func (c nonEmpty) Write(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	return c.Conn.Write(p)
+}
+
 var errDropped = errors.New("dropped")
 
 func (b *backend) serve(conn net.Conn) {
 	defer conn.Close()
-	defer b.end(false)
+	defer func() { b.end(false) }()
 	start, err := b.wire.ReceiveStartupMessage()
 	if _, cancel := start.(*pgproto3.CancelRequest); err != nil || cancel {
 		return
@@ -230,6 +247,9 @@
 		for sql := range strings.SplitSeq(m.String, "; ") {
 			err = errors.Join(err, b.run(sql, true))
 		}
+		if b.status == 'I' {
+			b.end(true)
+		}
 		b.wire.Send(&pgproto3.ReadyForQuery{TxStatus: b.status})
 	case *pgproto3.Parse:
 		b.parsed[m.Name] = m.Query
@@ -238,6 +258,10 @@
 		b.bound = b.parsed[m.PreparedStatement]
 		b.wire.Send(&pgproto3.BindComplete{})
 	case *pgproto3.Describe:
+		if _, known := b.parsed[m.Name]; m.ObjectType == 'S' && !known {
+			b.skipping = true
+			return b.fail("26000")
+		}
 		if m.ObjectType == 'S' {
 			b.wire.Send(&pgproto3.ParameterDescription{})
 			b.bound = b.parsed[m.Name]
@@ -248,6 +272,9 @@
 	case *pgproto3.Close:
 		b.wire.Send(&pgproto3.CloseComplete{})
 	case *pgproto3.Sync:
+		if b.status == 'I' {
+			b.end(!b.skipping)
+		}
 		b.skipping = false
 		b.wire.Send(&pgproto3.ReadyForQuery{TxStatus: b.status})
 	}
@@ -268,7 +295,7 @@
 
 func (b *backend) fail(code string) error {
 	b.wire.Send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: code, Message: "refused"})
-	b.skipping = b.bound != ""
+	b.skipping = b.skipping || b.bound != ""
 	if b.status == 'T' {
 		b.status = 'E'
 	}
@@ -301,6 +328,7 @@
 	}
 	err := b.apply(sql, simple, f)
 	if err == nil && f == dropAfter {
+		b.end(b.status == 'I')
 		return errDropped
 	}
 	return err
@@ -326,23 +354,56 @@
 	case strings.HasPrefix(sql, "INSERT"):
 		b.rows = append(b.rows, sql)
 		tag = "INSERT 0 1"
-		if b.status == 'I' {
-			b.end(true)
-		}
 	case strings.HasPrefix(sql, "SELECT"):
 		if simple {
 			b.describe(sql)
 		}
 		tag = fmt.Sprintf("SELECT %d", b.query(sql))
-		if f == truncate {
+		if f == truncateLarge {
+			b.wire.Send(&pgproto3.DataRow{Values: [][]byte{make([]byte, 64<<10)}})
+		}
+		if f == truncate || f == truncateLarge {
 			_ = b.wire.Flush()
 			return errDropped
 		}
+	case strings.HasSuffix(sql, "FROM STDIN"):
+		return b.copyIn()
+	case strings.HasSuffix(sql, "TO STDOUT"):
+		b.wire.Send(&pgproto3.CopyOutResponse{})
+		b.wire.Send(&pgproto3.CopyData{Data: []byte(b.committed())})
+		b.wire.Send(&pgproto3.CopyDone{})
+		tag = "COPY 1"
 	}
 	b.wire.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
 	return nil
 }
 
+// copyIn adds the copied text to the rows.
+func (b *backend) copyIn() error {
+	b.wire.Send(&pgproto3.CopyInResponse{})
+	if err := b.wire.Flush(); err != nil {
+		return err
+	}
+	var data []byte
+	for {
+		m, err := b.wire.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := m.(type) {
+		case *pgproto3.CopyData:
+			data = append(data, m.Data...)
+		case *pgproto3.CopyDone:
+			b.rows = append(b.rows, string(data))
+			b.end(true)
+			b.wire.Send(&pgproto3.CommandComplete{CommandTag: []byte("COPY 1")})
+			return nil
+		default:
+			return b.fail("57014")
+		}
+	}
+}
+
 func (b *backend) query(sql string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
