caller: keep a read-only transaction's own error

A 25006 within a transaction became 40001 also when the caller had made the transaction read-only with SET TRANSACTION, so it would retry for ever. The conversion now applies only to transactions that the caller did not touch. A statement that the server could not parse no longer costs its connection. Conclusion: adds a test of servers that cannot be reached.

--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -85,6 +85,7 @@
 	unpins   bool
 	copyIn   bool
 	multiple bool
+	settings bool // changes settings, maybe of the transaction
 	writes   int
 	executed int
 }
@@ -137,6 +138,7 @@
 	b.unpins = f.Unpins
 	b.copyIn = b.copyIn || f.CopyIn
 	b.multiple = b.multiple || f.Multiple
+	b.settings = b.settings || f.Class == statement.SessionSetting
 	if mayWrite(f) {
 		b.writes++
 	}
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -209,6 +209,7 @@
 	if s.status == idle && b.begins {
 		s.readOnly = b.readOnly
 	}
+	s.readOnly = s.readOnly || b.settings
 	return &exchange{session: s, conv: s.conv, gated: b.synced && s.wrote, status: s.status}
 }
 
@@ -329,8 +330,9 @@
 		s.preparedSize = 0
 	}
 	if !s.pinned {
-		// A statement that failed may still have left a lock of the session.
-		s.release(!b.pins)
+		// A statement that failed may still have left a lock of the session,
+		// unless the server could not even parse it.
+		s.release(!b.pins || x.code == syntaxError)
 	}
 }
 
--- a/io/caller/errors.go
+++ b/io/caller/errors.go
@@ -20,6 +20,7 @@
 	invalidStatementName   outcome.SQLState = "26000"
 	invalidAuthorization   outcome.SQLState = "28000"
 	invalidPassword        outcome.SQLState = "28P01"
+	syntaxError            outcome.SQLState = "42601"
 	programLimitExceeded   outcome.SQLState = "54000"
 	queryCancelled         outcome.SQLState = "57014"
 	duplicateStatementName outcome.SQLState = "42P05"
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -193,7 +193,7 @@
 	if x.code == "" {
 		x.code = outcome.SQLState(m.Code)
 	}
-	if x.code == outcome.ReadOnlyTransaction && x.session.status != idle && x.decision.Primary && !x.readOnly {
+	if x.code == outcome.ReadOnlyTransaction && x.session.status != idle && x.decision.Primary && !x.readOnly && !x.pinned {
 		// The primary began to refuse writes during the transaction.
 		m = response("ERROR", outcome.RolledBack("the primary is being replaced", nil))
 	}
--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -185,9 +185,13 @@
 func (w *world) dial(_ context.Context, _, address string) (net.Conn, error) {
 	client, server := net.Pipe()
 	for name, a := range addresses {
-		if a.String() == address {
-			go (&backend{world: w, name: name, wire: pgproto3.NewBackend(server, nonEmpty{server}), status: 'I'}).serve(server)
+		if a.String() != address {
+			continue
 		}
+		if w.fault != nil && w.fault(name, "dial") == dropBefore {
+			return nil, errDropped
+		}
+		go (&backend{world: w, name: name, wire: pgproto3.NewBackend(server, nonEmpty{server}), status: 'I'}).serve(server)
 	}
 	return client, nil
 }
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -70,7 +70,8 @@
 	// wrote is set when the open transaction or batch ran something that may
 	// have written.
 	wrote bool
-	// readOnly is set within BEGIN READ ONLY.
+	// readOnly is set when the transaction may be read-only by the caller's
+	// own wish: after BEGIN READ ONLY, SET TRANSACTION and the like.
 	readOnly bool
 	// keyed is the request key's part in the open transaction, if any.
 	keyed *keyedTransaction
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -194,6 +194,26 @@
 	})
 }
 
+// Guards against a request that fails, or that goes to the same server again,
+// when its server cannot be reached, and against a wrong code for a refusal.
+func TestUnreachableServer(t *testing.T) {
+	newWorld(t, func(t *testing.T, w *world) {
+		conn := w.connect()
+		w.fault = func(server, sql string) fault {
+			if sql == "dial" && server == "replica" {
+				return dropBefore
+			}
+			return none
+		}
+		_ = rows(t, conn)
+		assert.DeepEqual(t, w.routed[len(w.routed)-1].Excluded, []group.ServerID{"replica"})
+		assert.NilError(t, exec(conn, "INSERT a"))
+		w.local.Drain()
+		assertError(t, exec(conn, "INSERT b"), outcome.CannotConnectNow, outcome.NotRun)
+		assert.Equal(t, w.committed(), "INSERT a")
+	})
+}
+
 // Guards against a keyed write that runs twice: repeated, concurrent, after an
 // unknown outcome, and as a transaction.
 func TestRequestKey(t *testing.T) {
