floor: add the shared floor query and tokens

Cause: a session that arrives without history must not read below its last acknowledged write, and thousands of sessions may arrive at once. Change: a session joins only a query that begins after its arrival. The answers of primary, successor and platform prove the floor in three ways; a newer record restarts the query at once, and without proof the read is refused as not run. Tokens carry floors as group/term/offset.

--- /dev/null
+++ b/core/floor/floor_test.go
@@ -0,0 +1,314 @@
+package floor_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"basilmill/core/floor"
+	"basilmill/core/group"
+	"basilmill/core/outcome"
+)
+
+// oneWay is the one-way latency to servers and platform, as in Ghent.
+const oneWay = 4 * time.Millisecond
+
+// world is a group as a host sees it. A server or platform without an entry
+// does not answer.
+type world struct {
+	mu       sync.Mutex
+	platform *group.Record
+	host     *group.Record
+	servers  map[group.ServerID]group.Status
+	queries  int
+}
+
+func (w *world) ask(ctx context.Context, id group.ServerID) (s group.Status, err error) {
+	time.Sleep(oneWay)
+	w.mu.Lock()
+	w.queries++
+	s, ok := w.servers[id]
+	w.mu.Unlock()
+	if !ok {
+		<-ctx.Done()
+		return s, ctx.Err()
+	}
+	time.Sleep(oneWay)
+	return s, nil
+}
+
+func (w *world) asker() *floor.Asker {
+	return floor.NewAsker(floor.Config{
+		Record: func() *group.Record {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.host
+		},
+		AskPrimary: func(ctx context.Context, r *group.Record) (group.Status, error) {
+			return w.ask(ctx, r.Primary)
+		},
+		AskSuccessor: func(ctx context.Context, r *group.Record) (group.Status, error) {
+			return w.ask(ctx, r.Successor)
+		},
+		ReadRecord: func(ctx context.Context) (*group.Record, error) {
+			time.Sleep(oneWay)
+			w.mu.Lock()
+			r := w.platform
+			w.mu.Unlock()
+			if r == nil {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			time.Sleep(oneWay)
+			return r, nil
+		},
+	})
+}
+
+// apply carries out one line of a group section.
+func (w *world) apply(name string, words []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	number, text := map[string]int64{}, map[string]group.ServerID{}
+	for _, word := range words {
+		key, value, _ := strings.Cut(word, "=")
+		number[key], _ = strconv.ParseInt(value, 10, 64)
+		text[key] = group.ServerID(value)
+	}
+	r := &group.Record{
+		Term: group.Term(number["term"]), Generation: group.Generation(number["generation"]),
+		Primary: text["primary"], Successor: text["successor"],
+	}
+	switch {
+	case name == "host":
+		w.host = r
+	case name == "platform" && words[0] == "silent":
+		w.platform = nil
+	case name == "platform":
+		w.platform = r
+	case words[0] == "silent":
+		delete(w.servers, group.ServerID(name))
+	default:
+		s := group.Status{
+			Server: group.ServerID(name), Term: r.Term, Generation: r.Generation, Successor: r.Successor,
+			TermStart: group.Offset(number["start"]), Received: group.Offset(number["received"]),
+		}
+		if words[0] == "primary" {
+			s.Role = group.Primary
+		}
+		w.servers[s.Server] = s
+	}
+}
+
+// Guards against floors below the last acknowledged write (I1) and against
+// reads on an unproven floor, in the recorded cases. The naive sections show
+// what one answer without the others would give.
+func TestReplay(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	assert.NilError(t, err)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			archive, err := txtar.ParseFile(file)
+			assert.NilError(t, err)
+			section := map[string]string{}
+			for _, f := range archive.Files {
+				section[f.Name] = string(f.Data)
+			}
+			synctest.Test(t, func(t *testing.T) { replay(t, section) })
+		})
+	}
+}
+
+func replay(t *testing.T, section map[string]string) {
+	w := &world{servers: map[group.ServerID]group.Status{}}
+	for line := range strings.Lines(section["group"]) {
+		words := strings.Fields(line)
+		if at, err := time.ParseDuration(words[0]); err == nil {
+			time.AfterFunc(at, func() { w.apply(words[1], words[2:]) })
+		} else {
+			w.apply(words[0], words[1:])
+		}
+	}
+	var acknowledged group.Position
+	_, err := fmt.Sscanf(section["acknowledged"], "%d:%d", &acknowledged.Term, &acknowledged.Offset)
+	assert.NilError(t, err)
+
+	var naive strings.Builder
+	for name, id := range map[string]group.ServerID{"primary only": w.host.Primary, "successor only": w.host.Successor} {
+		s := w.servers[id]
+		p := group.Position{Term: s.Term, Offset: s.Received}
+		if !p.IsZero() && p.Compare(acknowledged) < 0 {
+			naive.WriteString(name + ": " + p.String() + "\n")
+		}
+	}
+	for line := range strings.Lines(section["naive"]) {
+		assert.Assert(t, strings.Contains(naive.String(), line), "%q is not among the violations %q", line, naive.String())
+	}
+	assert.Equal(t, len(naive.String()), len(section["naive"]), naive.String())
+
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	p, err := w.asker().Ask(ctx)
+	got := p.String()
+	var refusal *outcome.Error
+	if errors.As(err, &refusal) {
+		got = fmt.Sprintf("refused %v %v", refusal.SQLState, refusal.Outcome)
+	} else {
+		assert.Assert(t, p.Compare(acknowledged) >= 0)
+	}
+	assert.Equal(t, fmt.Sprintf("%s after %v\n", got, time.Since(start)), section["want"])
+	time.Sleep(floor.DefaultTimeout) // ends queries that no session waits for
+}
+
+// Guards against a query per session, and against joining a query that began
+// before the session's own arrival.
+func TestSharedQuery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &group.Record{Term: 1, Generation: 1, Primary: "a", Successor: "b"}
+		w := &world{platform: r, host: r, servers: map[group.ServerID]group.Status{"b": {Server: "b", Term: 1}}}
+		asker := w.asker()
+		var sessions sync.WaitGroup
+		for offset := range group.Offset(20) {
+			w.mu.Lock()
+			w.servers["a"] = group.Status{Server: "a", Role: group.Primary, Term: 1, Generation: 1, Successor: "b", Received: offset}
+			w.mu.Unlock()
+			for range 500 {
+				sessions.Go(func() {
+					p, err := asker.Ask(t.Context())
+					assert.Check(t, err == nil && p.Offset >= offset, "floor %v below %d: %v", p, offset, err)
+				})
+			}
+			time.Sleep(time.Millisecond)
+		}
+		sessions.Wait()
+		assert.Assert(t, w.queries <= 2*5, "%d status queries", w.queries)
+	})
+}
+
+// Guards against a floor below an acknowledged write in any schedule of
+// changes of the successor, of the primary and of the host's record.
+func TestFloorCoversAcknowledged(t *testing.T) {
+	proved := 0
+	schedules := rapid.SliceOfN(rapid.IntRange(0, 39), 100, 400)
+	rapid.Check(t, func(rt *rapid.T) {
+		events := schedules.Draw(rt, "events")
+		fault := ""
+		synctest.Test(t, func(*testing.T) {
+			w := &world{servers: map[group.ServerID]group.Status{}}
+			for _, line := range []string{
+				"platform term=1 generation=1 primary=a successor=b", "host term=1 generation=1 primary=a successor=b",
+				"a primary term=1 generation=1 successor=b", "b replica term=1 generation=1", "c replica term=1", "d replica term=1",
+			} {
+				words := strings.Fields(line)
+				w.apply(words[0], words[1:])
+			}
+			asker, acknowledged := w.asker(), group.Position{}
+			var sessions sync.WaitGroup
+			for _, e := range events {
+				time.Sleep(time.Millisecond)
+				w.mu.Lock()
+				acknowledged = w.step(e, acknowledged)
+				before := acknowledged
+				w.mu.Unlock()
+				if e%4 > 0 {
+					continue
+				}
+				sessions.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+					defer cancel()
+					p, err := asker.Ask(ctx)
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					if err == nil {
+						proved++
+					}
+					if err == nil && p.Compare(before) < 0 {
+						fault = fmt.Sprintf("floor %v, acknowledged %v", p, before)
+					}
+				})
+			}
+			sessions.Wait()
+			time.Sleep(floor.DefaultTimeout) // ends queries that no session waits for
+		})
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+	assert.Assert(t, proved > 500, "the schedules prove too few floors: %d", proved)
+}
+
+// step applies one event and returns the last acknowledged write. Replaced
+// primaries and retired successors stay reachable and go on answering.
+func (w *world) step(e int, acknowledged group.Position) group.Position {
+	r := *w.platform
+	primary, successor, other := w.servers[r.Primary], w.servers[r.Successor], w.servers[group.ServerID("abcd"[e%4])]
+	idle := other.Server != r.Primary && other.Server != r.Successor
+	switch e / 4 {
+	case 0, 1, 2, 3: // a write, which the successor confirms if it is fed
+		if primary.Term == r.Term && successor.Term == r.Term {
+			primary.Received++
+			if primary.Successor == successor.Server {
+				successor.Received = primary.Received
+				acknowledged = group.Position{Term: r.Term, Offset: primary.Received}
+			}
+		}
+	case 4: // the primary stops feeding the successor and feeds a candidate
+		if idle && primary.Term == r.Term && other.Term == r.Term && other.Role == group.Replica && primary.Generation == r.Generation {
+			primary.Successor, primary.Generation, other.Received = other.Server, r.Generation+1, primary.Received
+			w.servers[other.Server] = other
+		}
+	case 5: // the candidate becomes the successor
+		if primary.Term == r.Term && primary.Generation > r.Generation {
+			r.Successor, r.Generation = primary.Successor, primary.Generation
+			w.platform = &r
+			return acknowledged
+		}
+	case 6: // a change of primary, first in the record only
+		if idle && e%8 < 4 && successor.Term == r.Term && primary.Term == r.Term {
+			w.platform = &group.Record{Term: r.Term + 1, Generation: r.Generation + 1, Primary: r.Successor, Successor: other.Server}
+			return acknowledged
+		}
+	case 7, 8: // the promotion, after which the new successor follows
+		if primary.Term < r.Term {
+			primary = group.Status{Server: r.Primary, Role: group.Primary, Term: r.Term, Generation: r.Generation, Successor: r.Successor, Received: primary.Received, TermStart: primary.Received}
+			successor = group.Status{Server: r.Successor, Term: r.Term, Generation: r.Generation, Received: primary.Received}
+		}
+	case 9:
+		w.host = w.platform
+	}
+	w.servers[r.Primary], w.servers[r.Successor] = primary, successor
+	return acknowledged
+}
+
+// Guards against tokens of another form, which would give wrong floors, and
+// against a floor that falls.
+func TestTokenAndRaise(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		token := floor.Token{
+			Group:    group.ID(rapid.StringMatching(`[A-Za-z0-9_.-]{1,60}`).Draw(rt, "group")),
+			Position: group.Position{Term: group.Term(rapid.Int64Min(1).Draw(rt, "term")), Offset: group.Offset(rapid.Int64Min(0).Draw(rt, "offset"))},
+		}
+		parsed, err := floor.ParseToken(token.String())
+		assert.NilError(rt, err)
+		assert.Equal(rt, parsed, token)
+	})
+	for _, text := range []string{"", "g/1", "g/0/5", "g/1/-5", "g/01/5", "g/1/+5", "g/1/5/", "g h/1/5", "/1/5", "g/1/5 ", strings.Repeat("g", 200) + "/1/5", "g/9223372036854775808/1"} {
+		_, err := floor.ParseToken(text)
+		assert.ErrorIs(t, err, floor.ErrToken, "%q", text)
+	}
+	low, high := group.Position{Term: 2, Offset: 90}, group.Position{Term: 3, Offset: 80}
+	assert.Equal(t, floor.Raise(low, high), high)
+	assert.Equal(t, floor.Raise(high, low), high)
+}
--- /dev/null
+++ b/core/floor/token.go
@@ -0,0 +1,72 @@
+package floor
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"basilmill/core/group"
+)
+
+// MaxTokenLength bounds the text of a token, in bytes.
+const MaxTokenLength = 128
+
+// ErrToken reports a text that is not a token.
+var ErrToken = errors.New("not a token of the form group/term/offset")
+
+// Token carries a session's floor through the caller to another host.
+type Token struct {
+	Group    group.ID
+	Position group.Position
+}
+
+// String returns the token as group/term/offset.
+func (t Token) String() string {
+	return string(t.Group) + "/" +
+		strconv.FormatInt(int64(t.Position.Term), 10) + "/" +
+		strconv.FormatInt(int64(t.Position.Offset), 10)
+}
+
+// ParseToken parses the text of a token. It accepts exactly the texts that
+// String gives for a group name of letters, digits, '-', '_' and '.', a term
+// of at least one and an offset of at least zero. The caller checks that the
+// group is the session's.
+func ParseToken(text string) (token Token, err error) {
+	defer func() { err = eris.Wrap(err, "parse token") }()
+	if len(text) > MaxTokenLength {
+		return Token{}, ErrToken
+	}
+	fields := strings.Split(text, "/")
+	if len(fields) != 3 || !validGroup(fields[0]) {
+		return Token{}, ErrToken
+	}
+	term, err := strconv.ParseInt(fields[1], 10, 64)
+	if err != nil || term < 1 {
+		return Token{}, ErrToken
+	}
+	offset, err := strconv.ParseInt(fields[2], 10, 64)
+	if err != nil || offset < 0 {
+		return Token{}, ErrToken
+	}
+	token = Token{group.ID(fields[0]), group.Position{Term: group.Term(term), Offset: group.Offset(offset)}}
+	if token.String() != text {
+		return Token{}, ErrToken
+	}
+	return token, nil
+}
+
+func validGroup(name string) bool {
+	return name != "" && strings.Trim(name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.") == ""
+}
+
+// Raise returns the higher of two floors. A server that contains the higher
+// one also contains every acknowledged write up to the other, because a later
+// term starts after all acknowledged writes of earlier ones.
+func Raise(floor, p group.Position) group.Position {
+	if p.Compare(floor) > 0 {
+		return p
+	}
+	return floor
+}
