--- a/core/retry/backoff.go
+++ b/core/retry/backoff.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"context"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -39,6 +40,21 @@
 	return b.state.NextBackOff()
 }
 
+// Wait waits for the next delay. It returns the error of ctx if that ends first.
+func (b *Backoff) Wait(ctx context.Context) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	timer := time.NewTimer(b.Next())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Reset restarts the delays from Initial, after a success.
 func (b *Backoff) Reset() { b.state = nil }
 
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,65 @@
+package retry_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/retry"
+)
+
+// Guards against resends that multiply the load of a failing server, and
+// against a caller that never tries again.
+func TestBudgetBoundsResends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget := &retry.Budget{Share: 0.2, MinRate: 2, Burst: 50}
+		// run makes 1000 requests a second, which all ask for a resend.
+		run := func(d time.Duration, succeeds bool) (resends int) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				if succeeds {
+					budget.Succeeded()
+				}
+				if budget.Allow() {
+					resends++
+				}
+			}
+			return resends
+		}
+		healthy := run(10*time.Second, true)
+		assert.Assert(t, healthy >= 2000 && healthy <= 2022, "%d resends for 10000 successes", healthy)
+		failing := run(10*time.Second, false)
+		assert.Assert(t, failing >= 19 && failing <= 22, "%d resends in 10 s at 2 a second", failing)
+		for range 10000 {
+			budget.Succeeded()
+		}
+		burst := run(100*time.Millisecond, false)
+		assert.Assert(t, burst >= 50 && burst <= 51, "%d resends from a budget of 50", burst)
+	})
+}
+
+// Guards against delays without jitter, which keep callers in step, against
+// delays beyond the maximum, and against waits that outlive their context.
+func TestBackoffHasFullJitter(t *testing.T) {
+	const callers = 2000
+	backoffs := make([]retry.Backoff, callers)
+	for _, bound := range []time.Duration{20, 40, 80, 100, 100} {
+		bound *= time.Millisecond
+		var sum, lowest, highest time.Duration = 0, time.Hour, 0
+		for i := range backoffs {
+			backoffs[i].Max = 100 * time.Millisecond
+			d := backoffs[i].Next()
+			sum, lowest, highest = sum+d, min(lowest, d), max(highest, d)
+		}
+		mean := sum / callers
+		assert.Assert(t, highest <= bound+1 && highest > bound*9/10 && lowest < bound/10, "%v to %v, bound %v", lowest, highest, bound)
+		assert.Assert(t, mean > bound*4/10 && mean < bound*6/10, "mean %v, bound %v", mean, bound)
+	}
+	backoffs[0].Reset()
+	assert.Assert(t, backoffs[0].Next() <= 20*time.Millisecond+1)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, backoffs[0].Wait(ctx), context.Canceled)
+}
