--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -357,6 +357,6 @@
 		return outcome.Unresolved("the write was not confirmed in time", err)
 	}
 	s.raise(at)
-	s.hold(&pgproto3.ParameterStatus{Name: statement.Token, Value: formatToken(s.identity.Group, s.floor)})
+	s.hold(&pgproto3.ParameterStatus{Name: statement.Token, Value: s.token()})
 	return nil
 }
