--- /dev/null
+++ b/core/logevent/logevent.go
@@ -0,0 +1,161 @@
+// Package logevent owns the catalogue of numbered log events and the logger
+// that writes them. The number identifies an event across releases; messages
+// may change. docs/log-events.md lists the catalogue.
+package logevent
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+
+	"golang.org/x/time/rate"
+)
+
+// Number identifies a log event.
+type Number int
+
+// Numbers of the events. A number is never reused.
+const (
+	HostStarted           Number = 1001
+	HostStopping          Number = 1002
+	HostStopped           Number = 1003
+	ListenerFailed        Number = 1004
+	PlatformUnavailable   Number = 2001
+	PlatformAvailable     Number = 2002
+	ObjectInvalid         Number = 2003
+	ConfigurationApplied  Number = 2004
+	ConfigurationStale    Number = 2005
+	HostListChanged       Number = 2006
+	PrimarySuspected      Number = 3001
+	SuspicionWithdrawn    Number = 3002
+	ChangeDecided         Number = 3003
+	ChangeCompleted       Number = 3004
+	ChangeRefused         Number = 3005
+	NoEligibleSuccessor   Number = 3006
+	CommandFailed         Number = 3007
+	SuccessorChange       Number = 3008
+	CallerRefused         Number = 4001
+	OutcomeUnknown        Number = 4002
+	ConnectionLost        Number = 4003
+	RequestNotRun         Number = 4004
+	ConnectionLimitHit    Number = 4005
+	PeerUnreachable       Number = 5001
+	BackendServerLeaving  Number = 5002
+	ProtocolError         Number = 5003
+	AuthenticationFailure Number = 5004
+)
+
+// Entry is the catalogue's description of an event.
+type Entry struct {
+	Number  Number
+	Name    string
+	Level   slog.Level
+	Message string
+	// Action tells operators what to do.
+	Action string
+}
+
+// Catalogue lists every event in the order of its number.
+func Catalogue() []Entry { return catalogue }
+
+var catalogue = []Entry{
+	{HostStarted, "HostStarted", slog.LevelInfo, "host started", "None."},
+	{HostStopping, "HostStopping", slog.LevelInfo, "host stopping, draining callers", "None."},
+	{HostStopped, "HostStopped", slog.LevelInfo, "host stopped", "None."},
+	{ListenerFailed, "ListenerFailed", slog.LevelError, "listener failed", "Check that the address in the settings is free and belongs to the host."},
+	{PlatformUnavailable, "PlatformUnavailable", slog.LevelWarn, "platform unavailable", "Restore the platform. Traffic continues; no change of primary and no new configuration is possible meanwhile."},
+	{PlatformAvailable, "PlatformAvailable", slog.LevelInfo, "platform available", "None."},
+	{ObjectInvalid, "ObjectInvalid", slog.LevelError, "platform object cannot be decoded", "Inspect the object; the host keeps the last valid version."},
+	{ConfigurationApplied, "ConfigurationApplied", slog.LevelInfo, "configuration applied", "None."},
+	{ConfigurationStale, "ConfigurationStale", slog.LevelWarn, "no contact with the platform or a relay within the promised time", "Check the links of the host; it serves its last configuration."},
+	{HostListChanged, "HostListChanged", slog.LevelInfo, "host list changed", "None."},
+	{PrimarySuspected, "PrimarySuspected", slog.LevelWarn, "primary suspected", "None unless it repeats without a change; then check the links to the primary."},
+	{SuspicionWithdrawn, "SuspicionWithdrawn", slog.LevelInfo, "suspicion withdrawn", "None."},
+	{ChangeDecided, "ChangeDecided", slog.LevelWarn, "change of primary decided", "None; find out why the old primary was lost."},
+	{ChangeCompleted, "ChangeCompleted", slog.LevelInfo, "change of primary completed", "None."},
+	{ChangeRefused, "ChangeRefused", slog.LevelInfo, "record update lost to another host", "None."},
+	{NoEligibleSuccessor, "NoEligibleSuccessor", slog.LevelError, "no server is eligible as primary", "Bring the primary or the successor back. Never promote another server by hand: it may lack acknowledged writes."},
+	{CommandFailed, "CommandFailed", slog.LevelWarn, "command to a backend server failed", "None unless it repeats; then check the backend server."},
+	{SuccessorChange, "SuccessorChange", slog.LevelInfo, "change of successor", "None."},
+	{CallerRefused, "CallerRefused", slog.LevelWarn, "caller refused", "Check the account's template if the caller is legitimate."},
+	{OutcomeUnknown, "OutcomeUnknown", slog.LevelWarn, "outcome of a write is unknown", "Callers retry with the same request key; check replication to the successor when frequent."},
+	{ConnectionLost, "ConnectionLost", slog.LevelWarn, "connection to a backend server lost", "None."},
+	{RequestNotRun, "RequestNotRun", slog.LevelWarn, "request refused, not run", "Check for a missing primary or an overloaded account."},
+	{ConnectionLimitHit, "ConnectionLimitHit", slog.LevelWarn, "backend server refused a connection over its limit", "Compare the group's ConnectionLimit with the server's setting."},
+	{PeerUnreachable, "PeerUnreachable", slog.LevelWarn, "host unreachable", "Check the link between the hosts."},
+	{BackendServerLeaving, "BackendServerLeaving", slog.LevelInfo, "backend server is leaving", "None."},
+	{ProtocolError, "ProtocolError", slog.LevelWarn, "caller violated the protocol", "Check the caller's driver or the source address."},
+	{AuthenticationFailure, "AuthenticationFailure", slog.LevelWarn, "authentication failed", "Check the caller's password; repeated failures may be an attack."},
+}
+
+// Limits of repeated events: the first few of each number are written, then
+// one a second, so that a storm of failures cannot fill the log.
+const (
+	burst         = 20
+	ratePerSecond = 1
+)
+
+// Logger writes numbered events. The zero value writes to slog.Default.
+type Logger struct {
+	// Log is the destination; nil means slog.Default.
+	Log *slog.Logger
+
+	mu       sync.Mutex
+	limiters map[Number]*limiter
+}
+
+// limiter limits one event and counts what it suppressed.
+type limiter struct {
+	rate       *rate.Limiter
+	suppressed int
+}
+
+// Write logs an event with attributes. Statement texts and secrets must not
+// be among them.
+func (l *Logger) Write(ctx context.Context, number Number, attrs ...slog.Attr) {
+	suppressed, ok := l.allow(number)
+	if !ok {
+		return
+	}
+	entry := find(number)
+	all := append([]slog.Attr{slog.Int("Event", int(number)), slog.String("Name", entry.Name)}, attrs...)
+	if suppressed > 0 {
+		all = append(all, slog.Int("Suppressed", suppressed))
+	}
+	l.destination().LogAttrs(ctx, entry.Level, entry.Message, all...)
+}
+
+func (l *Logger) allow(number Number) (suppressed int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.limiters == nil {
+		l.limiters = make(map[Number]*limiter)
+	}
+	lim := l.limiters[number]
+	if lim == nil {
+		lim = &limiter{rate: rate.NewLimiter(ratePerSecond, burst)}
+		l.limiters[number] = lim
+	}
+	if !lim.rate.Allow() {
+		lim.suppressed++
+		return 0, false
+	}
+	suppressed, lim.suppressed = lim.suppressed, 0
+	return suppressed, true
+}
+
+func (l *Logger) destination() *slog.Logger {
+	if l.Log != nil {
+		return l.Log
+	}
+	return slog.Default()
+}
+
+func find(number Number) Entry {
+	for _, e := range catalogue {
+		if e.Number == number {
+			return e
+		}
+	}
+	return Entry{Number: number, Name: "Unlisted", Level: slog.LevelError, Message: "event missing from the catalogue"}
+}
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,62 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/core/placement"
+)
+
+func hosts(n int, dataCentres ...host.DataCentre) []host.Info {
+	out := make([]host.Info, n)
+	for i := range out {
+		out[i] = host.Info{
+			ID:         host.ID(fmt.Sprintf("host-%d", i)),
+			DataCentre: dataCentres[i%len(dataCentres)],
+		}
+	}
+	return out
+}
+
+func record(i int) *group.Record {
+	return &group.Record{ID: group.ID(fmt.Sprintf("group-%d", i)), Servers: []group.Server{
+		{ID: "a", DataCentre: "gent-a"}, {ID: "b", DataCentre: "namur-a"}, {ID: "c", DataCentre: "brussel-a"},
+	}}
+}
+
+// Guards against coordinators that share a data centre while others have none:
+// one lost data centre must leave two observers.
+func TestCoordinatorsSpreadOverDataCentres(t *testing.T) {
+	all := hosts(12, "gent-a", "namur-a", "brussel-a", "luik-a")
+	for i := range 200 {
+		seen := make(map[host.DataCentre]bool)
+		for _, h := range placement.Coordinators(record(i), all, 3) {
+			seen[h.DataCentre] = true
+		}
+		assert.Equal(t, len(seen), 3)
+		assert.Assert(t, !seen["luik-a"], "a data centre without a server came before one with a server")
+	}
+}
+
+// Guards against the loss of one host moving the work of others, which would
+// reopen connections everywhere.
+func TestLostHostMovesOnlyItsOwnWork(t *testing.T) {
+	all := hosts(9, "gent-a", "namur-a", "brussel-a")
+	lost := all[4]
+	rest := append(append([]host.Info{}, all[:4]...), all[5:]...)
+	for i := range 200 {
+		before := placement.Coordinators(record(i), all, 3)
+		after := placement.Coordinators(record(i), rest, 3)
+		kept := make(map[host.ID]bool)
+		for _, h := range after {
+			kept[h.ID] = true
+		}
+		for _, h := range before {
+			assert.Assert(t, h.ID == lost.ID || kept[h.ID], "group %d moved from %s", i, h.ID)
+		}
+	}
+}
