--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,159 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/io/peer/peerpb"
+	"basilmill/io/peer/peerpb/peerpbconnect"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection to another host; links
+	// between regions take about 20 ms one way.
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout closes connections that carry nothing; at the two-year size
+	// a host talks to most others only now and then.
+	idleTimeout = 90 * time.Second
+	// pingAfter and pingTimeout detect a silent connection, so that requests
+	// do not queue up on a cut link.
+	pingAfter   = time.Second
+	pingTimeout = time.Second
+)
+
+// Client calls other hosts. It keeps one HTTP/2 connection to each.
+type Client struct {
+	self func() host.Info
+	http *http.Client
+
+	mu      sync.Mutex
+	clients map[netip.AddrPort]peerpbconnect.PeerServiceClient
+}
+
+// DialFunc opens a connection to another host.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client that introduces itself with the result of self.
+// A nil dial opens TCP connections.
+func NewClient(self func() host.Info, dial DialFunc) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	transport := &http.Transport{
+		DialContext:     dial,
+		IdleConnTimeout: idleTimeout,
+		Protocols:       new(http.Protocols),
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	return &Client{
+		self:    self,
+		http:    &http.Client{Transport: transport},
+		clients: make(map[netip.AddrPort]peerpbconnect.PeerServiceClient),
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+func (c *Client) to(h host.Info) peerpbconnect.PeerServiceClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.clients[h.PeerAddress]
+	if !ok {
+		client = peerpbconnect.NewPeerServiceClient(c.http, "http://"+h.PeerAddress.String())
+		c.clients[h.PeerAddress] = client
+	}
+	return client
+}
+
+// Pull asks a host for the objects that changed after a version.
+func (c *Client) Pull(ctx context.Context, to host.Info, pull Pull) (reply PullReply, from host.Info, err error) {
+	defer annotate(&err, "pull from host %s", to.ID)
+	response, err := c.to(to).Pull(ctx, connect.NewRequest(pullToWire(c.self(), pull)))
+	if err != nil {
+		return PullReply{}, host.Info{}, fromConnect(err)
+	}
+	from, err = hostFromWire(response.Msg.GetSender())
+	if err != nil {
+		return PullReply{}, host.Info{}, err
+	}
+	return pullReplyFromWire(response.Msg), from, nil
+}
+
+// Observe asks a host whether it reaches a backend server.
+func (c *Client) Observe(ctx context.Context, to host.Info, o Observation) (reply ObservationReply, err error) {
+	defer annotate(&err, "ask host %s about server %s", to.ID, o.Server)
+	response, err := c.to(to).Observe(ctx, connect.NewRequest(&peerpb.ObserveRequest{
+		Sender:    hostToWire(c.self()),
+		Group:     string(o.Group),
+		Server:    string(o.Server),
+		Term:      int64(o.Term),
+		TimeoutMs: o.Timeout.Milliseconds(),
+	}))
+	if err != nil {
+		return ObservationReply{}, fromConnect(err)
+	}
+	reply = ObservationReply{Reachable: response.Msg.GetReachable(), Term: group.Term(response.Msg.GetTerm())}
+	if response.Msg.GetPrimary() {
+		reply.Role = group.Primary
+	}
+	return reply, nil
+}
+
+// Suspect tells a watcher that this host lost its connection to a server.
+func (c *Client) Suspect(ctx context.Context, to host.Info, s Suspicion) (err error) {
+	defer annotate(&err, "report suspicion to host %s", to.ID)
+	_, err = c.to(to).Suspect(ctx, connect.NewRequest(&peerpb.SuspectRequest{
+		Sender: hostToWire(c.self()),
+		Group:  string(s.Group),
+		Server: string(s.Server),
+		Term:   int64(s.Term),
+	}))
+	return fromConnect(err)
+}
+
+// Announce tells a host that this host is leaving.
+func (c *Client) Announce(ctx context.Context, to host.Info) (err error) {
+	defer annotate(&err, "announce to host %s", to.ID)
+	_, err = c.to(to).Announce(ctx, connect.NewRequest(&peerpb.AnnounceRequest{Sender: hostToWire(c.self())}))
+	return fromConnect(err)
+}
+
+// Confirm waits on a coordinator until a write is confirmed.
+func (c *Client) Confirm(ctx context.Context, to host.Info, id group.ID, generation group.Generation, position group.Position) (err error) {
+	defer annotate(&err, "confirm on host %s", to.ID)
+	_, err = c.to(to).Confirm(ctx, connect.NewRequest(&peerpb.ConfirmRequest{
+		Sender:     hostToWire(c.self()),
+		Group:      string(id),
+		Generation: int64(generation),
+		Position:   positionToWire(position),
+	}))
+	return fromConnect(err)
+}
+
+func pullToWire(self host.Info, pull Pull) *peerpb.PullRequest {
+	return &peerpb.PullRequest{
+		Sender:         hostToWire(self),
+		After:          int64(pull.After),
+		WaitMs:         pull.Wait.Milliseconds(),
+		AppliedVersion: int64(pull.AppliedVersion),
+		Applied:        appliedToWire(pull.Applied),
+	}
+}
+
+// annotate adds context to an error on return.
+func annotate(err *error, format string, args ...any) {
+	if *err != nil {
+		*err = eris.Wrapf(*err, format, args...)
+	}
+}
--- /dev/null
+++ b/io/peer/peer.go
@@ -0,0 +1,258 @@
+// Package peer speaks the protocol between hosts: connect over HTTP/2 without
+// TLS. It maps the wire messages to the types of the core packages by hand.
+package peer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
+
+	"basilmill/core/account"
+	"basilmill/core/distribution"
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/io/peer/peerpb"
+)
+
+// Pull asks for the objects that changed after a version.
+type Pull struct {
+	After distribution.Version
+	// Wait bounds how long the receiver waits for a change.
+	Wait time.Duration
+	// AppliedVersion is the version in force on the sender.
+	AppliedVersion distribution.Version
+	Applied        []distribution.Applied
+}
+
+// PullReply answers a Pull.
+type PullReply struct {
+	Update  distribution.Update
+	Applied []distribution.Applied
+}
+
+// Observation asks whether the receiver reaches a backend server.
+type Observation struct {
+	Group   group.ID
+	Server  group.ServerID
+	Term    group.Term
+	Timeout time.Duration
+}
+
+// ObservationReply answers an Observation.
+type ObservationReply struct {
+	Reachable bool
+	Role      group.Role
+	Term      group.Term
+}
+
+// Suspicion reports that the sender lost its connection to a backend server.
+type Suspicion struct {
+	Group  group.ID
+	Server group.ServerID
+	Term   group.Term
+}
+
+// Start opens an exchange on a coordinator: it describes the request to be
+// routed and run there.
+type Start struct {
+	Account  account.ID
+	Group    group.ID
+	Database string
+	// Write asks for the primary.
+	Write bool
+	// ReadOnlyTransaction marks a transaction that may run on a replica.
+	ReadOnlyTransaction bool
+	// MaxAge is the accepted age of the data; 0 asks for current data.
+	MaxAge time.Duration
+	// OwnWrites asks that the floor holds also for a read with a MaxAge.
+	OwnWrites bool
+	// Floor is the lowest position that the session may see, if known.
+	Floor    group.Position
+	Excluded []group.ServerID
+	// Deadline bounds routing and the wait for a connection.
+	Deadline time.Duration
+}
+
+// Started tells which server serves an exchange.
+type Started struct {
+	Server     group.ServerID
+	Term       group.Term
+	Generation group.Generation
+	Primary    bool
+	// Floor is the session's floor, established when the request had none.
+	Floor group.Position
+}
+
+// Conversation is a connection to a backend server taken for one exchange.
+// Send and Receive may be called by different goroutines.
+type Conversation interface {
+	Send(ctx context.Context, batch ...pgproto3.FrontendMessage) error
+	Receive(ctx context.Context) (pgproto3.BackendMessage, error)
+	Cancel(ctx context.Context) error
+	Release(reusable bool)
+}
+
+// Handler answers the requests of other hosts. Errors that carry an outcome
+// (outcome.Error) reach the asking host as such.
+type Handler interface {
+	Pull(ctx context.Context, from host.Info, pull Pull) (PullReply, error)
+	Observe(ctx context.Context, from host.Info, observation Observation) (ObservationReply, error)
+	Suspect(ctx context.Context, from host.Info, suspicion Suspicion) error
+	Announce(ctx context.Context, from host.Info) error
+	Confirm(ctx context.Context, from host.Info, id group.ID, generation group.Generation, position group.Position) error
+	Start(ctx context.Context, from host.Info, start Start) (Started, Conversation, error)
+}
+
+func hostToWire(h host.Info) *peerpb.Host {
+	return &peerpb.Host{
+		Id:          string(h.ID),
+		DataCentre:  string(h.DataCentre),
+		Region:      string(h.Region),
+		PeerAddress: h.PeerAddress.String(),
+		Leaving:     h.State == host.Leaving,
+	}
+}
+
+func hostFromWire(w *peerpb.Host) (h host.Info, err error) {
+	if w.GetId() == "" {
+		return host.Info{}, eris.New("host without an id")
+	}
+	address, err := netip.ParseAddrPort(w.GetPeerAddress())
+	if err != nil {
+		return host.Info{}, eris.Wrapf(err, "address of host %q", w.GetId())
+	}
+	h = host.Info{
+		ID:          host.ID(w.GetId()),
+		DataCentre:  host.DataCentre(w.GetDataCentre()),
+		Region:      host.Region(w.GetRegion()),
+		PeerAddress: address,
+	}
+	if w.GetLeaving() {
+		h.State = host.Leaving
+	}
+	return h, nil
+}
+
+func positionToWire(p group.Position) *peerpb.Position {
+	return &peerpb.Position{Term: int64(p.Term), Offset: int64(p.Offset)}
+}
+
+func positionFromWire(w *peerpb.Position) group.Position {
+	return group.Position{Term: group.Term(w.GetTerm()), Offset: group.Offset(w.GetOffset())}
+}
+
+func objectsToWire(objects []distribution.Object) []*peerpb.Object {
+	out := make([]*peerpb.Object, len(objects))
+	for i, o := range objects {
+		out[i] = &peerpb.Object{
+			Kind:    string(o.Key.Kind),
+			Name:    o.Key.Name,
+			Version: int64(o.Version),
+			Value:   o.Value,
+		}
+	}
+	return out
+}
+
+func objectsFromWire(objects []*peerpb.Object) []distribution.Object {
+	out := make([]distribution.Object, len(objects))
+	for i, o := range objects {
+		out[i] = distribution.Object{
+			Key:     distribution.Key{Kind: distribution.Kind(o.GetKind()), Name: o.GetName()},
+			Version: distribution.Version(o.GetVersion()),
+			Value:   o.GetValue(),
+		}
+	}
+	return out
+}
+
+func appliedToWire(applied []distribution.Applied) []*peerpb.Applied {
+	out := make([]*peerpb.Applied, len(applied))
+	for i, a := range applied {
+		out[i] = &peerpb.Applied{
+			DataCentre: string(a.DataCentre),
+			Version:    int64(a.Version),
+			Hosts:      int32(a.Hosts),
+			AgeMs:      time.Since(a.At).Milliseconds(),
+		}
+	}
+	return out
+}
+
+// appliedFromWire turns the sender's ages into local times, so that no clocks
+// are compared between hosts.
+func appliedFromWire(applied []*peerpb.Applied) []distribution.Applied {
+	now := time.Now()
+	out := make([]distribution.Applied, len(applied))
+	for i, a := range applied {
+		out[i] = distribution.Applied{
+			DataCentre: host.DataCentre(a.GetDataCentre()),
+			Version:    distribution.Version(a.GetVersion()),
+			Hosts:      int(a.GetHosts()),
+			At:         now.Add(-time.Duration(a.GetAgeMs()) * time.Millisecond),
+		}
+	}
+	return out
+}
+
+func startToWire(self host.Info, s Start) *peerpb.Start {
+	excluded := make([]string, len(s.Excluded))
+	for i, id := range s.Excluded {
+		excluded[i] = string(id)
+	}
+	return &peerpb.Start{
+		Sender:              hostToWire(self),
+		Account:             string(s.Account),
+		Group:               string(s.Group),
+		Database:            s.Database,
+		Write:               s.Write,
+		ReadOnlyTransaction: s.ReadOnlyTransaction,
+		MaxAgeMs:            s.MaxAge.Milliseconds(),
+		OwnWrites:           s.OwnWrites,
+		Floor:               positionToWire(s.Floor),
+		Excluded:            excluded,
+		DeadlineMs:          s.Deadline.Milliseconds(),
+	}
+}
+
+func startFromWire(w *peerpb.Start) Start {
+	excluded := make([]group.ServerID, len(w.GetExcluded()))
+	for i, id := range w.GetExcluded() {
+		excluded[i] = group.ServerID(id)
+	}
+	return Start{
+		Account:             account.ID(w.GetAccount()),
+		Group:               group.ID(w.GetGroup()),
+		Database:            w.GetDatabase(),
+		Write:               w.GetWrite(),
+		ReadOnlyTransaction: w.GetReadOnlyTransaction(),
+		MaxAge:              time.Duration(w.GetMaxAgeMs()) * time.Millisecond,
+		OwnWrites:           w.GetOwnWrites(),
+		Floor:               positionFromWire(w.GetFloor()),
+		Excluded:            excluded,
+		Deadline:            time.Duration(w.GetDeadlineMs()) * time.Millisecond,
+	}
+}
+
+func startedToWire(s Started) *peerpb.Started {
+	return &peerpb.Started{
+		Server:     string(s.Server),
+		Term:       int64(s.Term),
+		Generation: int64(s.Generation),
+		Primary:    s.Primary,
+		Floor:      positionToWire(s.Floor),
+	}
+}
+
+func startedFromWire(w *peerpb.Started) Started {
+	return Started{
+		Server:     group.ServerID(w.GetServer()),
+		Term:       group.Term(w.GetTerm()),
+		Generation: group.Generation(w.GetGeneration()),
+		Primary:    w.GetPrimary(),
+		Floor:      positionFromWire(w.GetFloor()),
+	}
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,191 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"basilmill/core/distribution"
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/io/peer/peerpb"
+	"basilmill/io/peer/peerpb/peerpbconnect"
+)
+
+const (
+	// maxMessage bounds one message between hosts. Objects have at most one
+	// megabyte each; a pull carries at most maxPull of them.
+	maxMessage = 16 << 20
+	// maxPullBytes bounds the objects of one reply; the rest follows with the
+	// next pull.
+	maxPullBytes = 4 << 20
+	// headerTimeout bounds the wait for a request's headers.
+	headerTimeout = 5 * time.Second
+)
+
+// Server answers other hosts by a Handler.
+type Server struct {
+	handler Handler
+	self    func() host.Info
+	http    *http.Server
+}
+
+// NewServer returns a server that introduces itself with the result of self.
+func NewServer(self func() host.Info, handler Handler) *Server {
+	s := &Server{handler: handler, self: self}
+	mux := http.NewServeMux()
+	mux.Handle(peerpbconnect.NewPeerServiceHandler(s, connect.WithReadMaxBytes(maxMessage)))
+	s.http = &http.Server{
+		Handler:           mux,
+		Protocols:         new(http.Protocols),
+		ReadHeaderTimeout: headerTimeout,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: 100_000},
+	}
+	s.http.Protocols.SetUnencryptedHTTP2(true)
+	s.http.Protocols.SetHTTP1(true)
+	return s
+}
+
+// Serve accepts connections until Shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	if err := s.http.Serve(listener); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+// Shutdown lets running exchanges finish until the context ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		return s.http.Close()
+	}
+	return nil
+}
+
+// Pull implements the service.
+func (s *Server) Pull(ctx context.Context, request *connect.Request[peerpb.PullRequest]) (*connect.Response[peerpb.PullResponse], error) {
+	from, err := sender(request.Msg.GetSender())
+	if err != nil {
+		return nil, err
+	}
+	reply, err := s.handler.Pull(ctx, from, Pull{
+		After:          distribution.Version(request.Msg.GetAfter()),
+		Wait:           time.Duration(request.Msg.GetWaitMs()) * time.Millisecond,
+		AppliedVersion: distribution.Version(request.Msg.GetAppliedVersion()),
+		Applied:        appliedFromWire(request.Msg.GetApplied()),
+	})
+	if err != nil {
+		return nil, toConnect(err)
+	}
+	return connect.NewResponse(pullReplyToWire(s.self(), reply)), nil
+}
+
+// Observe implements the service.
+func (s *Server) Observe(ctx context.Context, request *connect.Request[peerpb.ObserveRequest]) (*connect.Response[peerpb.ObserveResponse], error) {
+	from, err := sender(request.Msg.GetSender())
+	if err != nil {
+		return nil, err
+	}
+	reply, err := s.handler.Observe(ctx, from, Observation{
+		Group:   group.ID(request.Msg.GetGroup()),
+		Server:  group.ServerID(request.Msg.GetServer()),
+		Term:    group.Term(request.Msg.GetTerm()),
+		Timeout: time.Duration(request.Msg.GetTimeoutMs()) * time.Millisecond,
+	})
+	if err != nil {
+		return nil, toConnect(err)
+	}
+	return connect.NewResponse(&peerpb.ObserveResponse{
+		Sender:    hostToWire(s.self()),
+		Reachable: reply.Reachable,
+		Primary:   reply.Role == group.Primary,
+		Term:      int64(reply.Term),
+	}), nil
+}
+
+// Suspect implements the service.
+func (s *Server) Suspect(ctx context.Context, request *connect.Request[peerpb.SuspectRequest]) (*connect.Response[peerpb.SuspectResponse], error) {
+	from, err := sender(request.Msg.GetSender())
+	if err != nil {
+		return nil, err
+	}
+	err = s.handler.Suspect(ctx, from, Suspicion{
+		Group:  group.ID(request.Msg.GetGroup()),
+		Server: group.ServerID(request.Msg.GetServer()),
+		Term:   group.Term(request.Msg.GetTerm()),
+	})
+	if err != nil {
+		return nil, toConnect(err)
+	}
+	return connect.NewResponse(&peerpb.SuspectResponse{}), nil
+}
+
+// Announce implements the service.
+func (s *Server) Announce(ctx context.Context, request *connect.Request[peerpb.AnnounceRequest]) (*connect.Response[peerpb.AnnounceResponse], error) {
+	from, err := sender(request.Msg.GetSender())
+	if err != nil {
+		return nil, err
+	}
+	if err := s.handler.Announce(ctx, from); err != nil {
+		return nil, toConnect(err)
+	}
+	return connect.NewResponse(&peerpb.AnnounceResponse{}), nil
+}
+
+// Confirm implements the service.
+func (s *Server) Confirm(ctx context.Context, request *connect.Request[peerpb.ConfirmRequest]) (*connect.Response[peerpb.ConfirmResponse], error) {
+	from, err := sender(request.Msg.GetSender())
+	if err != nil {
+		return nil, err
+	}
+	m := request.Msg
+	err = s.handler.Confirm(ctx, from, group.ID(m.GetGroup()), group.Generation(m.GetGeneration()), positionFromWire(m.GetPosition()))
+	if err != nil {
+		return nil, toConnect(err)
+	}
+	return connect.NewResponse(&peerpb.ConfirmResponse{}), nil
+}
+
+func sender(w *peerpb.Host) (host.Info, error) {
+	from, err := hostFromWire(w)
+	if err != nil {
+		return host.Info{}, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	return from, nil
+}
+
+// pullReplyToWire cuts a reply that is too large at an object's boundary. The
+// objects are in the order of their versions, so the reply is complete up to
+// the version of the last one that it carries.
+func pullReplyToWire(self host.Info, reply PullReply) *peerpb.PullResponse {
+	objects, version, size := reply.Update.Objects, reply.Update.Version, 0
+	for i, o := range objects {
+		size += len(o.Value)
+		if i > 0 && size > maxPullBytes {
+			objects, version = objects[:i], objects[i-1].Version
+			break
+		}
+	}
+	return &peerpb.PullResponse{
+		Sender:  hostToWire(self),
+		After:   int64(reply.Update.After),
+		Version: int64(version),
+		Objects: objectsToWire(objects),
+		Applied: appliedToWire(reply.Applied),
+	}
+}
+
+func pullReplyFromWire(w *peerpb.PullResponse) PullReply {
+	return PullReply{
+		Update: distribution.Update{
+			After:   distribution.Version(w.GetAfter()),
+			Version: distribution.Version(w.GetVersion()),
+			Objects: objectsFromWire(w.GetObjects()),
+		},
+		Applied: appliedFromWire(w.GetApplied()),
+	}
+}
