placement: choose coordinators again only for groups a host change affects

Change: Affected decides with one hash for each added host. Conclusion: a host change costs one hash for each group plus a few full choices.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -99,3 +99,45 @@
 	}
 	return 0
 }
+
+// Affected reports whether the coordinators of a group may change when hosts
+// are added and removed. It costs one hash for each added host, while a new
+// choice ranks every host; at the two-year size a host list change touches a
+// few of 8,100 groups.
+func Affected(record *group.Record, current []host.Info, n int, added, removed []host.Info) bool {
+	for _, h := range removed {
+		if slices.ContainsFunc(current, func(c host.Info) bool { return c.ID == h.ID }) {
+			return true
+		}
+	}
+	if dataCentres(current) < n {
+		// Some data centre has two coordinators or there are too few: any
+		// added host may take a place.
+		return len(added) > 0
+	}
+	return slices.ContainsFunc(added, func(h host.Info) bool { return mayEnter(record, current, h) })
+}
+
+// mayEnter reports whether the host could replace one of the coordinators: it
+// ranks before the one of its own data centre, or its data centre has none.
+func mayEnter(record *group.Record, current []host.Info, h host.Info) bool {
+	for _, c := range current {
+		if c.DataCentre == h.DataCentre && before(record, c, h) {
+			return false
+		}
+	}
+	return true
+}
+
+func dataCentres(hosts []host.Info) int {
+	seen := make(map[host.DataCentre]bool)
+	for _, h := range hosts {
+		seen[h.DataCentre] = true
+	}
+	return len(seen)
+}
+
+// before reports whether a ranks before b for the group.
+func before(record *group.Record, a, b host.Info) bool {
+	return Rank("group/"+string(record.ID), []host.Info{a, b})[0].ID == a.ID
+}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"basilmill/core/group"
 	"basilmill/core/host"
@@ -22,6 +23,13 @@
 	return out
 }
 
+func ids(hosts []host.Info) (out []host.ID) {
+	for _, h := range hosts {
+		out = append(out, h.ID)
+	}
+	return out
+}
+
 func record(i int) *group.Record {
 	return &group.Record{ID: group.ID(fmt.Sprintf("group-%d", i)), Servers: []group.Server{
 		{ID: "a", DataCentre: "gent-a"}, {ID: "b", DataCentre: "namur-a"}, {ID: "c", DataCentre: "brussel-a"},
@@ -60,3 +68,21 @@
 		}
 	}
 }
+
+// Guards against a stale assignment: whenever Affected says no, choosing again
+// must give the same coordinators, or two hosts would disagree on them.
+func TestAffectedMissesNoChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		centres := []host.DataCentre{"gent-a", "namur-a", "brussel-a", "luik-a"}
+		all := hosts(30, centres[:rapid.IntRange(1, 4).Draw(t, "centres")]...)
+		cut := rapid.IntRange(3, 29).Draw(t, "cut")
+		before, added := all[:cut], all[cut:cut+1]
+		gone := rapid.IntRange(0, cut-1).Draw(t, "gone")
+		after := append(append(append([]host.Info{}, before[:gone]...), before[gone+1:]...), added...)
+		r := record(rapid.IntRange(0, 1000).Draw(t, "group"))
+		current := placement.Coordinators(r, before, 3)
+		if !placement.Affected(r, current, 3, added, before[gone:gone+1]) {
+			assert.DeepEqual(t, ids(placement.Coordinators(r, after, 3)), ids(current))
+		}
+	})
+}
