backendserver: add the stand-in backend server with replication

Cause: the adapters and the tests of the invariants need a database group that runs in one process and under the virtual clock. Change: package backendserver speaks the PostgreSQL protocol over a small in-memory database with a log, asynchronous feeds, the functions of the schema basilmill and faults; package pipenet is an in-memory network; the program backendserver wraps the server.

--- /dev/null
+++ b/standin/backendserver/command.go
@@ -0,0 +1,155 @@
+package backendserver
+
+import (
+	"context"
+	"time"
+
+	"basilmill/core/group"
+	"basilmill/standin/internal/sql"
+)
+
+func errWrongState(format string, args ...any) error {
+	return sql.Errorf(sql.WrongState, format, args...)
+}
+
+// position returns the end of the primary's log and the generation under
+// which it feeds its successor.
+func (s *Server) position() (group.Position, group.Generation, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.role != group.Primary {
+		return group.Position{}, 0, errWrongState("server %s is not the primary", s.config.ID)
+	}
+	return group.Position{Term: s.log.term().Term, Offset: s.log.end()}, s.generation, nil
+}
+
+// promote makes the server the primary of a term. All received entries are
+// applied first; the term begins at the end of the log. The command may be
+// repeated in the same term, then a higher generation replaces the successor.
+func (s *Server) promote(
+	term group.Term, generation group.Generation, successor group.ServerID,
+) (group.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.log.term()
+	if s.role == group.Primary && current.Term == term {
+		if err := s.changeSuccessor(generation, successor); err != nil {
+			return 0, err
+		}
+		return current.Start, nil
+	}
+	if term <= current.Term || term <= s.commanded {
+		return 0, errWrongState("server %s is already in term %d", s.config.ID, max(current.Term, s.commanded))
+	}
+	s.stopFollower()
+	s.endEpoch()
+	s.closeFeeds("")
+	s.role, s.commanded, s.quiesced = group.Primary, term, false
+	s.generation, s.successor = generation, successor
+	s.log.startTerm(term, time.Now())
+	s.notify()
+	s.logger.Info("promoted", "term", term, "generation", generation, "successor", successor)
+	return s.log.term().Start, nil
+}
+
+// setSuccessor names the replica that is fed under a generation and returns
+// the end of the log.
+func (s *Server) setSuccessor(
+	term group.Term, generation group.Generation, successor group.ServerID,
+) (group.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.role != group.Primary || s.log.term().Term != term {
+		return 0, errWrongState("server %s is not the primary of term %d", s.config.ID, term)
+	}
+	if err := s.changeSuccessor(generation, successor); err != nil {
+		return 0, err
+	}
+	return s.log.end(), nil
+}
+
+// changeSuccessor re-establishes the feeds of the old and the new successor.
+// The old successor cannot receive entries past the current end of the log
+// under its old generation.
+func (s *Server) changeSuccessor(generation group.Generation, successor group.ServerID) error {
+	if generation < s.generation {
+		return errWrongState("server %s is already in generation %d", s.config.ID, s.generation)
+	}
+	if generation == s.generation && successor == s.successor {
+		return nil
+	}
+	if s.successor != "" {
+		s.closeFeeds(s.successor)
+	}
+	if successor != "" {
+		s.closeFeeds(successor)
+	}
+	s.generation, s.successor = generation, successor
+	s.notify()
+	s.logger.Info("successor changed", "generation", generation, "successor", successor)
+	return nil
+}
+
+// follow makes the server a replica of a primary and returns the end of its
+// log. A primary of a lower term fails its open write transactions.
+func (s *Server) follow(term group.Term, primary group.ServerID, address string) (group.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if primary == s.config.ID || address == "" {
+		return 0, sql.Errorf(sql.InvalidParameter, "server %s cannot follow %q at %q", s.config.ID, primary, address)
+	}
+	current := s.log.term().Term
+	if term < max(current, s.commanded) || term == current && s.role == group.Primary {
+		return 0, errWrongState("server %s is already in term %d", s.config.ID, max(current, s.commanded))
+	}
+	s.commanded = term
+	if s.role == group.Primary {
+		s.role, s.quiesced = group.Replica, false
+		s.generation, s.successor = 0, ""
+		s.endEpoch()
+		s.closeFeeds("")
+		s.logger.Info("primary becomes replica", "term", term)
+	}
+	if f := s.follower; f == nil || f.primary != primary || f.address != address {
+		s.startFollower(primary, address)
+	}
+	s.notify()
+	return s.log.end(), nil
+}
+
+// quiesce refuses new write transactions, gives open ones a bounded time to
+// finish and returns the final offset. The server accepts writes again only
+// in a higher term.
+func (s *Server) quiesce(ctx context.Context, term group.Term) (group.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.role != group.Primary || s.log.term().Term != term {
+		return 0, errWrongState("server %s is not the primary of term %d", s.config.ID, term)
+	}
+	s.quiesced = true
+	deadline := time.NewTimer(s.config.QuiesceTimeout)
+	defer deadline.Stop()
+	for expired := false; s.writers > 0 && !expired; {
+		changed := s.watch()
+		s.mu.Unlock()
+		var err error
+		select {
+		case <-changed:
+		case <-deadline.C:
+			expired = true
+		case <-ctx.Done():
+			err = context.Cause(ctx)
+		}
+		s.mu.Lock()
+		if err != nil {
+			return 0, err
+		}
+		if s.role != group.Primary || s.log.term().Term != term {
+			return 0, errWrongState("server %s left term %d", s.config.ID, term)
+		}
+	}
+	if s.writers > 0 {
+		s.endEpoch()
+	}
+	return s.log.end(), nil
+}
--- /dev/null
+++ b/standin/pipenet/pipenet.go
@@ -0,0 +1,258 @@
+// Package pipenet owns an in-memory network for tests in bubbles of
+// testing/synctest: listeners and connections by address, with a latency and
+// a link state for each pair of data centres. Every wait blocks on channels
+// and timers of the bubble, so that time in it advances.
+package pipenet
+
+import (
+	"context"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"basilmill/core/host"
+)
+
+// LinkState is the state of the link between two data centres.
+type LinkState int
+
+// States of a link.
+const (
+	// Up delivers after the latency.
+	Up LinkState = iota
+	// Cut resets connections and refuses new ones.
+	Cut
+	// BlackHole delivers nothing. Bytes, closes and attempts to connect are
+	// held and continue when the link is up again, as with the
+	// retransmissions of TCP.
+	BlackHole
+)
+
+// pair is an unordered pair of data centres.
+type pair struct{ a, b host.DataCentre }
+
+func newPair(a, b host.DataCentre) pair {
+	if b < a {
+		a, b = b, a
+	}
+	return pair{a, b}
+}
+
+// link is the state of a pair. Its fields are guarded by the network's mutex.
+type link struct {
+	latency time.Duration
+	state   LinkState
+	changed chan struct{} // closed when the state changes
+}
+
+// Network is an in-memory network.
+type Network struct {
+	mu        sync.Mutex
+	links     map[pair]*link
+	listeners map[netip.AddrPort]*listener
+	streams   map[*stream]pair
+	lastPort  uint16
+}
+
+// New returns a network in which all links are up without latency.
+func New() *Network {
+	return &Network{
+		links:     map[pair]*link{},
+		listeners: map[netip.AddrPort]*listener{},
+		streams:   map[*stream]pair{},
+	}
+}
+
+// Listen returns a listener at an address of a data centre.
+func (n *Network) Listen(centre host.DataCentre, address netip.AddrPort) (net.Listener, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.listeners[address] != nil {
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Addr: net.TCPAddrFromAddrPort(address), Err: syscall.EADDRINUSE}
+	}
+	l := &listener{
+		network: n, centre: centre, address: address,
+		backlog: make(chan net.Conn), closed: make(chan struct{}),
+	}
+	n.listeners[address] = l
+	return l, nil
+}
+
+// SetLatency sets the one-way latency between two data centres, or within one.
+func (n *Network) SetLatency(a, b host.DataCentre, oneWay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.link(newPair(a, b)).latency = oneWay
+}
+
+// SetLink sets the state of the link between two data centres, or within one.
+func (n *Network) SetLink(a, b host.DataCentre, state LinkState) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := newPair(a, b)
+	l := n.link(p)
+	l.state = state
+	close(l.changed)
+	l.changed = make(chan struct{})
+	if state != Cut {
+		return
+	}
+	for s, on := range n.streams {
+		if on == p {
+			s.reset()
+		}
+	}
+}
+
+// Close closes all listeners and resets all connections.
+func (n *Network) Close() {
+	n.mu.Lock()
+	listeners := slices.Collect(maps.Values(n.listeners))
+	for s := range n.streams {
+		s.reset()
+	}
+	n.mu.Unlock()
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+}
+
+// link returns the state of a pair. The caller holds the mutex.
+func (n *Network) link(p pair) *link {
+	l := n.links[p]
+	if l == nil {
+		l = &link{changed: make(chan struct{})}
+		n.links[p] = l
+	}
+	return l
+}
+
+// observe returns a copy of the state of a link.
+func (n *Network) observe(p pair) link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return *n.link(p)
+}
+
+// Dialer returns a dial function for a host in a data centre. Connections
+// have the host's address as their local one.
+func (n *Network) Dialer(
+	centre host.DataCentre, from netip.Addr,
+) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (conn net.Conn, err error) {
+		defer func() {
+			if err != nil {
+				err = &net.OpError{Op: "dial", Net: "tcp", Err: err}
+			}
+		}()
+		to, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, err
+		}
+		return n.dial(ctx, centre, from, to)
+	}
+}
+
+// dial takes a round trip: a request to the listener and its answer.
+func (n *Network) dial(
+	ctx context.Context, centre host.DataCentre, from netip.Addr, to netip.AddrPort,
+) (net.Conn, error) {
+	target, p := n.target(centre, to)
+	for range 2 {
+		if err := n.cross(ctx, p); err != nil {
+			return nil, err
+		}
+	}
+	if target == nil {
+		return nil, syscall.ECONNREFUSED
+	}
+	n.mu.Lock()
+	n.lastPort++
+	local := netip.AddrPortFrom(from, n.lastPort)
+	n.mu.Unlock()
+	client, server := n.connect(p, local, to)
+	select {
+	case target.backlog <- server:
+		return client, nil
+	case <-target.closed:
+		_ = client.Close()
+		_ = server.Close()
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		_ = client.Close()
+		_ = server.Close()
+		return nil, ctx.Err()
+	}
+}
+
+func (n *Network) target(centre host.DataCentre, to netip.AddrPort) (*listener, pair) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := n.listeners[to]
+	if l == nil {
+		return nil, newPair(centre, centre)
+	}
+	return l, newPair(centre, l.centre)
+}
+
+// cross waits until a packet has crossed a link.
+func (n *Network) cross(ctx context.Context, p pair) error {
+	for {
+		l := n.observe(p)
+		var passed <-chan time.Time
+		switch l.state {
+		case Cut:
+			return syscall.ECONNREFUSED
+		case Up:
+			timer := time.NewTimer(l.latency)
+			defer timer.Stop()
+			passed = timer.C
+		case BlackHole:
+		}
+		select {
+		case <-passed:
+			return nil
+		case <-l.changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// listener is the accepting end of an address.
+type listener struct {
+	network *Network
+	centre  host.DataCentre
+	address netip.AddrPort
+	backlog chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.backlog:
+		return conn, nil
+	case <-l.closed:
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.Addr(), Err: net.ErrClosed}
+	}
+}
+
+// Close implements net.Listener. It frees the address.
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		delete(l.network.listeners, l.address)
+	})
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
