standin/platform: add a stand-in for the platform's object API

Cause: the hosts and the operators' commands need a platform to run against. Conclusion: the client can be built and tested against it.

--- /dev/null
+++ b/standin/platform/server.go
@@ -0,0 +1,264 @@
+// Package platform is a stand-in for the platform: its object API with
+// versions, conditional updates and watches, its lagging host list, and
+// faults that tests switch on.
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// maxWatchWait bounds the wait of one watch.
+const maxWatchWait = 10 * time.Minute
+
+// Server is the platform. It is an http.Handler. The zero value is an empty
+// platform without faults.
+type Server struct {
+	muxOnce sync.Once
+	mux     *http.ServeMux
+
+	mu      sync.Mutex
+	version Version
+	objects map[Key]Object
+	hosts   []datedHosts
+	faults  Faults
+	calls   Calls
+	// changed is closed at the next change of objects or of the outage.
+	changed chan struct{}
+}
+
+// New returns an empty platform.
+func New() *Server { return &Server{} }
+
+// Calls counts the calls since the start by kind. Calls that fail count too.
+type Calls struct {
+	Get   int
+	List  int
+	Put   int
+	Watch int
+	Hosts int
+	// WaitingWatches is the number of watches that wait at the moment.
+	WaitingWatches int
+}
+
+// Calls returns the counters of calls.
+func (s *Server) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP serves the object API and the administration paths.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.muxOnce.Do(s.route)
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) route() {
+	s.mux = http.NewServeMux()
+	s.mux.Handle("GET /objects/{kind}/{name}", s.call(func(c *Calls) *int { return &c.Get }, s.serveGet))
+	s.mux.Handle("GET /objects/{kind}", s.call(func(c *Calls) *int { return &c.List }, s.serveList))
+	s.mux.Handle("PUT /objects/{kind}/{name}", s.call(func(c *Calls) *int { return &c.Put }, s.servePut))
+	s.mux.Handle("GET /watch", s.call(func(c *Calls) *int { return &c.Watch }, s.serveWatch))
+	s.mux.Handle("GET /hosts", s.call(func(c *Calls) *int { return &c.Hosts }, s.serveHosts))
+	s.mux.HandleFunc("GET /admin/fault", s.serveFaults)
+	s.mux.HandleFunc("POST /admin/fault", s.serveSetFaults)
+	s.mux.HandleFunc("PUT /admin/hosts", s.serveSetHosts)
+	s.mux.HandleFunc("GET /admin/calls", func(w http.ResponseWriter, _ *http.Request) {
+		respond(w, http.StatusOK, s.Calls())
+	})
+}
+
+// request is a call whose body has been read, so that the server notices when
+// the caller gives up.
+type request struct {
+	*http.Request
+	body     []byte
+	tooLarge bool
+}
+
+// call counts a call and applies the faults to it.
+func (s *Server) call(counter func(*Calls) *int, serve func(http.ResponseWriter, request)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		*counter(&s.calls)++
+		delay := s.faults.Delay
+		s.mu.Unlock()
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueBytes))
+		var tooLarge *http.MaxBytesError
+		if err != nil && !errors.As(err, &tooLarge) {
+			panic(http.ErrAbortHandler)
+		}
+		s.sleep(r, delay)
+		if s.failsByOutage(w, r) {
+			return
+		}
+		serve(w, request{Request: r, body: body, tooLarge: tooLarge != nil})
+	})
+}
+
+func (s *Server) sleep(r *http.Request, delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// failsByOutage answers the call as the outage in force demands, if any.
+func (s *Server) failsByOutage(w http.ResponseWriter, r *http.Request) bool {
+	for {
+		s.mu.Lock()
+		outage, changed := s.faults.Outage, s.waitChannel()
+		s.mu.Unlock()
+		switch outage {
+		case Unavailable:
+			http.Error(w, "the platform is unavailable", http.StatusServiceUnavailable)
+			return true
+		case BlackHole:
+			select {
+			case <-changed:
+				if s.Faults().Outage != BlackHole {
+					panic(http.ErrAbortHandler)
+				}
+			case <-r.Context().Done():
+				panic(http.ErrAbortHandler)
+			}
+		default:
+			return false
+		}
+	}
+}
+
+func (s *Server) serveGet(w http.ResponseWriter, r request) {
+	object, ok := s.Get(keyOf(r))
+	if !ok {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	respond(w, http.StatusOK, object)
+}
+
+func (s *Server) serveList(w http.ResponseWriter, r request) {
+	respond(w, http.StatusOK, s.List(0, r.PathValue("kind")))
+}
+
+// stored is the answer to a write that took effect.
+type stored struct {
+	Version Version
+}
+
+func (s *Server) servePut(w http.ResponseWriter, r request) {
+	ifMatch, ok := parseIfMatch(r.Header.Get("If-Match"))
+	if !ok {
+		http.Error(w, `If-Match: "<version>" is required`, http.StatusPreconditionRequired)
+		return
+	}
+	if r.tooLarge {
+		http.Error(w, ErrTooLarge.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	object, err := s.Put(keyOf(r), r.body, ifMatch)
+	switch {
+	case errors.Is(err, ErrConflict):
+		respond(w, http.StatusConflict, object)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	case s.takeLostReply():
+		panic(http.ErrAbortHandler)
+	default:
+		respond(w, http.StatusOK, stored{Version: object.Version})
+	}
+}
+
+func (s *Server) serveWatch(w http.ResponseWriter, r request) {
+	query := r.URL.Query()
+	after, afterErr := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, waitErr := time.ParseDuration(query.Get("wait"))
+	if afterErr != nil || waitErr != nil || wait < 0 {
+		http.Error(w, "after must be a version and wait a duration", http.StatusBadRequest)
+		return
+	}
+	items, ok := s.waitForItems(r, Version(after), min(wait, maxWatchWait), query["kind"])
+	if !ok {
+		if !s.failsByOutage(w, r.Request) {
+			panic(http.ErrAbortHandler)
+		}
+		return
+	}
+	respond(w, http.StatusOK, items)
+}
+
+// waitForItems returns the items that changed after the version as soon as
+// there is one, or none at the end of the wait. It fails when an outage starts
+// or the caller gives up.
+func (s *Server) waitForItems(r request, after Version, wait time.Duration, kinds []string) (items Items, ok bool) {
+	s.addWaiting(1)
+	defer s.addWaiting(-1)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		items = s.list(after, kinds)
+		outage, changed := s.faults.Outage, s.waitChannel()
+		s.mu.Unlock()
+		if outage == Unavailable || outage == BlackHole {
+			return Items{}, false
+		}
+		if len(items.Items) > 0 {
+			return items, true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return items, true
+		case <-r.Context().Done():
+			return Items{}, false
+		}
+	}
+}
+
+func (s *Server) addWaiting(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls.WaitingWatches += n
+}
+
+func (s *Server) serveHosts(w http.ResponseWriter, _ request) {
+	respond(w, http.StatusOK, HostList{Hosts: s.Hosts()})
+}
+
+func keyOf(r request) Key {
+	return Key{Kind: r.PathValue("kind"), Name: r.PathValue("name")}
+}
+
+func parseIfMatch(header string) (version Version, ok bool) {
+	unquoted, ok := strings.CutPrefix(header, `"`)
+	if !ok {
+		return 0, false
+	}
+	unquoted, ok = strings.CutSuffix(unquoted, `"`)
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.ParseInt(unquoted, 10, 64)
+	return Version(n), err == nil && n >= 0
+}
+
+func respond(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The caller may have gone; there is nobody to report the error to.
+	_ = json.NewEncoder(w).Encode(body)
+}
