--- /dev/null
+++ b/io/platform/client.go
@@ -0,0 +1,292 @@
+// Package platform is the client of the platform's object API over HTTP and
+// JSON, and owns the codecs of the objects that the platform stores.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"basilmill/core/host"
+)
+
+const (
+	// DefaultTimeout bounds a call, and the time that a watch may exceed its
+	// wait.
+	DefaultTimeout = 3 * time.Second
+	// DefaultMaxListBytes bounds the answer to a list, a watch or a host list.
+	// 8,100 objects of 4 KB stay below it.
+	DefaultMaxListBytes = 48 << 20
+
+	// maxObjectBytes bounds the answer with one object: the platform's 1 MB
+	// for the value and room for the envelope.
+	maxObjectBytes  = 1<<20 + 4<<10
+	maxMessageBytes = 1 << 10
+
+	dialTimeout     = time.Second
+	idleConnTimeout = 30 * time.Second
+	maxIdleConns    = 4
+)
+
+// Client calls the platform. It is safe for concurrent use.
+type Client struct {
+	base         url.URL
+	http         *http.Client
+	timeout      time.Duration
+	maxListBytes int64
+}
+
+var _ API = (*Client)(nil)
+
+// Options adjusts a client. The zero value selects the defaults.
+type Options struct {
+	// Timeout bounds each call; a watch may take its wait in addition.
+	Timeout time.Duration
+	// MaxListBytes bounds the answer to a list, a watch or a host list.
+	MaxListBytes int64
+	// Transport replaces the HTTP transport.
+	Transport http.RoundTripper
+}
+
+// NewClient returns a client of the platform at the given address.
+func NewClient(address netip.AddrPort, options Options) *Client {
+	c := &Client{
+		base:         url.URL{Scheme: "http", Host: address.String()},
+		http:         &http.Client{Transport: options.Transport},
+		timeout:      options.Timeout,
+		maxListBytes: options.MaxListBytes,
+	}
+	if c.timeout <= 0 {
+		c.timeout = DefaultTimeout
+	}
+	if c.maxListBytes <= 0 {
+		c.maxListBytes = DefaultMaxListBytes
+	}
+	if c.http.Transport == nil {
+		c.http.Transport = newTransport()
+	}
+	return c
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleConnTimeout,
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Get returns one object.
+func (c *Client) Get(ctx context.Context, key Key) (object Object, err error) {
+	defer wrapf(&err, "get %s", key)
+	var wire wireObject
+	err = c.read(ctx, call{path: objectPath(key), limit: maxObjectBytes}, &wire)
+	var refused *RefusedError
+	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
+		return Object{}, &NotFoundError{Key: key}
+	}
+	return wire.object(), err
+}
+
+// List returns every object of a kind.
+func (c *Client) List(ctx context.Context, kind Kind) (items Items, err error) {
+	defer wrapf(&err, "list %s", kind)
+	var wire wireItems
+	path := []string{"objects", string(kind)}
+	err = c.read(ctx, call{path: path, limit: c.maxListBytes}, &wire)
+	return wire.items(), err
+}
+
+// Watch returns the objects of the kinds that changed after a version as soon
+// as there is one, or none when the wait ends.
+func (c *Client) Watch(ctx context.Context, after Version, wait time.Duration, kinds ...Kind) (items Items, err error) {
+	defer wrapf(&err, "watch after %d", after)
+	query := url.Values{
+		"after": {strconv.FormatInt(int64(after), 10)},
+		"wait":  {wait.String()},
+	}
+	for _, kind := range kinds {
+		query.Add("kind", string(kind))
+	}
+	var wire wireItems
+	err = c.read(ctx, call{path: []string{"watch"}, query: query, limit: c.maxListBytes, wait: wait}, &wire)
+	return wire.items(), err
+}
+
+// Hosts returns the host list, which lags.
+func (c *Client) Hosts(ctx context.Context) (hosts []host.Info, err error) {
+	defer wrapf(&err, "list hosts")
+	var wire wireHosts
+	if err := c.read(ctx, call{path: []string{"hosts"}, limit: c.maxListBytes}, &wire); err != nil {
+		return nil, err
+	}
+	return wire.hosts()
+}
+
+// Put stores a value if the object still has the version ifMatch, where 0
+// creates the object, and returns the new version.
+func (c *Client) Put(ctx context.Context, key Key, value json.RawMessage, ifMatch Version) (version Version, err error) {
+	defer wrapf(&err, "put %s", key)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	// Nothing can have been sent before a connection was obtained.
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	request, err := c.request(ctx, http.MethodPut, call{path: objectPath(key)}, bytes.NewReader(value))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("If-Match", fmt.Sprintf(`"%d"`, ifMatch))
+	response, err := c.http.Do(request)
+	if err != nil && !connected.Load() {
+		return 0, &OutageError{Cause: err}
+	}
+	if err != nil {
+		return 0, &UnknownResultError{Key: key, Cause: err}
+	}
+	defer closeBody(response)
+	return putResult(response, key)
+}
+
+// putResult reads the answer to an update. Any answer but the ones that the
+// object API defines leaves open whether the update took effect.
+func putResult(response *http.Response, key Key) (Version, error) {
+	switch status := response.StatusCode; {
+	case status == http.StatusOK:
+		var stored wireStored
+		if err := decodeAnswer(response, maxObjectBytes, &stored); err != nil {
+			return 0, &UnknownResultError{Key: key, Cause: err}
+		}
+		return stored.Version, nil
+	case status == http.StatusConflict:
+		var current wireObject
+		if err := decodeAnswer(response, maxObjectBytes, &current); err != nil {
+			return 0, err
+		}
+		return 0, &ConflictError{Current: current.object()}
+	case status == http.StatusServiceUnavailable:
+		return 0, &OutageError{}
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
+		return 0, refusal(response)
+	default:
+		return 0, &UnknownResultError{Key: key, Cause: refusal(response)}
+	}
+}
+
+// call is a request without a body.
+type call struct {
+	path  []string
+	query url.Values
+	// limit bounds the bytes of the answer.
+	limit int64
+	// wait is the time that the platform may hold the call.
+	wait time.Duration
+}
+
+func (c *Client) read(ctx context.Context, call call, into any) error {
+	limited, cancel := context.WithTimeout(ctx, c.timeout+call.wait)
+	defer cancel()
+	request, err := c.request(limited, http.MethodGet, call, nil)
+	if err != nil {
+		return err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return readFailure(ctx, err)
+	}
+	defer closeBody(response)
+	switch response.StatusCode {
+	case http.StatusOK:
+		err = decodeAnswer(response, call.limit, into)
+		if err != nil && limited.Err() != nil {
+			return readFailure(ctx, err)
+		}
+		return err
+	case http.StatusServiceUnavailable:
+		return &OutageError{}
+	default:
+		return refusal(response)
+	}
+}
+
+// readFailure distinguishes a caller that gave up from a platform that did
+// not answer.
+func readFailure(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return err
+	}
+	return &OutageError{Cause: err}
+}
+
+func (c *Client) request(ctx context.Context, method string, call call, body io.Reader) (*http.Request, error) {
+	target := c.base
+	escaped := make([]string, len(call.path))
+	for i, segment := range call.path {
+		if segment == "" || segment == "." || segment == ".." {
+			return nil, eris.Errorf("%q is not a name of an object", segment)
+		}
+		escaped[i] = url.PathEscape(segment)
+	}
+	target.Path = "/" + strings.Join(call.path, "/")
+	target.RawPath = "/" + strings.Join(escaped, "/")
+	target.RawQuery = call.query.Encode()
+	return http.NewRequestWithContext(ctx, method, target.String(), body)
+}
+
+func objectPath(key Key) []string { return []string{"objects", string(key.Kind), key.Name} }
+
+// errTooLong means that an answer exceeds its limit.
+var errTooLong = errors.New("the answer is too long")
+
+func decodeAnswer(response *http.Response, limit int64, into any) error {
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errTooLong
+	}
+	if err == nil {
+		err = json.Unmarshal(body, into)
+	}
+	if err != nil {
+		return &AnswerError{Cause: err}
+	}
+	return nil
+}
+
+func refusal(response *http.Response) error {
+	// The status says enough when the message cannot be read.
+	message, _ := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
+	return &RefusedError{Status: response.StatusCode, Message: strings.TrimSpace(string(message))}
+}
+
+// closeBody closes the body after reading what is left of a short one, so that
+// the connection can be used again.
+func closeBody(response *http.Response) {
+	_, _ = io.CopyN(io.Discard, response.Body, maxMessageBytes)
+	_ = response.Body.Close()
+}
+
+func wrapf(err *error, format string, args ...any) {
+	if *err != nil {
+		*err = eris.Wrapf(*err, "platform: "+format, args...)
+	}
+}
