failover: add the machine that detects, decides and commands changes

Cause: a group needs one pure decision component that watchers drive. Change: group gets the legal transitions of a record; failover gets the Machine with detection, observers, conditional updates, commands and resumption, and a model of one group for its tests.

--- /dev/null
+++ b/core/failover/action.go
@@ -0,0 +1,204 @@
+package failover
+
+import (
+	"net/netip"
+	"time"
+
+	"basilmill/core/distribution"
+	"basilmill/core/group"
+	"basilmill/core/host"
+)
+
+// Action is an output of a Machine.
+type Action interface{ action() }
+
+// Probe queries the server's status. Probes of one server may overlap. The
+// query must be left to run until the timeout, which is far above the time at
+// which the machine takes the answer as late: a late answer still proves that
+// the server runs.
+type Probe struct {
+	Server  group.ServerID
+	SentAt  time.Time
+	Timeout time.Duration
+}
+
+// Observe asks another watcher whether it reaches the server. The answer is
+// an ObservationReceived or an ObservationFailed and may take as long as the
+// other's detection.
+type Observe struct {
+	Host   host.ID
+	Server group.ServerID
+	Term   group.Term
+}
+
+// Observation answers an ObserveRequested.
+type Observation struct {
+	To        host.ID
+	Server    group.ServerID
+	Term      group.Term
+	Reachable bool
+}
+
+// UpdateRecord updates the record if it still has the expected version. The
+// answer is UpdateApplied, UpdateConflict or UpdateUnknown. The machine has at
+// most one update under way and may repeat it unchanged.
+type UpdateRecord struct {
+	Record          *group.Record
+	ExpectedVersion distribution.Version
+}
+
+// ReadRecord reads the record from the platform itself, past any relay. The
+// answer is RecordChanged or ReadFailed.
+type ReadRecord struct{}
+
+// Execute sends a command to a backend server. The machine has at most one
+// command under way for each server.
+type Execute struct{ Command Command }
+
+// Command is a command to a backend server. Commands are comparable values and
+// idempotent.
+type Command interface {
+	command()
+	// Target is the server that executes the command.
+	Target() group.ServerID
+}
+
+// Promote makes the server primary of the term.
+type Promote struct {
+	Server     group.ServerID
+	Term       group.Term
+	Generation group.Generation
+	Successor  group.ServerID
+}
+
+// SetSuccessor makes the primary feed the successor under the generation.
+type SetSuccessor struct {
+	Server     group.ServerID
+	Term       group.Term
+	Generation group.Generation
+	Successor  group.ServerID
+}
+
+// Follow makes the server a replica of the primary.
+type Follow struct {
+	Server  group.ServerID
+	Term    group.Term
+	Primary group.ServerID
+	Address netip.AddrPort
+}
+
+// Quiesce makes the primary finish open transactions and refuse writes.
+type Quiesce struct {
+	Server group.ServerID
+	Term   group.Term
+}
+
+// Report tells logs and metrics what happened; it needs no answer.
+type Report interface {
+	Action
+	report()
+}
+
+// PrimarySuspected reports that probes of the primary fail and observers are being asked.
+type PrimarySuspected struct {
+	Server group.ServerID
+	Term   group.Term
+}
+
+// SuspicionWithdrawn reports that a suspected primary answered.
+type SuspicionWithdrawn struct {
+	Server   group.ServerID
+	Term     group.Term
+	Duration time.Duration
+}
+
+// ChangeDecided reports that an update of the record is being attempted.
+type ChangeDecided struct {
+	Record *group.Record
+	Cause  string
+}
+
+// ChangeLost reports that another host's update came first.
+type ChangeLost struct{ ChangeID group.ChangeID }
+
+// NoEligibleSuccessor reports, once for each suspicion, that the primary is
+// lost and that the successor cannot replace it.
+type NoEligibleSuccessor struct {
+	Successor group.ServerID
+	Term      group.Term
+}
+
+// ChangeCompleted reports that the new primary executed its promotion. Gap is the time
+// since the own host last heard from the old primary, or, for a planned
+// change, since that refused writes.
+type ChangeCompleted struct {
+	Primary group.ServerID
+	Term    group.Term
+	Start   group.Offset
+	Gap     time.Duration
+}
+
+// SuccessorChanged reports that a change of successor was recorded.
+type SuccessorChanged struct {
+	Successor  group.ServerID
+	Generation group.Generation
+}
+
+// CommandRefused reports that a command failed. It is repeated while it
+// applies.
+type CommandRefused struct {
+	Command Command
+	Err     error
+}
+
+// PlatformUnavailable reports that an update or a read got no answer. It comes
+// once until PlatformAvailable.
+type PlatformUnavailable struct{}
+
+// PlatformAvailable reports that the platform answers again.
+type PlatformAvailable struct{}
+
+func (Probe) action()               {}
+func (Observe) action()             {}
+func (Observation) action()         {}
+func (UpdateRecord) action()        {}
+func (ReadRecord) action()          {}
+func (Execute) action()             {}
+func (PrimarySuspected) action()    {}
+func (SuspicionWithdrawn) action()  {}
+func (ChangeDecided) action()       {}
+func (ChangeLost) action()          {}
+func (NoEligibleSuccessor) action() {}
+func (ChangeCompleted) action()     {}
+func (SuccessorChanged) action()    {}
+func (CommandRefused) action()      {}
+func (PlatformUnavailable) action() {}
+func (PlatformAvailable) action()   {}
+
+func (PrimarySuspected) report()    {}
+func (SuspicionWithdrawn) report()  {}
+func (ChangeDecided) report()       {}
+func (ChangeLost) report()          {}
+func (NoEligibleSuccessor) report() {}
+func (ChangeCompleted) report()     {}
+func (SuccessorChanged) report()    {}
+func (CommandRefused) report()      {}
+func (PlatformUnavailable) report() {}
+func (PlatformAvailable) report()   {}
+
+func (Promote) command()      {}
+func (SetSuccessor) command() {}
+func (Follow) command()       {}
+func (Quiesce) command()      {}
+
+// Target returns the server to be promoted.
+func (c Promote) Target() group.ServerID { return c.Server }
+
+// Target returns the primary.
+func (c SetSuccessor) Target() group.ServerID { return c.Server }
+
+// Target returns the replica.
+func (c Follow) Target() group.ServerID { return c.Server }
+
+// Target returns the primary.
+func (c Quiesce) Target() group.ServerID { return c.Server }
--- /dev/null
+++ b/core/failover/failover_test.go
@@ -0,0 +1,70 @@
+package failover_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/group"
+)
+
+// Guards against slow detection: from the kill of the primary, refused or
+// black-holed, to the accepted promotion at both users' latencies.
+func TestFailoverGap(t *testing.T) {
+	for _, latency := range []time.Duration{4 * time.Millisecond, 20 * time.Millisecond} {
+		for _, input := range []string{"kill a", "cut a *"} {
+			t.Run(fmt.Sprint(latency, input), func(t *testing.T) {
+				var worst time.Duration
+				for phase := range 15 {
+					synctest.Test(t, func(t *testing.T) {
+						w := newWorld(latency, uint64(phase))
+						w.start()
+						w.run(3*time.Second + time.Duration(phase)*10*time.Millisecond)
+						killed := time.Now()
+						w.do(strings.Fields(input))
+						w.run(2 * time.Second)
+						assert.NilError(t, w.violation)
+						worst = max(worst, w.promoted.Sub(killed))
+						assert.Assert(t, w.record().Primary == group.ServerID("b") && w.promoted.After(killed))
+					})
+				}
+				t.Log("longest gap:", worst)
+				assert.Assert(t, worst < time.Second, worst)
+			})
+		}
+	}
+}
+
+// Guards against a false promotion under packet loss and delay spikes: of
+// single packets and of all links together.
+func TestNoFalsePromotion(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(20*time.Millisecond, seed)
+				w.loss = 0.2
+				rng := rand.New(rand.NewPCG(seed, 2))
+				var until time.Time
+				w.spike = func() int {
+					if now := time.Now(); now.After(until.Add(5 * time.Second)) {
+						until = now.Add(time.Duration(rng.IntN(3000)) * time.Millisecond)
+					}
+					if time.Now().Before(until) || rng.IntN(20) == 0 {
+						return 10
+					}
+					return 1
+				}
+				w.quiet = true
+				w.start()
+				w.run(time.Hour)
+				assert.Equal(t, len(w.history), 1, "%v", w.log)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/core/group/transition.go
@@ -0,0 +1,247 @@
+package group
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"basilmill/core/host"
+)
+
+// MaxChanges bounds the audit entries that a record keeps.
+const MaxChanges = 32
+
+// Author identifies an update of a record for its audit entry.
+type Author struct {
+	ChangeID ChangeID
+	Host     host.ID
+	Time     time.Time
+	// Cause says in a few words why the record changes.
+	Cause string
+}
+
+// Transition names a legal change of a record.
+type Transition string
+
+// Transitions of a record.
+const (
+	TransitionPromote               Transition = "promote"
+	TransitionPromotePlanned        Transition = "planned promote"
+	TransitionStartSuccessorChange  Transition = "start successor change"
+	TransitionFinishSuccessorChange Transition = "finish successor change"
+	TransitionMarkLeaving           Transition = "mark leaving"
+	TransitionAddServer             Transition = "add server"
+	TransitionRemoveServer          Transition = "remove server"
+)
+
+// Reason says which precondition of a transition does not hold.
+type Reason string
+
+// Reasons of a TransitionError.
+const (
+	// NotEligible: the status does not prove that the successor holds every
+	// acknowledged write.
+	NotEligible Reason = "successor is not eligible"
+	// NotCaughtUp: the server has not received the required offset.
+	NotCaughtUp Reason = "server has not received the required offset"
+	// NotCandidate: there is no change of successor to this server under way,
+	// or the server is not fed as the candidate.
+	NotCandidate Reason = "server is not fed as the candidate"
+	// UnknownServer: the record does not list the server.
+	UnknownServer Reason = "server is not in the record"
+	// KnownServer: the record already lists the server.
+	KnownServer Reason = "server is already in the record"
+	// IsPrimary: the server is the primary.
+	IsPrimary Reason = "server is the primary"
+	// InUse: the server is the primary, the successor or the candidate.
+	InUse Reason = "server is the primary, the successor or the candidate"
+	// Unchanged: the transition would change nothing.
+	Unchanged Reason = "the record would not change"
+)
+
+// TransitionError reports a transition that the record does not allow.
+type TransitionError struct {
+	Transition Transition
+	Server     ServerID
+	Reason     Reason
+}
+
+// Error describes the refused transition.
+func (e *TransitionError) Error() string {
+	return fmt.Sprintf("%s %q: %s", e.Transition, e.Server, e.Reason)
+}
+
+// Eligible reports whether the status proves that the record's successor
+// holds every acknowledged write, so that it may become primary.
+//
+// The term must be the record's because the log of a server of a lower term
+// may lack acknowledged writes or hold a diverged end. The log must reach the
+// start of the term because a successor that the last change of primary named
+// may still lack writes that an earlier term acknowledged. The generation
+// matters for evidence only.
+func (r *Record) Eligible(s Status) bool {
+	return r.Successor != "" &&
+		s.Server == r.Successor &&
+		s.Role == Replica &&
+		s.Term == r.Term &&
+		s.Received >= s.TermStart
+}
+
+// Promote makes the successor the primary of the next term. The status is the
+// successor's own and must prove that it is eligible. The next successor may
+// be empty: no write is confirmed then until a change of successor.
+func (r *Record) Promote(by Author, successor Status, next ServerID) (*Record, error) {
+	return r.promote(TransitionPromote, by, successor, next)
+}
+
+// PromotePlanned is Promote for a primary that refuses writes since its log
+// ended at the final offset, which the successor must have received.
+func (r *Record) PromotePlanned(by Author, successor Status, final Offset, next ServerID) (*Record, error) {
+	if successor.Received < final {
+		return nil, &TransitionError{TransitionPromotePlanned, successor.Server, NotCaughtUp}
+	}
+	return r.promote(TransitionPromotePlanned, by, successor, next)
+}
+
+func (r *Record) promote(t Transition, by Author, successor Status, next ServerID) (*Record, error) {
+	if !r.Eligible(successor) {
+		return nil, &TransitionError{t, successor.Server, NotEligible}
+	}
+	if next == r.Successor {
+		return nil, &TransitionError{t, next, IsPrimary}
+	}
+	if _, ok := r.Server(next); !ok && next != "" {
+		return nil, &TransitionError{t, next, UnknownServer}
+	}
+	out := r.clone()
+	out.Term++
+	out.Generation++
+	out.Primary = r.Successor
+	out.Successor = next
+	out.Candidate = ""
+	return out.audit(by), nil
+}
+
+// StartSuccessorChange names the candidate. It may replace a candidate that
+// was lost. The candidate may be the present successor: its evidence then
+// counts again once the primary feeds it under the next generation.
+func (r *Record) StartSuccessorChange(by Author, candidate ServerID) (*Record, error) {
+	const t = TransitionStartSuccessorChange
+	if _, ok := r.Server(candidate); !ok {
+		return nil, &TransitionError{t, candidate, UnknownServer}
+	}
+	switch candidate {
+	case r.Primary:
+		return nil, &TransitionError{t, candidate, IsPrimary}
+	case r.Candidate:
+		return nil, &TransitionError{t, candidate, Unchanged}
+	}
+	out := r.clone()
+	out.Candidate = candidate
+	return out.audit(by), nil
+}
+
+// FinishSuccessorChange makes the candidate the successor. The offset is the
+// primary's answer to set_successor for the next generation and this
+// candidate: every write acknowledged so far lies before it. The candidate's
+// status must show that generation and an offset at or past it.
+func (r *Record) FinishSuccessorChange(by Author, candidate Status, offset Offset) (*Record, error) {
+	const t = TransitionFinishSuccessorChange
+	fed := r.Candidate != "" &&
+		candidate.Server == r.Candidate &&
+		candidate.Role == Replica &&
+		candidate.Term == r.Term &&
+		candidate.Generation == r.Generation+1
+	if !fed {
+		return nil, &TransitionError{t, candidate.Server, NotCandidate}
+	}
+	if candidate.Received < offset {
+		return nil, &TransitionError{t, candidate.Server, NotCaughtUp}
+	}
+	out := r.clone()
+	out.Generation++
+	out.Successor = r.Candidate
+	out.Candidate = ""
+	return out.audit(by), nil
+}
+
+// MarkLeaving marks the server as leaving. The mark is final: a server that
+// comes back is added under a new id.
+func (r *Record) MarkLeaving(by Author, id ServerID) (*Record, error) {
+	const t = TransitionMarkLeaving
+	i := r.index(id)
+	if i < 0 {
+		return nil, &TransitionError{t, id, UnknownServer}
+	}
+	if r.Servers[i].Leaving {
+		return nil, &TransitionError{t, id, Unchanged}
+	}
+	out := r.clone()
+	out.Servers[i].Leaving = true
+	return out.audit(by), nil
+}
+
+// AddServer adds a replica. A server that lost its log must be added under a
+// new id, because eligibility relies on a log that only grows within a term.
+func (r *Record) AddServer(by Author, server Server) (*Record, error) {
+	if r.index(server.ID) >= 0 || server.ID == "" {
+		return nil, &TransitionError{TransitionAddServer, server.ID, KnownServer}
+	}
+	out := r.clone()
+	out.Servers = append(out.Servers, server)
+	return out.audit(by), nil
+}
+
+// RemoveServer removes a replica that is neither the successor nor the
+// candidate.
+func (r *Record) RemoveServer(by Author, id ServerID) (*Record, error) {
+	const t = TransitionRemoveServer
+	i := r.index(id)
+	if i < 0 {
+		return nil, &TransitionError{t, id, UnknownServer}
+	}
+	if id == r.Primary || id == r.Successor || id == r.Candidate {
+		return nil, &TransitionError{t, id, InUse}
+	}
+	out := r.clone()
+	out.Servers = slices.Delete(out.Servers, i, i+1)
+	return out.audit(by), nil
+}
+
+// Holds reports whether one of the record's audit entries is the change. A
+// writer whose reply was lost learns from it that its update took effect, also
+// after later updates.
+func (r *Record) Holds(id ChangeID) bool {
+	return r.ChangeID == id || slices.ContainsFunc(r.Changes, func(c Change) bool { return c.ID == id })
+}
+
+func (r *Record) index(id ServerID) int {
+	return slices.IndexFunc(r.Servers, func(s Server) bool { return s.ID == id })
+}
+
+func (r *Record) clone() *Record {
+	out := *r
+	out.Databases = slices.Clone(r.Databases)
+	out.Servers = slices.Clone(r.Servers)
+	out.Changes = slices.Clone(r.Changes)
+	return &out
+}
+
+// audit stamps a copy of a record with its author and adds the audit entry.
+func (r *Record) audit(by Author) *Record {
+	r.ChangeID = by.ChangeID
+	r.Changes = append(r.Changes, Change{
+		ID:         by.ChangeID,
+		Host:       by.Host,
+		Time:       by.Time,
+		Cause:      by.Cause,
+		Term:       r.Term,
+		Generation: r.Generation,
+		Primary:    r.Primary,
+		Successor:  r.Successor,
+	})
+	if extra := len(r.Changes) - MaxChanges; extra > 0 {
+		r.Changes = slices.Delete(r.Changes, 0, extra)
+	}
+	return r
+}
