--- a/core/validate/fault.go
+++ b/core/validate/fault.go
@@ -112,13 +112,23 @@
 	Got  string
 }
 
-func (Missing) problem()    {}
-func (OutOfRange) problem() {}
-func (Malformed) problem()  {}
-func (Duplicate) problem()  {}
-func (Claimed) problem()    {}
-func (UnknownKey) problem() {}
-func (WrongType) problem()  {}
+// DuplicateKey means that an object has the key twice.
+type DuplicateKey struct{}
+
+// Syntax means that the document cannot be parsed from there on.
+type Syntax struct {
+	Reason string
+}
+
+func (Missing) problem()      {}
+func (OutOfRange) problem()   {}
+func (Malformed) problem()    {}
+func (Duplicate) problem()    {}
+func (Claimed) problem()      {}
+func (UnknownKey) problem()   {}
+func (WrongType) problem()    {}
+func (DuplicateKey) problem() {}
+func (Syntax) problem()       {}
 
 // String describes the problem.
 func (Missing) String() string { return "required" }
@@ -150,6 +160,12 @@
 // String describes the problem.
 func (p WrongType) String() string { return fmt.Sprintf("want %s, got %s", p.Want, p.Got) }
 
+// String describes the problem.
+func (DuplicateKey) String() string { return "the key is repeated" }
+
+// String describes the problem.
+func (p Syntax) String() string { return p.Reason }
+
 // Range is the default and the closed range of a parameter.
 type Range[T cmp.Ordered] struct {
 	Default T
