control: add the control thread, status polling and distribution loops

Cause: the parts need one owner of a host's control state and the loops that carry out its decisions. Change: core/control, a status poller that shares queries, the runner, the distribution of objects and the host list; connections to backend servers may now be read and written by different goroutines, which forwarding needs. The sent mark is set before the write: a concurrent failed read could otherwise take a batch that was being written for one that was not sent. Conclusion: the serve command can be assembled; routing is still missing.

--- /dev/null
+++ b/cmd/internal/serve/metrics.go
@@ -0,0 +1,120 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"basilmill/core/account"
+	"basilmill/core/group"
+	"basilmill/core/outcome"
+	"basilmill/core/statement"
+	"basilmill/io/caller"
+)
+
+// metrics are the host's metrics. Names follow the Prometheus conventions.
+type metrics struct {
+	registry        *prometheus.Registry
+	version         prometheus.Gauge
+	probes          prometheus.Counter
+	suspicions      prometheus.Counter
+	evidenceQueries prometheus.Counter
+	floorQueries    prometheus.Counter
+	gap             *prometheus.HistogramVec
+	reads           *prometheus.CounterVec
+	statements      *prometheus.CounterVec
+	duration        *prometheus.HistogramVec
+	queue           *prometheus.HistogramVec
+	sessions        *prometheus.GaugeVec
+	lost            prometheus.Counter
+	rerouted        prometheus.Counter
+	forwards        *prometheus.CounterVec
+}
+
+// Histogram buckets, in seconds. Gaps are measured against 2 s today and 19 s
+// at the two-year size; queue times start at a loopback round trip.
+var (
+	gapBuckets      = []float64{0.1, 0.2, 0.5, 1, 2, 5, 10, 19, 60}
+	durationBuckets = prometheus.ExponentialBuckets(0.0005, 2, 15)
+)
+
+func newMetrics() *metrics {
+	m := &metrics{registry: prometheus.NewRegistry()}
+	gauge := func(name, help string) prometheus.Gauge {
+		return register(m.registry, prometheus.NewGauge(prometheus.GaugeOpts{Name: name, Help: help}))
+	}
+	counter := func(name, help string) prometheus.Counter {
+		return register(m.registry, prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help}))
+	}
+	counters := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return register(m.registry, prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels))
+	}
+	histograms := func(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+		return register(m.registry, prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: buckets}, labels))
+	}
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	m.version = gauge("basilmill_configuration_version", "Version of the platform's objects in force on the host.")
+	m.probes = counter("basilmill_control_probes_total", "Status queries sent for failure detection.")
+	m.suspicions = counter("basilmill_control_suspicions_total", "Suspicions of a primary.")
+	m.evidenceQueries = counter("basilmill_control_evidence_queries_total", "Status queries of successors for waiting writes.")
+	m.floorQueries = counter("basilmill_control_floor_queries_total", "Shared floor queries.")
+	m.gap = histograms("basilmill_failover_gap_seconds", "Time without writes during a change of primary, as seen by its coordinator.", gapBuckets, "group")
+	m.reads = counters("basilmill_reads_total", "Reads by the role of the server that served them and whether their class allows a replica.", "role")
+	m.statements = counters("basilmill_statements_total", "Statements by class and outcome.", "account", "class", "outcome")
+	m.duration = histograms("basilmill_statement_duration_seconds", "Duration of statements as seen by the host.", durationBuckets, "class")
+	m.queue = histograms("basilmill_pool_queue_seconds", "Time that requests waited for a connection.", durationBuckets, "account")
+	m.sessions = register(m.registry, prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "basilmill_sessions", Help: "Open sessions of callers."}, []string{"account"}))
+	m.lost = counter("basilmill_backend_connections_lost_total", "Connections to backend servers lost in use, and failed openings.")
+	m.rerouted = counter("basilmill_rerouted_total", "Requests routed again because they certainly had no effect.")
+	m.forwards = counters("basilmill_forwards_total", "Requests run through another coordinator.", "result")
+	return m
+}
+
+func register[C prometheus.Collector](registry *prometheus.Registry, c C) C {
+	registry.MustRegister(c)
+	return c
+}
+
+func (m *metrics) observeGap(id group.ID, gap time.Duration) {
+	m.gap.WithLabelValues(string(id)).Observe(gap.Seconds())
+}
+
+func (m *metrics) observeQueue(id account.ID, wait time.Duration) {
+	m.queue.WithLabelValues(string(id)).Observe(wait.Seconds())
+}
+
+// observe counts an event of a session.
+func (m *metrics) observe(event caller.Event) {
+	switch e := event.(type) {
+	case caller.SessionStarted:
+		m.sessions.WithLabelValues(string(e.Account)).Inc()
+	case caller.SessionEnded:
+		m.sessions.WithLabelValues(string(e.Account)).Dec()
+	case caller.StatementDone:
+		m.statementDone(e)
+	case caller.ConnectionLost:
+		m.lost.Inc()
+	case caller.Rerouted:
+		m.rerouted.Inc()
+	}
+}
+
+func (m *metrics) statementDone(e caller.StatementDone) {
+	m.statements.WithLabelValues(string(e.Account), e.Class.String(), outcomeLabel(e.Outcome)).Inc()
+	m.duration.WithLabelValues(e.Class.String()).Observe(e.Duration.Seconds())
+	if e.Class == statement.Read && e.Served && e.Outcome == outcome.Done {
+		m.reads.WithLabelValues(e.ServedBy.String()).Inc()
+	}
+}
+
+func outcomeLabel(o outcome.Outcome) string {
+	switch o {
+	case outcome.Done:
+		return "done"
+	case outcome.NotRun:
+		return "not_run"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/cmd/internal/serve/peers.go
@@ -0,0 +1,100 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"basilmill/core/control"
+	"basilmill/core/distribution"
+	"basilmill/core/failover"
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/core/outcome"
+	"basilmill/io/peer"
+)
+
+// peerHandler answers the other hosts.
+type peerHandler struct {
+	post     func(control.Input)
+	snapshot func() *control.Snapshot
+	runner   *runner
+	entry    *entry
+	hosts    *hostList
+}
+
+// Pull answers with the objects after a version, as soon as there are any.
+func (h *peerHandler) Pull(ctx context.Context, from host.Info, pull peer.Pull) (peer.PullReply, error) {
+	h.post(control.HostHeard{Info: from, Applied: pull.AppliedVersion, Summary: pull.Applied})
+	s := h.awaitChange(ctx, pull)
+	reply := peer.PullReply{
+		Update:  distribution.Update{After: pull.After, Version: pull.After},
+		Applied: s.Applied,
+		Hosts:   h.hosts.unless(pull.HostsDigest),
+		Current: time.Since(s.Contact) < promisedTime,
+	}
+	if s.Version <= pull.After {
+		return reply, nil
+	}
+	answer := make(chan distribution.Update, 1)
+	h.post(control.ObjectsRequested{After: pull.After, Reply: answer})
+	select {
+	case reply.Update = <-answer:
+		return reply, nil
+	case <-ctx.Done():
+		return peer.PullReply{}, ctx.Err()
+	}
+}
+
+// awaitChange waits until the host has a higher version than the asking one.
+func (h *peerHandler) awaitChange(ctx context.Context, pull peer.Pull) *control.Snapshot {
+	timer := time.NewTimer(min(pull.Wait, watchWait))
+	defer timer.Stop()
+	for {
+		s := h.snapshot()
+		if s.Version > pull.After || h.hosts.unless(pull.HostsDigest) != nil {
+			return s
+		}
+		select {
+		case <-s.Changed:
+		case <-timer.C:
+			return h.snapshot()
+		case <-ctx.Done():
+			return s
+		}
+	}
+}
+
+// Observe answers whether this host reaches a backend server.
+func (h *peerHandler) Observe(ctx context.Context, from host.Info, o peer.Observation) (peer.ObservationReply, error) {
+	h.post(control.HostHeard{Info: from})
+	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
+	defer cancel()
+	reachable, err := h.runner.awaitObservation(ctx, observation{group: o.Group, from: from.ID, server: o.Server, term: o.Term})
+	return peer.ObservationReply{Reachable: reachable}, err
+}
+
+// Suspect makes the group's machine probe at once.
+func (h *peerHandler) Suspect(_ context.Context, from host.Info, s peer.Suspicion) error {
+	h.post(control.GroupEvent{Group: s.Group, Event: failover.Suspected{From: from.ID}})
+	return nil
+}
+
+// Announce notes that a host leaves.
+func (h *peerHandler) Announce(_ context.Context, from host.Info) error {
+	h.post(control.HostLeaving{Info: from})
+	return nil
+}
+
+// Confirm waits for the evidence on a coordinator.
+func (h *peerHandler) Confirm(ctx context.Context, _ host.Info, id group.ID, generation group.Generation, position group.Position) error {
+	g, ok := h.snapshot().Groups[id]
+	if !ok || g.View().Index < 0 {
+		return outcome.Unresolved("the host does not coordinate the group", nil)
+	}
+	return g.Gate.Confirm(ctx, generation, position)
+}
+
+// Start routes a forwarded request and opens a connection for it.
+func (h *peerHandler) Start(ctx context.Context, _ host.Info, start peer.Start) (peer.Started, peer.Conversation, error) {
+	return h.entry.start(ctx, start)
+}
--- /dev/null
+++ b/cmd/internal/serve/runner.go
@@ -0,0 +1,401 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"syscall"
+	"time"
+
+	"basilmill/core/account"
+	"basilmill/core/control"
+	"basilmill/core/distribution"
+	"basilmill/core/failover"
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/core/logevent"
+	"basilmill/io/backendserver"
+	"basilmill/io/peer"
+	"basilmill/io/platform"
+)
+
+const (
+	// pollTimeout bounds a status query.
+	pollTimeout = failover.DefaultProbeTimeout
+	// commandTimeout bounds a command; quiesce waits for open transactions.
+	commandTimeout = failover.DefaultCommandTimeout
+)
+
+// runner carries out the actions of the control thread, each in a goroutine
+// of its own, and posts the results back as inputs.
+type runner struct {
+	// ctx ends the actions under way when the host stops.
+	ctx      context.Context
+	self     host.Info
+	post     func(control.Input)
+	snapshot func() *control.Snapshot
+	platform platform.API
+	peers    *peer.Client
+	dialer   backendserver.Dialer
+	log      *logevent.Logger
+	metrics  *metrics
+	local    *backendserver.Local
+
+	mu           sync.Mutex
+	pollers      map[serverKey]*serverPoller
+	observations map[observation][]chan bool
+}
+
+// serverKey identifies a backend server among all groups.
+type serverKey struct {
+	group  group.ID
+	server group.ServerID
+}
+
+// serverPoller is the poller of a server at one address.
+type serverPoller struct {
+	*backendserver.Poller
+	server group.Server
+}
+
+// observation is a question of another watcher that waits for the machine's
+// answer.
+type observation struct {
+	group  group.ID
+	from   host.ID
+	server group.ServerID
+	term   group.Term
+}
+
+// act receives the actions of the control thread.
+func (r *runner) act(action control.Action) {
+	switch a := action.(type) {
+	case control.GroupAction:
+		r.groupAction(a.Record, a.Action)
+	case control.ObjectRejected:
+		r.log.Write(r.ctx, logevent.ObjectInvalid, slog.String("Kind", string(a.Key.Kind)), slog.String("Object", a.Key.Name),
+			slog.Int64("Version", int64(a.Version)), slog.String("Error", a.Err.Error()))
+	case control.VersionApplied:
+		r.metrics.version.Set(float64(a.Version))
+		r.log.Write(r.ctx, logevent.ConfigurationApplied, slog.Int64("Version", int64(a.Version)))
+	case control.HostsChanged:
+		r.log.Write(r.ctx, logevent.HostListChanged, slog.Int("Added", len(a.Added)), slog.Int("Removed", len(a.Removed)))
+	case control.CoordinatorsChanged:
+		r.setLimits(a.View)
+	}
+}
+
+func (r *runner) groupAction(record *group.Record, action failover.Action) {
+	switch a := action.(type) {
+	case failover.Probe:
+		go r.probe(record, a)
+	case failover.Observe:
+		go r.observe(record.ID, a)
+	case failover.Observation:
+		r.answerObservation(record.ID, a)
+	case failover.UpdateRecord:
+		go r.updateRecord(a)
+	case failover.ReadRecord:
+		go r.readRecord(record.ID)
+	case failover.Execute:
+		go r.execute(record, a.Command)
+	case failover.Report:
+		r.report(record, a)
+	}
+}
+
+func (r *runner) groupEvent(id group.ID, event failover.Event) {
+	r.post(control.GroupEvent{Group: id, Event: event})
+}
+
+// poller returns the poller of a server; a server that moved gets a new one.
+func (r *runner) poller(record *group.Record, id group.ServerID) (*serverPoller, bool) {
+	server, ok := record.Server(id)
+	if !ok {
+		return nil, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	key := serverKey{record.ID, id}
+	p := r.pollers[key]
+	if p != nil && p.server.Address == server.Address {
+		return p, true
+	}
+	if p != nil {
+		go p.Close()
+	}
+	p = &serverPoller{
+		Poller: backendserver.NewPoller(backendserver.NewControl(r.controlDialer(), server.Address, controlDatabase(record)), pollTimeout),
+		server: server,
+	}
+	r.pollers[key] = p
+	return p, true
+}
+
+// controlDatabase is the database that control connections name. The
+// functions of schema basilmill are the same in each.
+func controlDatabase(record *group.Record) string {
+	if len(record.Databases) > 0 {
+		return record.Databases[0]
+	}
+	return "postgres"
+}
+
+func (r *runner) controlDialer() backendserver.Dialer { return r.dialer }
+
+func (r *runner) probe(record *group.Record, a failover.Probe) {
+	p, ok := r.poller(record, a.Server)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, a.Timeout)
+	defer cancel()
+	r.metrics.probes.Inc()
+	status, _, err := p.Status(ctx)
+	if err == nil {
+		r.groupEvent(record.ID, failover.StatusReceived{Status: status, SentAt: a.SentAt})
+		return
+	}
+	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	r.groupEvent(record.ID, failover.ProbeFailed{Server: a.Server, SentAt: a.SentAt, Refused: refused})
+}
+
+func (r *runner) observe(id group.ID, a failover.Observe) {
+	to, ok := r.host(a.Host)
+	if !ok {
+		r.groupEvent(id, failover.ObservationFailed{From: a.Host, Server: a.Server})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, failover.DefaultObserveTimeout)
+	defer cancel()
+	reply, err := r.peers.Observe(ctx, to, peer.Observation{
+		Group: id, Server: a.Server, Term: a.Term, Timeout: failover.DefaultObserveTimeout,
+	})
+	if err != nil {
+		r.groupEvent(id, failover.ObservationFailed{From: a.Host, Server: a.Server})
+		return
+	}
+	r.groupEvent(id, failover.ObservationReceived{
+		From: to.ID, DataCentre: to.DataCentre, Server: a.Server, Term: a.Term, Reachable: reply.Reachable,
+	})
+}
+
+func (r *runner) host(id host.ID) (host.Info, bool) {
+	for _, h := range r.snapshot().Hosts {
+		if h.ID == id {
+			return h, true
+		}
+	}
+	return host.Info{}, false
+}
+
+// awaitObservation asks the own machine on behalf of another watcher.
+func (r *runner) awaitObservation(ctx context.Context, key observation) (reachable bool, err error) {
+	answer := make(chan bool, 1)
+	r.mu.Lock()
+	r.observations[key] = append(r.observations[key], answer)
+	r.mu.Unlock()
+	r.groupEvent(key.group, failover.ObserveRequested{From: key.from, Server: key.server, Term: key.term})
+	select {
+	case reachable = <-answer:
+		return reachable, nil
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+}
+
+func (r *runner) answerObservation(id group.ID, a failover.Observation) {
+	key := observation{group: id, from: a.To, server: a.Server, term: a.Term}
+	r.mu.Lock()
+	waiting := r.observations[key]
+	delete(r.observations, key)
+	r.mu.Unlock()
+	for _, answer := range waiting {
+		answer <- a.Reachable
+	}
+}
+
+func (r *runner) updateRecord(a failover.UpdateRecord) {
+	id, change := a.Record.ID, a.Record.ChangeID
+	value, err := platform.EncodeGroup(a.Record)
+	if err != nil {
+		r.log.Write(r.ctx, logevent.ObjectInvalid, slog.String("Object", string(id)), slog.String("Error", err.Error()))
+		return
+	}
+	version, err := r.platform.Put(r.ctx, platform.GroupKey(id), value, platform.Version(a.ExpectedVersion))
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		r.groupEvent(id, failover.UpdateApplied{ChangeID: change, Version: distribution.Version(version), Record: a.Record})
+	case errors.As(err, &conflict):
+		r.conflict(id, change, conflict.Current)
+	default:
+		r.groupEvent(id, failover.UpdateUnknown{ChangeID: change})
+	}
+}
+
+func (r *runner) conflict(id group.ID, change group.ChangeID, current platform.Object) {
+	record, err := platform.DecodeGroup(current.Value)
+	if err != nil {
+		r.groupEvent(id, failover.UpdateUnknown{ChangeID: change})
+		return
+	}
+	r.groupEvent(id, failover.UpdateConflict{Record: record, Version: distribution.Version(current.Version)})
+}
+
+func (r *runner) readRecord(id group.ID) {
+	record, version, err := r.fetchRecord(r.ctx, id)
+	if err != nil {
+		r.groupEvent(id, failover.ReadFailed{})
+		return
+	}
+	r.groupEvent(id, failover.RecordChanged{Record: record, Version: version})
+}
+
+func (r *runner) fetchRecord(ctx context.Context, id group.ID) (record *group.Record, version distribution.Version, err error) {
+	object, err := r.platform.Get(ctx, platform.GroupKey(id))
+	if err != nil {
+		return nil, 0, err
+	}
+	record, err = platform.DecodeGroup(object.Value)
+	return record, distribution.Version(object.Version), err
+}
+
+// execute sends a command over a connection of its own, so that it neither
+// waits behind a status query nor delays one.
+func (r *runner) execute(record *group.Record, command failover.Command) {
+	server, ok := record.Server(command.Target())
+	if !ok {
+		r.groupEvent(record.ID, failover.CommandFailed{Command: command, Err: errors.New("the record does not name the server")})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.ctx, commandTimeout)
+	defer cancel()
+	c := backendserver.NewControl(r.controlDialer(), server.Address, controlDatabase(record))
+	defer c.Close()
+	offset, err := run(ctx, c, command)
+	if err != nil {
+		r.groupEvent(record.ID, failover.CommandFailed{Command: command, Err: err})
+		return
+	}
+	r.groupEvent(record.ID, failover.CommandDone{Command: command, Offset: offset})
+}
+
+func run(ctx context.Context, c *backendserver.Control, command failover.Command) (group.Offset, error) {
+	switch cmd := command.(type) {
+	case failover.Promote:
+		return c.Promote(ctx, cmd.Term, cmd.Generation, cmd.Successor)
+	case failover.SetSuccessor:
+		return c.SetSuccessor(ctx, cmd.Term, cmd.Generation, cmd.Successor)
+	case failover.Follow:
+		return 0, c.Follow(ctx, cmd.Term, cmd.Primary, cmd.Address)
+	case failover.Quiesce:
+		return c.Quiesce(ctx, cmd.Term)
+	default:
+		return 0, errors.New("unknown command")
+	}
+}
+
+func (r *runner) report(record *group.Record, report failover.Report) {
+	id := slog.String("Group", string(record.ID))
+	switch a := report.(type) {
+	case failover.PrimarySuspected:
+		r.metrics.suspicions.Inc()
+		r.log.Write(r.ctx, logevent.PrimarySuspected, id, slog.String("Server", string(a.Server)), slog.Int64("Term", int64(a.Term)))
+	case failover.SuspicionWithdrawn:
+		r.log.Write(r.ctx, logevent.SuspicionWithdrawn, id, slog.String("Server", string(a.Server)), slog.Duration("Duration", a.Duration))
+	case failover.ChangeDecided:
+		r.log.Write(r.ctx, logevent.ChangeDecided, id, slog.String("Cause", a.Cause), slog.String("Primary", string(a.Record.Primary)),
+			slog.String("Successor", string(a.Record.Successor)), slog.Int64("Term", int64(a.Record.Term)))
+	case failover.ChangeLost:
+		r.log.Write(r.ctx, logevent.ChangeRefused, id, slog.String("ChangeID", string(a.ChangeID)))
+	case failover.NoEligibleSuccessor:
+		r.log.Write(r.ctx, logevent.NoEligibleSuccessor, id, slog.String("Successor", string(a.Successor)), slog.Int64("Term", int64(a.Term)))
+	case failover.ChangeCompleted:
+		r.metrics.observeGap(record.ID, a.Gap)
+		r.log.Write(r.ctx, logevent.ChangeCompleted, id, slog.String("Primary", string(a.Primary)), slog.Int64("Term", int64(a.Term)),
+			slog.Duration("Gap", a.Gap))
+	case failover.SuccessorChanged:
+		r.log.Write(r.ctx, logevent.SuccessorChange, id, slog.String("Successor", string(a.Successor)), slog.Int64("Generation", int64(a.Generation)))
+	case failover.CommandRefused:
+		r.log.Write(r.ctx, logevent.CommandFailed, id, slog.String("Server", string(a.Command.Target())), slog.String("Error", a.Err.Error()))
+	case failover.PlatformUnavailable:
+		r.log.Write(r.ctx, logevent.PlatformUnavailable, id)
+	case failover.PlatformAvailable:
+		r.log.Write(r.ctx, logevent.PlatformAvailable, id)
+	}
+}
+
+// Evidence queries run while writes wait for confirmation. A stalled write is
+// reported to the machine so that it can change the successor or the primary.
+const (
+	stallReportAfter    = 300 * time.Millisecond
+	stallReportInterval = 300 * time.Millisecond
+	// evidenceRetry is the pause after a failed evidence query.
+	evidenceRetry = 20 * time.Millisecond
+)
+
+// gatherEvidence queries the successor of a group back to back while writes
+// wait in the group's gate.
+func (r *runner) gatherEvidence(ctx context.Context, id group.ID, g *control.Group) {
+	var reported time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.Gate.Wake():
+		}
+		for since, waiting := g.Gate.Waiting(); waiting && ctx.Err() == nil; since, waiting = g.Gate.Waiting() {
+			r.queryEvidence(ctx, id, g)
+			if time.Since(since) > stallReportAfter && time.Since(reported) > stallReportInterval {
+				reported = time.Now()
+				r.groupEvent(id, failover.WritesStalled{Since: since})
+			}
+		}
+	}
+}
+
+func (r *runner) queryEvidence(ctx context.Context, id group.ID, g *control.Group) {
+	record := g.View().Record
+	asked := record.Successor
+	p, ok := r.poller(record, asked)
+	if !ok {
+		pause(ctx, evidenceRetry)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, stallReportInterval)
+	defer cancel()
+	r.metrics.evidenceQueries.Inc()
+	status, sentAt, err := p.Status(ctx)
+	if err != nil {
+		pause(ctx, evidenceRetry)
+		return
+	}
+	g.Gate.Observe(status, g.View().Record)
+	r.post(control.StatusObserved{Group: id, Status: status, SentAt: sentAt})
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// decoder decodes platform objects for the control thread.
+type decoder struct{}
+
+// Group decodes a group record.
+func (decoder) Group(value []byte) (*group.Record, error) { return platform.DecodeGroup(value) }
+
+// Account decodes the template of an account object.
+func (decoder) Account(value []byte) (template account.Template, err error) {
+	object, err := platform.DecodeAccount(value)
+	if err != nil {
+		return account.Template{}, err
+	}
+	return object.Template, nil
+}
--- /dev/null
+++ b/core/control/group.go
@@ -0,0 +1,216 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"basilmill/core/distribution"
+	"basilmill/core/failover"
+	"basilmill/core/freshness"
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/core/placement"
+)
+
+// roundTripWeight is the weight of a new sample in the smoothed round trip,
+// the customary value of TCP's estimator.
+const roundTripWeight = 8
+
+// groupState is the control thread's state of one group.
+type groupState struct {
+	public  *Group
+	record  *group.Record
+	version distribution.Version
+	// machine is nil while another host coordinates the group.
+	machine      *failover.Machine
+	coordinators []host.Info
+	index        int
+	ages         freshness.Tracker
+	servers      map[group.ServerID]ServerView
+	quiesced     bool
+}
+
+func (t *Thread) applyRecord(record *group.Record, version distribution.Version) {
+	g := t.groups[record.ID]
+	if g == nil {
+		g = &groupState{public: &Group{}, index: -1, servers: make(map[group.ServerID]ServerView)}
+		t.groups[record.ID] = g
+		t.dirty = true
+	}
+	if version <= g.version {
+		return
+	}
+	if g.record != nil && record.Term > g.record.Term {
+		g.quiesced = false
+	}
+	g.record, g.version = record, version
+	t.assign(g)
+	t.publishGroup(g)
+	g.public.Gate.ObserveRecord(record)
+	t.drive(g, failover.RecordChanged{Record: record, Version: version})
+}
+
+// assign chooses the group's coordinators and starts or stops its machine.
+func (t *Thread) assign(g *groupState) {
+	previous := g.coordinators
+	g.coordinators = placement.Coordinators(g.record, t.usable, t.config.Coordinators)
+	g.index = slices.IndexFunc(g.coordinators, func(h host.Info) bool { return h.ID == t.self.ID })
+	switch {
+	case g.index < 0:
+		g.machine = nil
+		g.servers = make(map[group.ServerID]ServerView)
+	case g.machine == nil:
+		config := t.config.Failover
+		config.Group, config.Host, config.DataCentre = g.record.ID, t.self.ID, t.self.DataCentre
+		g.machine = failover.New(config)
+		t.drive(g, failover.RecordChanged{Record: g.record, Version: g.version})
+	}
+	t.drive(g, failover.WatchersChanged{Watchers: watchers(g.coordinators), SingleDataCentre: t.singleDataCentre()})
+	t.publishGroup(g)
+	if !slices.Equal(previous, g.coordinators) {
+		t.config.Act(CoordinatorsChanged{View: g.public.View()})
+	}
+}
+
+func watchers(hosts []host.Info) []failover.Watcher {
+	out := make([]failover.Watcher, len(hosts))
+	for i, h := range hosts {
+		out[i] = failover.Watcher{Host: h.ID, DataCentre: h.DataCentre}
+	}
+	return out
+}
+
+// singleDataCentre reports whether the platform lists one data centre only.
+// The hosts that are reachable at the moment do not matter: an isolated data
+// centre must not take itself for the only one.
+func (t *Thread) singleDataCentre() bool {
+	for _, h := range t.listed {
+		if h.DataCentre != t.self.DataCentre {
+			return false
+		}
+	}
+	return len(t.listed) > 0
+}
+
+func (t *Thread) groupEvent(in GroupEvent) {
+	g := t.groups[in.Group]
+	if g == nil {
+		return
+	}
+	switch e := in.Event.(type) {
+	case failover.StatusReceived:
+		t.noteStatus(g, e.Status, e.SentAt)
+	case failover.UpdateApplied:
+		t.adopt(g, e.Record, e.Version)
+	case failover.UpdateConflict:
+		t.adopt(g, e.Record, e.Version)
+	case failover.RecordChanged:
+		t.adopt(g, e.Record, e.Version)
+	}
+	t.drive(g, in.Event)
+}
+
+// adopt puts a record in force that a call to the platform returned, ahead of
+// the watch. The watch delivers the same version later; the set of objects
+// learns it then.
+func (t *Thread) adopt(g *groupState, record *group.Record, version distribution.Version) {
+	if version <= g.version {
+		return
+	}
+	g.record, g.version = record, version
+	g.quiesced = false
+	t.publishGroup(g)
+	g.public.Gate.ObserveRecord(record)
+}
+
+func (t *Thread) observeStatus(id group.ID, status group.Status, sentAt time.Time) {
+	if g := t.groups[id]; g != nil && g.machine != nil {
+		t.noteStatus(g, status, sentAt)
+	}
+}
+
+func (t *Thread) noteStatus(g *groupState, status group.Status, sentAt time.Time) {
+	g.ages.Observe(status, sentAt, g.record)
+	g.public.Gate.Observe(status, g.record)
+	v := g.servers[status.Server]
+	roundTrip := time.Since(sentAt)
+	if v.RoundTrip == 0 {
+		v.RoundTrip = roundTrip
+	}
+	v.RoundTrip += (roundTrip - v.RoundTrip) / roundTripWeight
+	if newer(status, v.Status) {
+		v.Status, v.SentAt = status, sentAt
+	}
+	g.servers[status.Server] = v
+	t.publishGroup(g)
+}
+
+// newer reports whether a status supersedes another one of the same server.
+// Answers of overlapping queries may arrive in any order.
+func newer(s, than group.Status) bool {
+	if s.Term != than.Term {
+		return s.Term > than.Term
+	}
+	return s.Applied >= than.Applied
+}
+
+// publishGroup publishes the group's view with the ages as proven now.
+func (t *Thread) publishGroup(g *groupState) {
+	servers := make(map[group.ServerID]ServerView, len(g.servers))
+	for id, v := range g.servers {
+		if at, known := g.ages.CompleteAt(v.Status); known {
+			v.CompleteAt = at
+		}
+		servers[id] = v
+	}
+	g.public.view.Store(&GroupView{
+		Record:       g.record,
+		Version:      g.version,
+		Coordinators: g.coordinators,
+		Index:        g.index,
+		Servers:      servers,
+		Quiesced:     g.quiesced,
+	})
+}
+
+// drive feeds an event to the group's machine and carries out its actions.
+func (t *Thread) drive(g *groupState, event failover.Event) {
+	if g.machine == nil {
+		return
+	}
+	for _, action := range g.machine.Handle(event) {
+		if command, ok := action.(failover.Execute); ok {
+			if _, quiesce := command.Command.(failover.Quiesce); quiesce && !g.quiesced {
+				g.quiesced = true
+				t.publishGroup(g)
+			}
+		}
+		t.config.Act(GroupAction{Record: g.record, Action: action})
+	}
+}
+
+func (t *Thread) fireTimers() {
+	now := time.Now()
+	for _, g := range t.groups {
+		if g.machine == nil {
+			continue
+		}
+		if due := g.machine.NextTimer(); !due.IsZero() && !due.After(now) {
+			t.drive(g, failover.TimerFired{})
+		}
+	}
+}
+
+// untilTimer returns the time until the next timer of a machine.
+func (t *Thread) untilTimer() time.Duration {
+	next := time.Now().Add(tick)
+	for _, g := range t.groups {
+		if g.machine == nil {
+			continue
+		}
+		if due := g.machine.NextTimer(); !due.IsZero() && due.Before(next) {
+			next = due
+		}
+	}
+	return max(0, time.Until(next))
+}
--- a/io/backendserver/backendserver.go
+++ b/io/backendserver/backendserver.go
@@ -29,8 +29,8 @@
 }
 
 // Conversation is the exclusive use of one connection to a backend server.
-// Errors are *outcome.Error. Send and Receive are used by one goroutine;
-// Cancel may be called from any.
+// Errors are *outcome.Error. Send and Receive may be called by different
+// goroutines, each by one at a time; Cancel may be called from any.
 type Conversation interface {
 	// Send sends the messages in one flush. Their contents are copied.
 	Send(ctx context.Context, batch ...pgproto3.FrontendMessage) error
--- a/io/backendserver/connection.go
+++ b/io/backendserver/connection.go
@@ -30,31 +30,35 @@
 // past is a deadline that interrupts a blocked read or write at once.
 var past = time.Unix(1, 0)
 
-// connection is one open connection. All fields but conn are used by the
-// goroutine of the conversation or, while idle, by that of watchIdle.
+// connection is one open connection. One goroutine may send while another
+// receives. While the connection is idle, watchIdle receives.
 type connection struct {
 	conn     net.Conn
 	frontend *pgproto3.Frontend
+	// origin sends cancel requests.
+	origin *pgconn.PgConn
+
+	writing chan error // result of a write in the background; of the sender
+
+	idle     chan struct{} // closed when watchIdle has ended
+	idleLost error
+
+	mu       sync.Mutex // never held while reading or writing
 	prepared *prepared
 	// status is the transaction status of the last ReadyForQuery and zero
 	// while an answer is due.
 	status byte
 	// due counts the ReadyForQuery messages that are still due.
-	due    int
-	sent   bool
-	broken error
-
-	writing chan error // result of a write in the background
+	due int
+	// sent says that something was written since the last complete answer;
+	// firstBatch says that only the last batch was.
+	sent       bool
+	firstBatch bool
+	broken     error
 
 	watched     context.Context
 	stopWatched func() bool
 
-	idle     chan struct{} // closed when watchIdle has ended
-	idleLost error
-
-	// origin sends cancel requests.
-	origin *pgconn.PgConn
-
 	// interrupted is the reason why another goroutine ended the use.
 	interrupted atomic.Pointer[error]
 }
@@ -76,20 +80,43 @@
 }
 
 func (c *connection) send(ctx context.Context, batch []pgproto3.FrontendMessage) error {
-	if c.broken != nil {
-		return lost(c.sent, c.broken)
-	}
 	if err := c.awaitWrite(); err != nil {
 		return c.fail(err)
 	}
+	size, err := c.buffer(ctx, batch)
+	if err != nil {
+		return err
+	}
+	if size > smallWrite {
+		c.writing = make(chan error, 1)
+		go c.flush(c.writing)
+		return nil
+	}
+	if err = c.frontend.Flush(); err == nil {
+		return nil
+	}
+	var safe interface{ SafeToRetry() bool }
+	if errors.As(err, &safe) && safe.SafeToRetry() {
+		c.noteUnsent()
+	}
+	return c.fail(err)
+}
+
+// buffer encodes the batch for the next flush and returns its size.
+func (c *connection) buffer(ctx context.Context, batch []pgproto3.FrontendMessage) (size int, err error) {
 	if err := ctx.Err(); err != nil {
-		return c.fail(err)
+		return 0, c.fail(err)
 	}
-	c.watch(ctx)
-	if c.due == 0 && c.status != 0 {
-		c.sent = false // of this batch, nothing yet
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken != nil {
+		return 0, lost(c.sent, c.broken)
 	}
-	size := 0
+	c.watch(ctx)
+	c.firstBatch = c.due == 0 && c.status != 0
+	// Set before the write, because a concurrent Receive that fails must not
+	// take a batch that is being written for one that was not sent.
+	c.sent = true
 	for _, m := range batch {
 		switch m.(type) {
 		case *pgproto3.Sync, *pgproto3.Query, *pgproto3.FunctionCall:
@@ -101,21 +128,16 @@
 		}
 	}
 	c.status = 0
-	if size > smallWrite {
-		c.sent = true
-		c.writing = make(chan error, 1)
-		go c.flush(c.writing)
-		return nil
-	}
-	err := c.frontend.Flush()
-	var safe interface{ SafeToRetry() bool }
-	if err == nil || !errors.As(err, &safe) || !safe.SafeToRetry() {
-		c.sent = true
-	}
-	if err != nil {
-		return c.fail(err)
+	return size, nil
+}
+
+// noteUnsent records that nothing of the last batch was written.
+func (c *connection) noteUnsent() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.firstBatch {
+		c.sent = false
 	}
-	return nil
 }
 
 // flush writes what is buffered. A failure interrupts the pending Receive.
@@ -158,10 +180,9 @@
 }
 
 func (c *connection) receive(ctx context.Context) (pgproto3.BackendMessage, error) {
-	if c.broken != nil {
-		return nil, lost(c.sent, c.broken)
+	if err := c.beginReceive(ctx); err != nil {
+		return nil, err
 	}
-	c.watch(ctx)
 	for {
 		m, err := c.frontend.Receive()
 		if err != nil {
@@ -170,18 +191,36 @@
 		if e, ok := m.(*pgproto3.ErrorResponse); ok && isFatal(e) {
 			return nil, c.fail(pgconn.ErrorResponseToPgError(e))
 		}
-		if z, ok := m.(*pgproto3.ReadyForQuery); ok {
-			c.due--
-			if c.due == 0 {
-				c.status = z.TxStatus
-			}
-		}
-		if m = c.prepared.incoming(m); m != nil {
+		if m = c.note(m); m != nil {
 			return m, nil
 		}
 	}
 }
 
+func (c *connection) beginReceive(ctx context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken != nil {
+		return lost(c.sent, c.broken)
+	}
+	c.watch(ctx)
+	return nil
+}
+
+// note tracks the state of the connection and returns the message to pass on,
+// or nil for none.
+func (c *connection) note(m pgproto3.BackendMessage) pgproto3.BackendMessage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if z, ok := m.(*pgproto3.ReadyForQuery); ok {
+		c.due--
+		if c.due == 0 {
+			c.status = z.TxStatus
+		}
+	}
+	return c.prepared.incoming(m)
+}
+
 func isFatal(e *pgproto3.ErrorResponse) bool {
 	severity := e.SeverityUnlocalized
 	if severity == "" {
@@ -192,6 +231,7 @@
 
 // watch interrupts reads and writes when ctx ends. It keeps the registration
 // while the same context is used, because Receive is called for every row.
+// The caller holds mu.
 func (c *connection) watch(ctx context.Context) {
 	if c.watched == ctx {
 		return
@@ -202,7 +242,8 @@
 }
 
 // unwatch ends the registration. A context that has ended may have
-// interrupted the connection, which is then of no further use.
+// interrupted the connection, which is then of no further use. The caller
+// holds mu or is the only user.
 func (c *connection) unwatch() {
 	if c.watched == nil {
 		return
@@ -215,6 +256,11 @@
 
 // fail marks the connection as lost and returns the error with its outcome.
 func (c *connection) fail(cause error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.broken != nil {
+		return lost(c.sent, c.broken)
+	}
 	if c.watched != nil && c.watched.Err() != nil {
 		cause = context.Cause(c.watched)
 	}
@@ -235,6 +281,8 @@
 
 // ready reports whether another session may use the connection.
 func (c *connection) ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	return c.broken == nil && c.interrupted.Load() == nil && c.due == 0 && c.status == 'I'
 }
 
--- /dev/null
+++ b/io/backendserver/poller.go
@@ -0,0 +1,89 @@
+package backendserver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"basilmill/core/group"
+)
+
+// Poller shares status queries of one server over one connection: probes,
+// evidence queries and floor queries. A query serves every caller that asked
+// before it was sent, so that thousands of waiting requests cost one query.
+type Poller struct {
+	control *Control
+	// timeout bounds one query. It is above the time at which callers give
+	// up, because a late answer still proves that the server runs.
+	timeout time.Duration
+
+	mu      sync.Mutex
+	next    *poll
+	running bool
+}
+
+// poll is one status query; done is closed when its result is set.
+type poll struct {
+	done   chan struct{}
+	status group.Status
+	sentAt time.Time
+	err    error
+}
+
+// NewPoller returns a poller over a control connection that nobody else uses.
+func NewPoller(control *Control, timeout time.Duration) *Poller {
+	return &Poller{control: control, timeout: timeout}
+}
+
+// Status returns the answer to a query that was sent after the call, and when
+// it was sent. The context bounds the wait, not the query.
+func (p *Poller) Status(ctx context.Context) (status group.Status, sentAt time.Time, err error) {
+	q := p.join()
+	select {
+	case <-q.done:
+		return q.status, q.sentAt, q.err
+	case <-ctx.Done():
+		return group.Status{}, time.Time{}, ctx.Err()
+	}
+}
+
+// Close closes the connection.
+func (p *Poller) Close() { p.control.Close() }
+
+// join returns the next query to be sent and makes sure that it will be.
+func (p *Poller) join() *poll {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.next == nil {
+		p.next = &poll{done: make(chan struct{})}
+	}
+	if !p.running {
+		p.running = true
+		go p.run()
+	}
+	return p.next
+}
+
+// run sends queries one after the other until nobody waits for one.
+func (p *Poller) run() {
+	for {
+		q := p.take()
+		if q == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), p.timeout)
+		q.sentAt = time.Now()
+		q.status, q.err = p.control.Status(ctx)
+		cancel()
+		close(q.done)
+	}
+}
+
+func (p *Poller) take() *poll {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	q := p.next
+	p.next = nil
+	p.running = q != nil
+	return q
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -87,7 +87,8 @@
 	if err != nil {
 		return PullReply{}, host.Info{}, err
 	}
-	return pullReplyFromWire(response.Msg), from, nil
+	reply, err = pullReplyFromWire(response.Msg)
+	return reply, from, err
 }
 
 // Observe asks a host whether it reaches a backend server.
@@ -148,6 +149,7 @@
 		WaitMs:         pull.Wait.Milliseconds(),
 		AppliedVersion: int64(pull.AppliedVersion),
 		Applied:        appliedToWire(pull.Applied),
+		HostsDigest:    pull.HostsDigest,
 	}
 }
 
--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -73,21 +73,19 @@
 
 func (e *exchange) run(ctx context.Context, stream *connect.BidiStream[peerpb.ForwardRequest, peerpb.ForwardResponse]) error {
 	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	var group sync.WaitGroup
 	group.Go(func() { e.readAnswers(ctx) })
 	group.Go(func() { e.writeAnswers(stream) })
 	reusable, err := e.passRequests(ctx, stream)
 	e.close()
 	if !reusable {
-		// Releasing an unfinished conversation closes its connection, which
-		// ends a pending read.
-		e.conversation.Release(false)
+		// Ends a pending read. A reusable connection has none, and its context
+		// must not end before it is released.
+		cancel()
 	}
-	cancel()
 	group.Wait()
-	if reusable {
-		e.conversation.Release(true)
-	}
+	e.conversation.Release(reusable)
 	return err
 }
 
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -25,12 +25,18 @@
 	// AppliedVersion is the version in force on the sender.
 	AppliedVersion distribution.Version
 	Applied        []distribution.Applied
+	// HostsDigest identifies the host list that the sender has.
+	HostsDigest uint64
 }
 
 // PullReply answers a Pull.
 type PullReply struct {
 	Update  distribution.Update
 	Applied []distribution.Applied
+	// Hosts is the platform's host list; nil if the asking host has it.
+	Hosts []host.Info
+	// Current says that the sender was in contact with the platform recently.
+	Current bool
 }
 
 // Observation asks whether the receiver reaches a backend server.
@@ -136,6 +142,25 @@
 	return h, nil
 }
 
+func hostsToWire(hosts []host.Info) []*peerpb.Host {
+	out := make([]*peerpb.Host, len(hosts))
+	for i, h := range hosts {
+		out[i] = hostToWire(h)
+	}
+	return out
+}
+
+func hostsFromWire(hosts []*peerpb.Host) (out []host.Info, err error) {
+	for _, w := range hosts {
+		h, err := hostFromWire(w)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, h)
+	}
+	return out, nil
+}
+
 func positionToWire(p group.Position) *peerpb.Position {
 	return &peerpb.Position{Term: int64(p.Term), Offset: int64(p.Offset)}
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -77,6 +77,7 @@
 		Wait:           time.Duration(request.Msg.GetWaitMs()) * time.Millisecond,
 		AppliedVersion: distribution.Version(request.Msg.GetAppliedVersion()),
 		Applied:        appliedFromWire(request.Msg.GetApplied()),
+		HostsDigest:    request.Msg.GetHostsDigest(),
 	})
 	if err != nil {
 		return nil, toConnect(err)
@@ -176,10 +177,16 @@
 		Version: int64(version),
 		Objects: objectsToWire(objects),
 		Applied: appliedToWire(reply.Applied),
+		Hosts:   hostsToWire(reply.Hosts),
+		Current: reply.Current,
 	}
 }
 
-func pullReplyFromWire(w *peerpb.PullResponse) PullReply {
+func pullReplyFromWire(w *peerpb.PullResponse) (reply PullReply, err error) {
+	hosts, err := hostsFromWire(w.GetHosts())
+	if err != nil {
+		return PullReply{}, err
+	}
 	return PullReply{
 		Update: distribution.Update{
 			After:   distribution.Version(w.GetAfter()),
@@ -187,5 +194,7 @@
 			Objects: objectsFromWire(w.GetObjects()),
 		},
 		Applied: appliedFromWire(w.GetApplied()),
-	}
+		Hosts:   hosts,
+		Current: w.GetCurrent(),
+	}, nil
 }
