--- a/cmd/internal/serve/distribute.go
+++ b/cmd/serve/distribute.go
@@ -115,9 +115,9 @@
 
 func updateOf(after distribution.Version, items platform.Items) distribution.Update {
 	u := distribution.Update{After: after, Version: distribution.Version(items.Version)}
-	for _, o := range items.Objects {
+	for _, o := range items.Items {
 		u.Objects = append(u.Objects, distribution.Object{
-			Key:     distribution.Key{Kind: distribution.Kind(o.Key.Kind), Name: o.Key.Name},
+			Key:     distribution.Key{Kind: distribution.Kind(o.Kind), Name: o.Name},
 			Version: distribution.Version(o.Version),
 			Value:   o.Value,
 		})
--- a/cmd/internal/serve/runner.go
+++ b/cmd/serve/runner.go
@@ -45,6 +45,8 @@
 	mu           sync.Mutex
 	pollers      map[serverKey]*serverPoller
 	observations map[observation][]chan bool
+	// evidence ends the evidence queries of each coordinated group.
+	evidence map[group.ID]context.CancelFunc
 }
 
 // serverKey identifies a backend server among all groups.
@@ -83,6 +85,7 @@
 		r.log.Write(r.ctx, logevent.HostListChanged, slog.Int("Added", len(a.Added)), slog.Int("Removed", len(a.Removed)))
 	case control.CoordinatorsChanged:
 		r.setLimits(a.View)
+		r.setEvidence(a.View)
 	}
 }
 
@@ -274,7 +277,7 @@
 	defer cancel()
 	c := backendserver.NewControl(r.controlDialer(), server.Address, controlDatabase(record))
 	defer c.Close()
-	offset, err := run(ctx, c, command)
+	offset, err := send(ctx, c, command)
 	if err != nil {
 		r.groupEvent(record.ID, failover.CommandFailed{Command: command, Err: err})
 		return
@@ -282,7 +285,7 @@
 	r.groupEvent(record.ID, failover.CommandDone{Command: command, Offset: offset})
 }
 
-func run(ctx context.Context, c *backendserver.Control, command failover.Command) (group.Offset, error) {
+func send(ctx context.Context, c *backendserver.Control, command failover.Command) (group.Offset, error) {
 	switch cmd := command.(type) {
 	case failover.Promote:
 		return c.Promote(ctx, cmd.Term, cmd.Generation, cmd.Successor)
@@ -336,9 +339,30 @@
 	evidenceRetry = 20 * time.Millisecond
 )
 
+// setEvidence starts or stops the evidence queries of a group.
+func (r *runner) setEvidence(view *control.GroupView) {
+	id := view.Record.ID
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	stop, running := r.evidence[id]
+	switch {
+	case view.Index >= 0 && !running:
+		ctx, cancel := context.WithCancel(r.ctx)
+		r.evidence[id] = cancel
+		go r.gatherEvidence(ctx, id)
+	case view.Index < 0 && running:
+		stop()
+		delete(r.evidence, id)
+	}
+}
+
 // gatherEvidence queries the successor of a group back to back while writes
 // wait in the group's gate.
-func (r *runner) gatherEvidence(ctx context.Context, id group.ID, g *control.Group) {
+func (r *runner) gatherEvidence(ctx context.Context, id group.ID) {
+	g := r.awaitGroup(ctx, id)
+	if g == nil {
+		return
+	}
 	var reported time.Time
 	for {
 		select {
@@ -356,6 +380,18 @@
 	}
 }
 
+// awaitGroup waits until the group is in the snapshot; the coordinators of a
+// new group are chosen before it is published.
+func (r *runner) awaitGroup(ctx context.Context, id group.ID) *control.Group {
+	for ctx.Err() == nil {
+		if g, ok := r.snapshot().Groups[id]; ok {
+			return g
+		}
+		pause(ctx, evidenceRetry)
+	}
+	return nil
+}
+
 func (r *runner) queryEvidence(ctx context.Context, id group.ID, g *control.Group) {
 	record := g.View().Record
 	asked := record.Successor
--- /dev/null
+++ b/cmd/serve/serve.go
@@ -0,0 +1,294 @@
+// Package serve assembles an entry host from the libraries: the control
+// thread, the distribution of objects, the servers for callers, other hosts
+// and operators, and the graceful shutdown.
+package serve
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/oklog/run"
+	"github.com/rotisserie/eris"
+
+	"basilmill/core/account"
+	"basilmill/core/control"
+	"basilmill/core/failover"
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/core/logevent"
+	"basilmill/core/settings"
+	"basilmill/io/backendserver"
+	"basilmill/io/caller"
+	"basilmill/io/operator"
+	"basilmill/io/peer"
+	"basilmill/io/platform"
+)
+
+// Host is one entry host.
+type Host struct {
+	settings settings.Settings
+	self     host.Info
+	log      *logevent.Logger
+	metrics  *metrics
+	network  Network
+
+	thread   *control.Thread
+	platform *platform.Client
+	peers    *peer.Client
+	local    *backendserver.Local
+	runner   *runner
+	entry    *entry
+	dist     *distributor
+
+	listeners listeners
+	callers   *caller.Server
+	answers   *peer.Server
+	leaving   atomic.Bool
+	// ctx ends the background work; it outlives the drain.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// listeners are the host's open listeners.
+type listeners struct{ callers, peers, operators net.Listener }
+
+// Network opens listeners and connections. The zero value uses TCP.
+type Network struct {
+	Listen func(ctx context.Context, network, address string) (net.Listener, error)
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// dialTimeout bounds the opening of a TCP connection; links between regions
+// take about 20 ms one way.
+const dialTimeout = time.Second
+
+func (n Network) withDefaults() Network {
+	if n.Listen == nil {
+		n.Listen = (&net.ListenConfig{}).Listen
+	}
+	if n.Dial == nil {
+		n.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return n
+}
+
+// New opens the listeners of a host and assembles it. Nothing is served until
+// Run.
+func New(ctx context.Context, s settings.Settings, log *slog.Logger, network Network) (h *Host, err error) {
+	defer func() { err = eris.Wrap(err, "serve: start the host") }()
+	h = &Host{settings: s, log: &logevent.Logger{Log: log}, metrics: newMetrics(), network: network.withDefaults()}
+	h.ctx, h.cancel = context.WithCancel(context.WithoutCancel(ctx))
+	tlsConfig, err := loadTLS(s.TLS)
+	if err != nil {
+		return nil, err
+	}
+	if err := h.listen(ctx); err != nil {
+		return nil, err
+	}
+	h.self = host.Info{
+		ID:          s.HostID,
+		DataCentre:  s.DataCentre,
+		Region:      s.Region,
+		PeerAddress: addressOf(h.listeners.peers),
+	}
+	h.assemble(tlsConfig)
+	return h, nil
+}
+
+func loadTLS(files settings.TLS) (*tls.Config, error) {
+	if files.Certificate == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	if err != nil {
+		return nil, eris.Wrap(err, "load the TLS certificate")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
+}
+
+func (h *Host) listen(ctx context.Context) (err error) {
+	for _, l := range []struct {
+		listener *net.Listener
+		address  netip.AddrPort
+	}{
+		{&h.listeners.callers, h.settings.Listen},
+		{&h.listeners.peers, h.settings.PeerListen},
+		{&h.listeners.operators, h.settings.OperatorListen},
+	} {
+		if *l.listener, err = h.network.Listen(ctx, "tcp", l.address.String()); err != nil {
+			h.closeListeners()
+			h.log.Write(ctx, logevent.ListenerFailed, slog.String("Address", l.address.String()), slog.String("Error", err.Error()))
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *Host) closeListeners() {
+	for _, l := range []net.Listener{h.listeners.callers, h.listeners.peers, h.listeners.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+func addressOf(l net.Listener) netip.AddrPort {
+	address, _ := netip.ParseAddrPort(l.Addr().String())
+	return address
+}
+
+func (h *Host) assemble(tlsConfig *tls.Config) {
+	dialer := backendserver.Dialer{User: "basilmill", DialFunc: h.network.Dial}
+	h.platform = platform.NewClient(h.settings.Platform, platform.Options{Transport: &http.Transport{DialContext: h.network.Dial}})
+	h.peers = peer.NewClient(h.Self, h.network.Dial)
+	h.local = backendserver.NewLocal(backendserver.LocalConfig{
+		Dialer:           dialer,
+		ObserveQueueTime: h.metrics.observeQueue,
+		ObserveLoss:      h.backendLost,
+	})
+	h.runner = &runner{
+		ctx: h.ctx, self: h.self, post: h.post, snapshot: h.snapshot, platform: h.platform, peers: h.peers, dialer: dialer,
+		log: h.log, metrics: h.metrics, local: h.local,
+		pollers:      make(map[serverKey]*serverPoller),
+		observations: make(map[observation][]chan bool),
+		evidence:     make(map[group.ID]context.CancelFunc),
+	}
+	h.thread = control.New(control.Config{
+		Self:     h.self,
+		Decoder:  decoder{},
+		Failover: failover.Config{ProbeInterval: h.settings.ProbeInterval},
+		Act:      h.runner.act,
+	})
+	h.entry = &entry{
+		ctx: h.ctx, snapshot: h.snapshot, post: h.post, peers: h.peers, local: h.local, log: h.log, metrics: h.metrics,
+		router:    &router{lost: make(map[serverKey]time.Time)},
+		suspected: make(map[serverKey]time.Time),
+		shared:    make(map[shareKey]account.Sharing),
+	}
+	h.dist = &distributor{post: h.post, snapshot: h.snapshot, platform: h.platform, peers: h.peers, log: h.log}
+	h.callers = caller.New(h.entry, caller.Config{TLS: tlsConfig, HostKey: hostKey(h.self.ID)})
+	h.answers = peer.NewServer(h.Self, &peerHandler{
+		post: h.post, snapshot: h.snapshot, runner: h.runner, entry: h.entry, hosts: &h.dist.hosts,
+	})
+}
+
+// hostKey is the part of a cancel key that names the host.
+func hostKey(id host.ID) uint16 { return uint16(xxhash.Sum64String(string(id))) }
+
+func (h *Host) post(input control.Input)    { h.thread.Post(input) }
+func (h *Host) snapshot() *control.Snapshot { return h.thread.Snapshot() }
+
+// Self describes the host, as leaving once it drains.
+func (h *Host) Self() host.Info {
+	self := h.self
+	if h.leaving.Load() {
+		self.State = host.Leaving
+	}
+	return self
+}
+
+// CallerAddress is the address on which callers are served.
+func (h *Host) CallerAddress() netip.AddrPort { return addressOf(h.listeners.callers) }
+
+// OperatorAddress is the address on which operators are served.
+func (h *Host) OperatorAddress() netip.AddrPort { return addressOf(h.listeners.operators) }
+
+// backendLost reports a lost connection that no session used.
+func (h *Host) backendLost(id group.ID, server group.ServerID, err error) {
+	if errors.Is(err, context.Canceled) || h.leaving.Load() {
+		return
+	}
+	h.entry.connectionLost(backendserver.Target{Group: id, Server: server})
+}
+
+// Run serves until the context ends, then drains and returns nil. It returns
+// an error when a part fails.
+func (h *Host) Run(ctx context.Context) error {
+	h.log.Write(ctx, logevent.HostStarted, slog.String("Host", string(h.self.ID)), slog.String("Listen", h.CallerAddress().String()),
+		slog.String("PeerListen", h.self.PeerAddress.String()), slog.String("OperatorListen", h.OperatorAddress().String()))
+	defer h.log.Write(context.WithoutCancel(ctx), logevent.HostStopped, slog.String("Host", string(h.self.ID)))
+	var actors run.Group
+	background := func(work func(context.Context) error) {
+		actors.Add(func() error { return work(h.ctx) }, func(error) { h.cancel() })
+	}
+	stopped := make(chan struct{})
+	actors.Add(func() error {
+		select {
+		case <-ctx.Done():
+			h.drain()
+		case <-stopped:
+		}
+		return nil
+	}, func(error) { close(stopped) })
+	background(h.thread.Run)
+	background(h.dist.watch)
+	background(h.dist.readHosts)
+	background(h.dist.reportStaleness)
+	background(untilEnd(func(ctx context.Context) error { return h.callers.Serve(ctx, h.listeners.callers) }))
+	background(func(ctx context.Context) error {
+		return operator.Serve(ctx, h.listeners.operators, operator.Handler(h, h.metrics.registry))
+	})
+	background(untilEnd(func(context.Context) error { return h.answers.Serve(h.listeners.peers) }))
+	err := actors.Run()
+	closing, stop := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer stop()
+	_ = h.answers.Shutdown(closing)
+	if ctx.Err() != nil && (err == nil || errors.Is(err, context.Canceled)) {
+		return nil
+	}
+	return err
+}
+
+// untilEnd keeps a server's actor running after the server was shut down,
+// because the first actor that returns ends the others and with them the rest
+// of the drain.
+func untilEnd(serve func(context.Context) error) func(context.Context) error {
+	return func(ctx context.Context) error {
+		if err := serve(ctx); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return nil
+	}
+}
+
+// drain leaves the other hosts, then lets requests and open transactions in
+// flight finish within the drain time, those of own callers and forwarded
+// ones.
+func (h *Host) drain() {
+	ctx, cancel := context.WithTimeout(h.ctx, h.settings.DrainTime)
+	defer cancel()
+	h.leaving.Store(true)
+	h.log.Write(ctx, logevent.HostStopping, slog.Duration("DrainTime", h.settings.DrainTime))
+	h.announce(ctx)
+	_ = h.callers.Shutdown(ctx)
+	_ = h.answers.Shutdown(ctx)
+	h.post(control.Leave{})
+	h.local.Drain()
+}
+
+// announce tells the other hosts, so that they stop forwarding to this one
+// before it stops answering.
+func (h *Host) announce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	told := make(chan struct{})
+	targets := others(h.snapshot().Hosts, h.self.ID)
+	for _, to := range targets {
+		go func() {
+			_ = h.peers.Announce(ctx, to)
+			told <- struct{}{}
+		}()
+	}
+	for range targets {
+		<-told
+	}
+}
--- a/core/control/group.go
+++ b/core/control/group.go
@@ -163,14 +163,20 @@
 		}
 		servers[id] = v
 	}
-	g.public.view.Store(&GroupView{
+	changed := make(chan struct{})
+	previous := g.public.view.Swap(&GroupView{
 		Record:       g.record,
 		Version:      g.version,
 		Coordinators: g.coordinators,
 		Index:        g.index,
 		Servers:      servers,
 		Quiesced:     g.quiesced,
+		Changed:      changed,
+		changed:      changed,
 	})
+	if previous != nil {
+		close(previous.changed)
+	}
 }
 
 // drive feeds an event to the group's machine and carries out its actions.
--- a/core/control/snapshot.go
+++ b/core/control/snapshot.go
@@ -66,6 +66,10 @@
 	Servers map[group.ServerID]ServerView
 	// Quiesced says that the primary is being replaced by a planned change.
 	Quiesced bool
+	// Changed is closed when there is a later view.
+	Changed <-chan struct{}
+
+	changed chan struct{}
 }
 
 // ServerView is the latest knowledge about a backend server.
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -48,6 +48,9 @@
 	Primary bool
 	// Floor raises the session's floor if it is higher.
 	Floor group.Position
+	// Conversation is set when routing has opened one already, as a
+	// coordinator does for a request that was forwarded to it.
+	Conversation backendserver.Conversation
 }
 
 // Host is what sessions need from the host they run on. Errors are
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -150,7 +150,11 @@
 	}
 	s.decision = decision
 	s.raise(decision.Floor)
-	conv, err := s.host.Acquire(ctx, decision.Target)
+	conv, err := decision.Conversation, error(nil)
+	s.decision.Conversation = nil
+	if conv == nil {
+		conv, err = s.host.Acquire(ctx, decision.Target)
+	}
 	if err != nil {
 		failure := interruption(ctx, err)
 		overloaded := failure.SQLState == outcome.TooManyConnections
