cmd: add check, account, group, host and version

Cause: operators submit, revise and inspect accounts and check files. Change: the program with tables and JSON output and the exit codes 0, 1, 2 and 3. accounts.Store repeats a change until it is accepted or refused; it looks for its change id before each attempt, so that a lost reply or a late update applies no change twice, and checks claims of groups again afterwards. The client takes an update for not sent only on a failed dial. Serve is added as an argument of command.Root.

--- /dev/null
+++ b/cmd/internal/accounts/store_test.go
@@ -0,0 +1,154 @@
+package accounts_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/cmd/internal/accounts"
+	"basilmill/core/account"
+	"basilmill/core/group"
+	"basilmill/io/platform"
+	standin "basilmill/standin/platform"
+)
+
+// direct hands requests to the stand-in without a socket, so that tests can
+// run on the paused clock.
+type direct struct {
+	server *standin.Server
+}
+
+func (d direct) RoundTrip(r *http.Request) (response *http.Response, err error) {
+	defer func() {
+		if recover() != nil {
+			response, err = nil, io.ErrUnexpectedEOF
+		}
+	}()
+	if r.Body == nil {
+		r.Body = http.NoBody
+	}
+	w := httptest.NewRecorder()
+	d.server.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+func newAPI(server *standin.Server) platform.API {
+	return platform.NewClient(netip.MustParseAddrPort("127.0.0.1:1"), platform.Options{Transport: direct{server}})
+}
+
+// hooked runs a hook in place of the next update of an account.
+type hooked struct {
+	platform.API
+	put func(key platform.Key, value json.RawMessage, ifMatch platform.Version) (platform.Version, error)
+}
+
+func (h *hooked) Put(ctx context.Context, key platform.Key, value json.RawMessage, ifMatch platform.Version) (platform.Version, error) {
+	if put := h.put; put != nil && key.Kind == platform.KindAccount {
+		h.put = nil
+		return put(key, value, ifMatch)
+	}
+	return h.API.Put(ctx, key, value, ifMatch)
+}
+
+func request(change account.ChangeID, id account.ID, base account.Revision, slots int) account.Request {
+	key := strings.Repeat("A", 43) + "="
+	return account.Request{ChangeID: change, Operator: "els", Time: time.Unix(0, 0), Template: account.Template{
+		ID: id, Revision: base, Slots: slots,
+		Groups:   []account.Claim{{Group: group.ID("g"), Databases: []string{"d"}}},
+		Verifier: account.Verifier("SCRAM-SHA-256$4096:c2FsdA==$" + key + ":" + key),
+	}.WithDefaults()}
+}
+
+// Guards against a change that is lost, applied twice or missing from the
+// history when every reply to a write is lost and the list overflows.
+func TestEveryReplyLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := standin.New()
+		store := accounts.Store{API: newAPI(server), Patience: time.Minute}
+		server.LoseReplies(1000)
+		const revisions = 3*account.MaxChanges + 1
+		_, err := store.Submit(t.Context(), request("c0", "a", 0, 1))
+		assert.NilError(t, err)
+		for i := account.Revision(1); i < revisions; i++ {
+			result, err := store.Revise(t.Context(), request(account.ChangeID("c"+string(rune('0'+i))), "a", i, 1+int(i%2)))
+			assert.NilError(t, err)
+			assert.Assert(t, result.Settled)
+			assert.Equal(t, result.Change.Revision, i+1)
+		}
+		history, err := store.History(t.Context(), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, len(history), revisions)
+
+		// A command that is repeated much later finds its change in an audit
+		// object.
+		result, err := store.Submit(t.Context(), request("c0", "a", 0, 1))
+		assert.NilError(t, err)
+		assert.Equal(t, result.Change.Revision, account.Revision(1))
+	})
+}
+
+// Guards against an update that arrives after the writer read back and is then
+// taken for another operator's, and against a race that is lost between the
+// reading and the update.
+func TestConflicts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := t.Context()
+		api := newAPI(standin.New())
+		rival := accounts.Store{API: api}
+		hook := &hooked{API: api}
+		store := accounts.Store{API: hook, Patience: time.Minute}
+		hook.put = func(key platform.Key, value json.RawMessage, ifMatch platform.Version) (platform.Version, error) {
+			hook.put = func(platform.Key, json.RawMessage, platform.Version) (platform.Version, error) {
+				_, err := api.Put(ctx, key, value, ifMatch)
+				assert.NilError(t, err)
+				return api.Put(ctx, key, value, ifMatch)
+			}
+			return 0, &platform.UnknownResultError{Key: key, Cause: io.ErrUnexpectedEOF}
+		}
+		result, err := store.Submit(ctx, request("c1", "a", 0, 1))
+		assert.NilError(t, err)
+		assert.Equal(t, result.Change.ID, account.ChangeID("c1"))
+
+		hook.put = func(key platform.Key, value json.RawMessage, ifMatch platform.Version) (platform.Version, error) {
+			_, err := rival.Revise(ctx, request("c2", "a", 1, 7))
+			assert.NilError(t, err)
+			return api.Put(ctx, key, value, ifMatch)
+		}
+		_, err = store.Revise(ctx, request("c3", "a", 1, 8))
+		var race *account.RaceError
+		assert.Assert(t, errors.As(err, &race), "%v", err)
+		assert.Equal(t, race.Winner.ID, account.ChangeID("c2"))
+		assert.DeepEqual(t, race.Diff, []account.Difference{{Path: "Slots", Before: "1", After: "7"}})
+		history, err := store.History(ctx, "a")
+		assert.NilError(t, err)
+		assert.Equal(t, len(history), 2)
+	})
+}
+
+// Guards against two accounts that claim one group at the same time without
+// either operator being told.
+func TestClaimRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		api := newAPI(standin.New())
+		hook := &hooked{API: api}
+		hook.put = func(key platform.Key, value json.RawMessage, ifMatch platform.Version) (platform.Version, error) {
+			_, err := accounts.Store{API: api}.Submit(t.Context(), request("c2", "b", 0, 1))
+			assert.NilError(t, err)
+			return api.Put(t.Context(), key, value, ifMatch)
+		}
+		_, err := accounts.Store{API: hook}.Submit(t.Context(), request("c1", "a", 0, 1))
+		var race *accounts.ClaimRaceError
+		assert.Assert(t, errors.As(err, &race), "%v", err)
+		assert.Equal(t, race.Faults[0].String(), "Groups[0].Group: the group is claimed by account b and not shared by both")
+	})
+}
--- /dev/null
+++ b/cmd/internal/command/platform.go
@@ -0,0 +1,47 @@
+package command
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"basilmill/cmd/internal/accounts"
+	"basilmill/cmd/internal/exit"
+	"basilmill/io/platform"
+)
+
+const (
+	defaultPatience = 15 * time.Second
+	defaultTimeout  = platform.DefaultTimeout
+)
+
+// platformFlags select the platform and the form of the output.
+func platformFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{
+			Name: "platform", Usage: "`ADDRESS` and port of the platform's object API",
+			Sources: cli.EnvVars("BASILMILL_PLATFORM"), Required: true,
+		},
+		&cli.DurationFlag{Name: "timeout", Usage: "limit of one call to the platform", Value: defaultTimeout},
+		outputFlag(),
+	}, more...)
+}
+
+// client returns the client that the flags of a command select.
+func client(c *cli.Command) (*platform.Client, error) {
+	address, err := netip.ParseAddrPort(c.String("platform"))
+	if err != nil {
+		return nil, &exit.InvalidError{Cause: fmt.Errorf("--platform: %w", err)}
+	}
+	return platform.NewClient(address, platform.Options{Timeout: c.Duration("timeout")}), nil
+}
+
+func accountStore(c *cli.Command) (accounts.Store, error) {
+	api, err := client(c)
+	if err != nil {
+		return accounts.Store{}, err
+	}
+	return accounts.Store{API: api, Patience: c.Duration("patience")}, nil
+}
--- /dev/null
+++ b/cmd/internal/command/root.go
@@ -0,0 +1,85 @@
+// Package command defines the commands of the program that read and change the
+// platform's objects and check files.
+package command
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"basilmill/cmd/internal/exit"
+)
+
+// Root returns the program with its commands. More are added to them.
+func Root(more ...*cli.Command) *cli.Command {
+	commands := []*cli.Command{checkCommand(), accountCommand(), groupCommand(), hostCommand(), versionCommand()}
+	root := &cli.Command{
+		Name:            "basilmill",
+		Usage:           "database proxy with session consistency",
+		Commands:        append(commands, more...),
+		Action:          subcommandRequired,
+		HideHelpCommand: true,
+		HideVersion:     true,
+		// Run reports errors and chooses the exit code.
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	reportUsageErrors(root)
+	return root
+}
+
+// reportUsageErrors leaves it to Run to report wrong usage of the command and
+// of those below, without the help text.
+func reportUsageErrors(command *cli.Command) {
+	command.OnUsageError = func(_ context.Context, c *cli.Command, err error, _ bool) error {
+		return fmt.Errorf("%s: %w: %w", c.FullName(), err, errUsage)
+	}
+	for _, below := range command.Commands {
+		reportUsageErrors(below)
+	}
+}
+
+// Run runs the program with the arguments and returns its exit code.
+func Run(ctx context.Context, root *cli.Command, args []string, errOut io.Writer) exit.Code {
+	err := root.Run(ctx, args)
+	if err != nil {
+		// There is nowhere to report that the report failed.
+		_, _ = fmt.Fprintln(errOut, err)
+	}
+	return exit.Of(err)
+}
+
+// errUsage is wrong usage of a command.
+var errUsage = errors.New("see --help")
+
+// subcommandRequired is the action of a command that only has subcommands.
+func subcommandRequired(_ context.Context, c *cli.Command) error {
+	if name := c.Args().First(); name != "" {
+		return fmt.Errorf("%s has no command %q: %w", c.FullName(), name, errUsage)
+	}
+	return fmt.Errorf("%s needs a command: %w", c.FullName(), errUsage)
+}
+
+// action wraps an action that needs between least and most arguments.
+func action(least, most int, run cli.ActionFunc) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		if n := c.Args().Len(); n < least || n > most {
+			return fmt.Errorf("%s takes %s: %w", c.FullName(), cmp.Or(c.ArgsUsage, "no argument"), errUsage)
+		}
+		return exit.Action(run)(ctx, c)
+	}
+}
+
+// readFile reads an input file. A file that cannot be read is invalid input.
+func readFile(path string) ([]byte, error) {
+	// The operator names the file.
+	data, err := os.ReadFile(path) //nolint:gosec
+	if err != nil {
+		return nil, &exit.InvalidError{Cause: err}
+	}
+	return data, nil
+}
--- a/core/account/object.go
+++ b/core/account/object.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"basilmill/core/validate"
 )
 
 // ChangeID identifies one attempt to change an account. It distinguishes the
@@ -95,6 +97,13 @@
 	Template Template
 }
 
+// Validate returns all faults of the request.
+func (r Request) Validate() validate.Faults {
+	faults := checkName("ChangeID", string(r.ChangeID), namePattern)
+	faults = append(faults, checkName("Operator", string(r.Operator), namePattern)...)
+	return append(faults, r.Template.Validate()...)
+}
+
 // Update is the result of an accepted request.
 type Update struct {
 	// Object is the account's new value.
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -11,12 +11,10 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -146,11 +144,6 @@
 	defer wrapf(&err, "put %s", key)
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	// Nothing can have been sent before a connection was obtained.
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
 	request, err := c.request(ctx, http.MethodPut, call{path: objectPath(key)}, bytes.NewReader(value))
 	if err != nil {
 		return 0, err
@@ -158,7 +151,9 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("If-Match", fmt.Sprintf(`"%d"`, ifMatch))
 	response, err := c.http.Do(request)
-	if err != nil && !connected.Load() {
+	// An update is not sent before a connection is open.
+	var opError *net.OpError
+	if errors.As(err, &opError) && opError.Op == "dial" {
 		return 0, &OutageError{Cause: err}
 	}
 	if err != nil {
