--- a/cmd/basilmill/main.go
+++ b/cmd/basilmill/main.go
@@ -16,7 +16,5 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	// The serve command of cmd/internal/serve is an argument of Root.
-	root := command.Root()
-	return int(command.Run(ctx, root, os.Args, os.Stderr))
+	return int(command.Run(ctx, command.Root(), os.Args, os.Stderr))
 }
--- a/cmd/internal/command/root.go
+++ b/cmd/internal/command/root.go
@@ -15,13 +15,13 @@
 	"basilmill/cmd/internal/exit"
 )
 
-// Root returns the program with its commands. More are added to them.
-func Root(more ...*cli.Command) *cli.Command {
-	commands := []*cli.Command{checkCommand(), accountCommand(), groupCommand(), hostCommand(), versionCommand()}
+// Root returns the program with its commands.
+func Root() *cli.Command {
+	commands := []*cli.Command{serveCommand(), checkCommand(), accountCommand(), groupCommand(), hostCommand(), versionCommand()}
 	root := &cli.Command{
 		Name:            "basilmill",
 		Usage:           "database proxy with session consistency",
-		Commands:        append(commands, more...),
+		Commands:        commands,
 		Action:          subcommandRequired,
 		HideHelpCommand: true,
 		HideVersion:     true,
--- a/cmd/serve/serve.go
+++ b/cmd/serve/serve.go
@@ -146,7 +146,9 @@
 }
 
 func (h *Host) assemble(tlsConfig *tls.Config) {
-	dialer := backendserver.Dialer{User: "basilmill", DialFunc: h.network.Dial}
+	dialer := backendserver.Dialer{
+		User: h.settings.Backend.User, Password: h.settings.Backend.Password, DialFunc: h.network.Dial,
+	}
 	h.platform = platform.NewClient(h.settings.Platform, platform.Options{Transport: &http.Transport{DialContext: h.network.Dial}})
 	h.peers = peer.NewClient(h.Self, h.network.Dial)
 	h.local = backendserver.NewLocal(backendserver.LocalConfig{
@@ -173,7 +175,7 @@
 		suspected: make(map[serverKey]time.Time),
 		shared:    make(map[shareKey]account.Sharing),
 	}
-	h.dist = &distributor{post: h.post, snapshot: h.snapshot, platform: h.platform, peers: h.peers, log: h.log}
+	h.dist = &distributor{post: h.post, snapshot: h.snapshot, platform: h.platform, peers: h.peers, seeds: h.settings.Peers, log: h.log}
 	h.callers = caller.New(h.entry, caller.Config{TLS: tlsConfig, HostKey: hostKey(h.self.ID)})
 	h.answers = peer.NewServer(h.Self, &peerHandler{
 		post: h.post, snapshot: h.snapshot, runner: h.runner, entry: h.entry, hosts: &h.dist.hosts,
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -3,6 +3,7 @@
 package settings
 
 import (
+	"cmp"
 	"log/slog"
 	"net/netip"
 	"time"
@@ -26,6 +27,11 @@
 	OperatorListen netip.AddrPort
 	// Platform is the address of the platform's object API.
 	Platform netip.AddrPort
+	// Peers are peer addresses of other hosts. They are asked for the
+	// configuration when the host starts while the platform is unavailable.
+	Peers []netip.AddrPort
+	// Backend holds the credentials for the backend servers.
+	Backend Backend
 	// TLS is used towards callers. Without files, callers connect without TLS.
 	TLS TLS
 	// ProbeInterval is the time between two status queries of a watcher.
@@ -41,6 +47,15 @@
 	Log             Log
 }
 
+// Backend holds the credentials for the backend servers.
+type Backend struct {
+	User     string
+	Password string
+}
+
+// DefaultBackendUser is the role of the host's connections to backend servers.
+const DefaultBackendUser = "basilmill"
+
 // TLS names the files with the certificate chain and the key in PEM format.
 type TLS struct {
 	Certificate string
@@ -78,6 +93,7 @@
 	ConfirmationTimeoutRange.SetDefault(&s.ConfirmationTimeout)
 	DrainTimeRange.SetDefault(&s.DrainTime)
 	ConnectionLimitRange.SetDefault(&s.ConnectionLimit)
+	s.Backend.User = cmp.Or(s.Backend.User, DefaultBackendUser)
 	return s
 }
 
@@ -95,6 +111,9 @@
 	for _, address := range s.addresses() {
 		require(address.path, address.value.IsValid())
 	}
+	for i, address := range s.Peers {
+		require(validate.Path("Peers").Index(i), address.IsValid() && address.Port() != 0)
+	}
 	require("TLS.Certificate", s.TLS.Certificate != "" || s.TLS.Key == "")
 	require("TLS.Key", s.TLS.Key != "" || s.TLS.Certificate == "")
 	faults = append(faults, s.validateAddresses()...)
--- a/io/jsonc/jsonc_test.go
+++ b/io/jsonc/jsonc_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net/netip"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -47,17 +48,21 @@
 	got, err := jsonc.Settings([]byte(`{
 		"HostID": "h1", "DataCentre": "gent-a", "Region": "flanders",
 		"Listen": "127.0.0.1:0", "PeerListen": "127.0.0.1:0", "OperatorListen": "[::1]:80", "Platform": "127.0.0.1:90",
+		"Peers": ["127.0.0.2:70"], "Backend": {"User": "u", "Password": "p"},
 		"TLS": {"Certificate": "c", "Key": "k"}, "DrainTime": "1m", "ConnectionLimit": 40,
 		"Log": {"Level": "Warn", "Format": "JSON"} }`))
 	assert.NilError(t, err)
-	assert.Equal(t, got, settings.Settings{
+	want := settings.Settings{
 		HostID: "h1", DataCentre: "gent-a", Region: "flanders",
 		Listen: netip.MustParseAddrPort("127.0.0.1:0"), PeerListen: netip.MustParseAddrPort("127.0.0.1:0"),
 		OperatorListen: netip.MustParseAddrPort("[::1]:80"), Platform: netip.MustParseAddrPort("127.0.0.1:90"),
+		Peers:         []netip.AddrPort{netip.MustParseAddrPort("127.0.0.2:70")},
+		Backend:       settings.Backend{User: "u", Password: "p"},
 		TLS:           settings.TLS{Certificate: "c", Key: "k"},
 		ProbeInterval: 150 * time.Millisecond, ConfirmationTimeout: 5 * time.Second, DrainTime: time.Minute,
 		ConnectionLimit: 40, Log: settings.Log{Level: slog.LevelWarn, Format: settings.JSON},
-	})
+	}
+	assert.Assert(t, reflect.DeepEqual(got, want), "got %+v", got)
 }
 
 // Guards against keys that are accepted but not stored, and against a read
--- a/io/jsonc/settings.go
+++ b/io/jsonc/settings.go
@@ -26,6 +26,11 @@
 		"PeerListen":     address(&s.PeerListen),
 		"OperatorListen": address(&s.OperatorListen),
 		"Platform":       address(&s.Platform),
+		"Peers":          list(&s.Peers, address),
+		"Backend": object(fields{
+			"User":     text(&s.Backend.User),
+			"Password": text(&s.Backend.Password),
+		}),
 		"TLS": object(fields{
 			"Certificate": text(&s.TLS.Certificate),
 			"Key":         text(&s.TLS.Key),
