--- a/e2e/cmd/demo/demo.go
+++ b/e2e/cmd/demo/demo.go
@@ -217,7 +217,7 @@
 	for _, h := range d.hosts {
 		if err := poll(ctx, func() error {
 			status, err := get(ctx, h, "/status")
-			if err == nil && !(strings.Contains(status, `"vandermeersch"`) && strings.Contains(status, `"avisos-oracion"`)) {
+			if err == nil && (!strings.Contains(status, `"vandermeersch"`) || !strings.Contains(status, `"avisos-oracion"`)) {
 				err = fmt.Errorf("%s does not have the accounts", h.id)
 			}
 			return err
