serve: route by core/route with floors asked on arrival of each read

Cause: current reads were sent to the primary without a proof that it had not been replaced, and a session's floor did not cover what the caller wrote through another open connection. Change: the coordinator's router uses core/route; a current read asks for its floor unless the session presented a token, and refreshes the nearest replica meanwhile; reads with an age are guarded against late answers. Tokens use one format, that of core/floor (group/term/offset), in io/caller too. Conclusion: read-your-writes holds across open connections of one caller.

--- a/cmd/serve/entry.go
+++ b/cmd/serve/entry.go
@@ -52,6 +52,8 @@
 	account account.ID
 }
 
+var errUnknownServer = errors.New("the group's record does not name the server")
+
 // errNoAccount does not tell a caller whether the account or the database is
 // wrong.
 var errNoAccount = errors.New("no such account, or the account does not own the database")
@@ -93,7 +95,43 @@
 	if view := g.View(); view.Index < 0 {
 		return e.forward(ctx, view, start)
 	}
-	return e.router.route(ctx, g, start)
+	if start.MaxAge == 0 {
+		r, err := e.router.route(ctx, g, start)
+		return r.Decision, err
+	}
+	return e.open(ctx, g, start)
+}
+
+// maxRoutes bounds how often a request is routed again because no connection
+// to the chosen server could be had.
+const maxRoutes = 3
+
+// open routes a request and opens a conversation for it. The conversation of
+// a read with an age ends when its answer comes too late.
+func (e *entry) open(ctx context.Context, g *control.Group, start peer.Start) (caller.Decision, error) {
+	for attempt := 1; ; attempt++ {
+		r, err := e.router.route(ctx, g, start)
+		if err != nil {
+			return caller.Decision{}, err
+		}
+		conversation, err := e.Acquire(ctx, r.Target)
+		if err == nil {
+			r.Conversation = guard(conversation, r.freshUntil)
+			return r.Decision, nil
+		}
+		if !overloaded(err) {
+			e.connectionLost(r.Target)
+		}
+		if attempt == maxRoutes || ctx.Err() != nil || (r.Primary && overloaded(err)) {
+			return caller.Decision{}, err
+		}
+		start.Excluded = append(start.Excluded, r.Target.Server)
+	}
+}
+
+func overloaded(err error) bool {
+	var failed *outcome.Error
+	return errors.As(err, &failed) && failed.SQLState == outcome.TooManyConnections
 }
 
 // demand states what a request asks of routing, as its account's template has
@@ -108,13 +146,14 @@
 		return peer.Start{}, outcome.NoPrimary("the client account does not own the database any more", nil)
 	}
 	start := peer.Start{
-		Account:  request.Account,
-		Group:    claim.Group,
-		Database: request.Database,
-		Write:    request.Class != statement.Read,
-		Floor:    request.Floor,
-		Excluded: request.Excluded,
-		Deadline: a.Template.Sharing.QueueTimeout,
+		Account:    request.Account,
+		Group:      claim.Group,
+		Database:   request.Database,
+		Write:      request.Class != statement.Read,
+		Floor:      request.Floor,
+		FloorKnown: request.FloorKnown,
+		Excluded:   request.Excluded,
+		Deadline:   a.Template.Sharing.QueueTimeout,
 	}
 	if claim.ReadOnly && request.Class == statement.Write {
 		return peer.Start{}, &outcome.Error{Outcome: outcome.NotRun, SQLState: "42501", Message: "the client account only reads from this group"}
@@ -185,13 +224,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, start.Deadline)
 	defer cancel()
-	decision, err := e.router.route(ctx, g, start)
-	if err != nil {
-		return peer.Started{}, nil, err
-	}
-	conversation, err := e.Acquire(ctx, decision.Target)
+	decision, err := e.open(ctx, g, start)
 	if err != nil {
-		e.connectionLost(decision.Target)
 		return peer.Started{}, nil, err
 	}
 	return peer.Started{
@@ -200,7 +234,7 @@
 		Generation: decision.Generation,
 		Primary:    decision.Primary,
 		Floor:      decision.Floor,
-	}, conversation, nil
+	}, decision.Conversation, nil
 }
 
 // Acquire implements caller.Host.
--- a/cmd/serve/serve.go
+++ b/cmd/serve/serve.go
@@ -21,6 +21,7 @@
 	"basilmill/core/account"
 	"basilmill/core/control"
 	"basilmill/core/failover"
+	"basilmill/core/floor"
 	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/logevent"
@@ -171,7 +172,7 @@
 	})
 	h.entry = &entry{
 		ctx: h.ctx, snapshot: h.snapshot, post: h.post, peers: h.peers, local: h.local, log: h.log, metrics: h.metrics,
-		router:    &router{lost: make(map[serverKey]time.Time)},
+		router:    &router{runner: h.runner, lost: make(map[serverKey]time.Time), askers: make(map[group.ID]*floor.Asker)},
 		suspected: make(map[serverKey]time.Time),
 		shared:    make(map[shareKey]account.Sharing),
 	}
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -166,6 +166,9 @@
 		t.groupEvent(in)
 	case StatusObserved:
 		t.observeStatus(in.Group, in.Status, in.SentAt)
+		if in.Done != nil {
+			close(in.Done)
+		}
 	}
 }
 
--- a/core/control/group.go
+++ b/core/control/group.go
@@ -12,9 +12,9 @@
 	"basilmill/core/placement"
 )
 
-// roundTripWeight is the weight of a new sample in the smoothed round trip,
+// sampleWeight is the inverse weight of a new sample in smoothed durations,
 // the customary value of TCP's estimator.
-const roundTripWeight = 8
+const sampleWeight = 8
 
 // groupState is the control thread's state of one group.
 type groupState struct {
@@ -133,18 +133,26 @@
 	g.ages.Observe(status, sentAt, g.record)
 	g.public.Gate.Observe(status, g.record)
 	v := g.servers[status.Server]
-	roundTrip := time.Since(sentAt)
-	if v.RoundTrip == 0 {
-		v.RoundTrip = roundTrip
-	}
-	v.RoundTrip += (roundTrip - v.RoundTrip) / roundTripWeight
+	v.ReceivedAt = time.Now()
+	v.RoundTrip = smooth(v.RoundTrip, v.ReceivedAt.Sub(sentAt))
 	if newer(status, v.Status) {
 		v.Status, v.SentAt = status, sentAt
 	}
+	if at, known := g.ages.CompleteAt(v.Status); known {
+		v.Lag = smooth(v.Lag, v.ReceivedAt.Sub(at))
+	}
 	g.servers[status.Server] = v
 	t.publishGroup(g)
 }
 
+// smooth moves an average towards a sample. The first sample is the average.
+func smooth(average, sample time.Duration) time.Duration {
+	if average == 0 {
+		return sample
+	}
+	return average + (sample-average)/sampleWeight
+}
+
 // newer reports whether a status supersedes another one of the same server.
 // Answers of overlapping queries may arrive in any order.
 func newer(s, than group.Status) bool {
--- a/core/control/input.go
+++ b/core/control/input.go
@@ -64,6 +64,8 @@
 	Group  group.ID
 	Status group.Status
 	SentAt time.Time
+	// Done, if set, is closed when the group's view has the status.
+	Done chan<- struct{}
 }
 
 func (ObjectsReceived) input()  {}
--- a/core/control/snapshot.go
+++ b/core/control/snapshot.go
@@ -77,11 +77,16 @@
 	Status group.Status
 	// SentAt is when the query of the status was sent.
 	SentAt time.Time
+	// ReceivedAt is when the last answer of the server arrived.
+	ReceivedAt time.Time
 	// CompleteAt is the time up to which reads on the server are proven to
 	// see every acknowledged write; zero if nothing is proven.
 	CompleteAt time.Time
 	// RoundTrip is the smoothed duration of status queries.
 	RoundTrip time.Duration
+	// Lag is the smoothed time from the acknowledgement of a write until this
+	// host knows that the server contains it; zero if unknown.
+	Lag time.Duration
 }
 
 // Relays returns the relays of the own data centre.
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -35,6 +35,9 @@
 	Class statement.Class
 	// Floor is the session's floor, zero if it has none.
 	Floor group.Position
+	// FloorKnown says that the caller presented a token in this session: the
+	// floor then covers what the caller wrote through other sessions.
+	FloorKnown bool
 	// Excluded lists servers that have just failed to serve this request.
 	Excluded []group.ServerID
 }
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -143,7 +143,7 @@
 	}
 	s.decision = Decision{}
 	decision, err := s.host.Route(ctx, Request{
-		Identity: s.identity, SQL: b.sql, Class: class, Floor: s.floor, Excluded: excluded,
+		Identity: s.identity, SQL: b.sql, Class: class, Floor: s.floor, FloorKnown: s.floorKnown, Excluded: excluded,
 	})
 	if err != nil {
 		return verdict{failure: interruption(ctx, err)}
@@ -359,6 +359,6 @@
 		return outcome.Unresolved("the write was not confirmed in time", err)
 	}
 	s.raise(at)
-	s.hold(&pgproto3.ParameterStatus{Name: statement.Token, Value: formatToken(s.identity.Group, s.floor)})
+	s.hold(&pgproto3.ParameterStatus{Name: statement.Token, Value: s.token()})
 	return nil
 }
--- a/io/caller/local.go
+++ b/io/caller/local.go
@@ -1,12 +1,9 @@
 package caller
 
 import (
-	"fmt"
-	"strconv"
-	"strings"
-
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"basilmill/core/floor"
 	"basilmill/core/group"
 	"basilmill/core/outcome"
 	"basilmill/core/statement"
@@ -84,50 +81,34 @@
 	if s.floor.IsZero() {
 		return ""
 	}
-	return formatToken(s.identity.Group, s.floor)
+	return s.token()
 }
 
 func (s *session) setToken(token string) *outcome.Error {
 	if token == "" {
+		s.floorKnown = false
 		return nil
 	}
-	id, position, err := parseToken(token)
-	if err != nil || id != s.identity.Group {
+	t, err := floor.ParseToken(token)
+	if err != nil || t.Group != s.identity.Group {
 		return refuse(invalidParameterValue, "the token is not valid for this database group")
 	}
-	s.raise(position)
+	s.raise(t.Position)
+	s.floorKnown = true
 	return nil
 }
 
+// token returns the session's floor as a token.
+func (s *session) token() string {
+	return floor.Token{Group: s.identity.Group, Position: s.floor}.String()
+}
+
 func (s *session) raise(position group.Position) {
 	if position.Compare(s.floor) > 0 {
 		s.floor = position
 	}
 }
 
-// formatToken returns the text form of a floor: group:term:offset.
-func formatToken(id group.ID, p group.Position) string {
-	return fmt.Sprintf("%s:%d:%d", id, p.Term, p.Offset)
-}
-
-func parseToken(token string) (id group.ID, p group.Position, err error) {
-	fields := strings.Split(token, ":")
-	n := len(fields)
-	if n < 3 {
-		return "", p, strconv.ErrSyntax
-	}
-	term, err := strconv.ParseInt(fields[n-2], 10, 64)
-	if err != nil {
-		return "", p, err
-	}
-	offset, err := strconv.ParseInt(fields[n-1], 10, 64)
-	if err != nil {
-		return "", p, err
-	}
-	p = group.Position{Term: group.Term(term), Offset: group.Offset(offset)}
-	return group.ID(strings.Join(fields[:n-2], ":")), p, nil
-}
-
 // describeLocal returns the answer to a Describe of a local statement.
 func describeLocal(f statement.Statement, parameters bool) (answers []pgproto3.BackendMessage) {
 	if parameters {
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -43,6 +43,8 @@
 	secret    []byte
 
 	floor group.Position
+	// floorKnown is set while the caller passes tokens between its sessions.
+	floorKnown bool
 	// key is the request key for the next write or transaction.
 	key        string
 	statements map[string]*prepared
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -76,8 +76,11 @@
 	// OwnWrites asks that the floor holds also for a read with a MaxAge.
 	OwnWrites bool
 	// Floor is the lowest position that the session may see, if known.
-	Floor    group.Position
-	Excluded []group.ServerID
+	Floor group.Position
+	// FloorKnown says that the session presented a token, so that a current
+	// read needs no floor query.
+	FloorKnown bool
+	Excluded   []group.ServerID
 	// Deadline bounds routing and the wait for a connection.
 	Deadline time.Duration
 }
@@ -238,6 +241,7 @@
 		MaxAgeMs:            s.MaxAge.Milliseconds(),
 		OwnWrites:           s.OwnWrites,
 		Floor:               positionToWire(s.Floor),
+		FloorKnown:          s.FloorKnown,
 		Excluded:            excluded,
 		DeadlineMs:          s.Deadline.Milliseconds(),
 	}
@@ -257,6 +261,7 @@
 		MaxAge:              time.Duration(w.GetMaxAgeMs()) * time.Millisecond,
 		OwnWrites:           w.GetOwnWrites(),
 		Floor:               positionFromWire(w.GetFloor()),
+		FloorKnown:          w.GetFloorKnown(),
 		Excluded:            excluded,
 		Deadline:            time.Duration(w.GetDeadlineMs()) * time.Millisecond,
 	}
