backendserver: test the protocol, transactions, replication and faults

Cause: other modules judge their invariants against this server, so its own behaviour must be proved first. A server can restart with its log. Run frees its addresses before it returns: the rapid test found a restart that met the old listener.

--- a/standin/backendserver/cluster_test.go
+++ b/standin/backendserver/cluster_test.go
@@ -28,21 +28,26 @@
 	ctx     context.Context
 	running sync.WaitGroup
 	servers map[group.ServerID]*backendserver.Server
+	// stops ends a server and waits for its end.
+	stops map[group.ServerID]func()
 }
 
 // inBubble runs a test with a cluster under the virtual clock.
-func inBubble(t *testing.T, f func(c *cluster)) {
+func inBubble(t *testing.T, f func(t *testing.T, c *cluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		c := &cluster{t: t, ctx: ctx, network: pipenet.New(), servers: map[group.ServerID]*backendserver.Server{}}
+		c := &cluster{
+			t: t, ctx: ctx, network: pipenet.New(),
+			servers: map[group.ServerID]*backendserver.Server{}, stops: map[group.ServerID]func(){},
+		}
 		defer func() {
 			cancel()
 			c.network.Close()
 			c.running.Wait()
 		}()
 		c.network.SetLatency(centre, centre, time.Millisecond)
-		f(c)
+		f(t, c)
 	})
 }
 
@@ -51,8 +56,8 @@
 }
 
 // add starts a server. Server "a" is the primary that feeds "b" under
-// generation 1; the others follow it.
-func (c *cluster) add(id group.ServerID, change func(*backendserver.Config)) {
+// generation 1; the others follow it. The result stops the server.
+func (c *cluster) add(id group.ServerID, change func(*backendserver.Config)) func() {
 	c.t.Helper()
 	listener, err := c.network.Listen(centre, address(id))
 	assert.NilError(c.t, err)
@@ -66,9 +71,30 @@
 	if change != nil {
 		change(&config)
 	}
-	server := backendserver.New(config)
+	return c.run(id, backendserver.New(config))
+}
+
+func (c *cluster) run(id group.ServerID, server *backendserver.Server) func() {
+	ctx, cancel := context.WithCancel(c.ctx)
+	ended := make(chan struct{})
+	c.running.Go(func() {
+		defer close(ended)
+		_ = server.Run(ctx)
+	})
 	c.servers[id] = server
-	c.running.Go(func() { _ = server.Run(c.ctx) })
+	c.stops[id] = func() {
+		cancel()
+		<-ended
+	}
+	return c.stops[id]
+}
+
+// restart starts a stopped server with its log.
+func (c *cluster) restart(id group.ServerID) {
+	c.t.Helper()
+	listener, err := c.network.Listen(centre, address(id))
+	assert.NilError(c.t, err)
+	c.run(id, c.servers[id].Restart(listener))
 }
 
 // config returns the settings of a client that connects to a server.
--- a/standin/backendserver/plan.go
+++ b/standin/backendserver/plan.go
@@ -187,6 +187,9 @@
 	p.columns = []sql.Column{}
 	for _, output := range outputs {
 		if output.Expression == nil {
+			if len(source.Columns) == 0 {
+				return sql.Errorf(sql.SyntaxError, "SELECT * needs a FROM clause")
+			}
 			p.columns = append(p.columns, source.Columns...)
 			continue
 		}
--- a/standin/backendserver/replication.go
+++ b/standin/backendserver/replication.go
@@ -29,7 +29,7 @@
 	handshakeTimeout = 2 * time.Second
 	// Intervals of the backoff between attempts to reach the primary.
 	minReconnect = 20 * time.Millisecond
-	maxReconnect = 500 * time.Millisecond
+	maxReconnect = 200 * time.Millisecond
 )
 
 // hello describes the primary's log. A server that is not a primary sends
@@ -242,11 +242,17 @@
 	intervals := backoff.NewExponentialBackOff()
 	intervals.InitialInterval, intervals.MaxInterval = minReconnect, maxReconnect
 	for ctx.Err() == nil {
+		started := time.Now()
 		connected, err := s.receiveFeed(ctx, f)
+		s.logger.Debug("feed ended", "primary", f.primary, "address", f.address, "error", err)
 		if connected {
 			intervals.Reset()
+			if time.Since(started) > maxReconnect {
+				// The primary ends feeds that it re-establishes under another
+				// generation: the change of successor need not wait.
+				continue
+			}
 		}
-		s.logger.Debug("feed ended", "primary", f.primary, "address", f.address, "error", err)
 		_ = sleep(ctx, intervals.NextBackOff())
 	}
 }
--- a/standin/backendserver/server.go
+++ b/standin/backendserver/server.go
@@ -128,6 +128,25 @@
 	return s
 }
 
+// Restart returns a server that continues with the log and the role of this
+// one, as a database that restarts with its disk. This server must have ended.
+func (s *Server) Restart(listener net.Listener) *Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	config := s.config
+	config.Listener, config.FeedListener = listener, nil
+	config.Role = group.Replica
+	config.Primary, config.PrimaryAddress = "", ""
+	if s.follower != nil {
+		config.Primary, config.PrimaryAddress = s.follower.primary, s.follower.address
+	}
+	next := New(config)
+	next.role, next.log, next.commanded = s.role, s.log, s.commanded
+	next.generation, next.successor = s.generation, s.successor
+	next.quiesced = s.quiesced
+	return next
+}
+
 // ID returns the server's id.
 func (s *Server) ID() group.ServerID { return s.config.ID }
 
@@ -138,12 +157,7 @@
 	defer cancel()
 	s.start(ctx)
 	failure := make(chan error, 2)
-	for _, listener := range []net.Listener{s.config.Listener, s.config.FeedListener} {
-		if listener == nil {
-			continue
-		}
-		stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
-		defer stop()
+	for _, listener := range s.listeners() {
 		s.group.Go(func() { failure <- s.accept(ctx, listener) })
 	}
 	var err error
@@ -152,11 +166,26 @@
 	case err = <-failure:
 	}
 	cancel()
+	s.closeListeners()
 	s.CloseConnections()
 	s.group.Wait()
 	return err
 }
 
+func (s *Server) listeners() []net.Listener {
+	listeners := []net.Listener{s.config.Listener}
+	if s.config.FeedListener != nil {
+		listeners = append(listeners, s.config.FeedListener)
+	}
+	return listeners
+}
+
+func (s *Server) closeListeners() {
+	for _, listener := range s.listeners() {
+		_ = listener.Close()
+	}
+}
+
 func (s *Server) start(ctx context.Context) {
 	s.group.Go(func() { s.applyReceived(ctx) })
 	s.group.Go(func() { s.followPrimary(ctx) })
--- a/standin/backendserver/session.go
+++ b/standin/backendserver/session.go
@@ -114,6 +114,7 @@
 	id       uint32
 	secret   []byte
 	database string
+	// defaults and settings are replaced and never changed.
 	defaults map[string]string
 	settings map[string]string
 
@@ -171,7 +172,7 @@
 		return x, err
 	}
 	x.defaults = defaultSettings(parameters, s.role)
-	x.settings = maps.Clone(x.defaults)
+	x.settings = x.defaults
 	s.sessions[x.id] = x
 	return x, nil
 }
@@ -361,7 +362,7 @@
 		x.transaction = &transaction{
 			server:   x.server,
 			readOnly: x.settings[defaultReadOnly] == "on",
-			settings: maps.Clone(x.settings),
+			settings: x.settings,
 		}
 	}
 }
--- a/standin/backendserver/setting.go
+++ b/standin/backendserver/setting.go
@@ -87,7 +87,7 @@
 			return result{}, sql.Errorf(sql.ActiveTransaction, "DISCARD ALL cannot run inside a transaction block")
 		}
 		clear(x.statements)
-		x.change(maps.Clone(x.defaults))
+		x.change(x.defaults)
 		return result{tag: "DISCARD ALL"}, nil
 	case *sql.Deallocate:
 		return x.deallocate(s.Name)
@@ -100,10 +100,12 @@
 	if s.Reset {
 		tag = "RESET"
 	}
-	settings := maps.Clone(x.settings)
 	if s.Name == "" {
-		settings = maps.Clone(x.defaults)
-	} else if err := x.setOne(settings, s); err != nil {
+		x.change(x.defaults)
+		return result{tag: tag}, nil
+	}
+	settings := maps.Clone(x.settings)
+	if err := x.setOne(settings, s); err != nil {
 		return result{}, err
 	}
 	x.change(settings)
--- a/standin/pipenet/pipenet.go
+++ b/standin/pipenet/pipenet.go
@@ -56,6 +56,7 @@
 	listeners map[netip.AddrPort]*listener
 	streams   map[*stream]pair
 	lastPort  uint16
+	closed    chan struct{}
 }
 
 // New returns a network in which all links are up without latency.
@@ -64,6 +65,7 @@
 		links:     map[pair]*link{},
 		listeners: map[netip.AddrPort]*listener{},
 		streams:   map[*stream]pair{},
+		closed:    make(chan struct{}),
 	}
 }
 
@@ -108,8 +110,10 @@
 	}
 }
 
-// Close closes all listeners and resets all connections.
+// Close closes all listeners, resets all connections and fails pending and
+// later attempts to connect. It must be called once.
 func (n *Network) Close() {
+	close(n.closed)
 	n.mu.Lock()
 	listeners := slices.Collect(maps.Values(n.listeners))
 	for s := range n.streams {
@@ -217,6 +221,8 @@
 		case <-passed:
 			return nil
 		case <-l.changed:
+		case <-n.closed:
+			return syscall.ENETDOWN
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -246,10 +252,10 @@
 // Close implements net.Listener. It frees the address.
 func (l *listener) Close() error {
 	l.once.Do(func() {
-		close(l.closed)
 		l.network.mu.Lock()
 		defer l.network.mu.Unlock()
 		delete(l.network.listeners, l.address)
+		close(l.closed)
 	})
 	return nil
 }
--- /dev/null
+++ b/standin/pipenet/pipenet_test.go
@@ -0,0 +1,103 @@
+package pipenet_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/host"
+	"basilmill/standin/pipenet"
+)
+
+const (
+	gent  = host.DataCentre("gent-a")
+	namur = host.DataCentre("namur-a")
+)
+
+var address = netip.MustParseAddrPort("10.0.0.1:5432")
+
+// connected runs a test with a connection from gent to namur, 4 ms apart.
+func connected(t *testing.T, f func(t *testing.T, n *pipenet.Network, near, far net.Conn)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := pipenet.New()
+		defer n.Close()
+		n.SetLatency(gent, namur, 4*time.Millisecond)
+		listener, err := n.Listen(namur, address)
+		assert.NilError(t, err)
+		accepted := make(chan net.Conn, 1)
+		go func() {
+			conn, _ := listener.Accept()
+			accepted <- conn
+		}()
+		started := time.Now()
+		near, err := dial(t.Context(), n)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(started), 8*time.Millisecond)
+		assert.Equal(t, near.RemoteAddr().String(), address.String())
+		f(t, n, near, <-accepted)
+	})
+}
+
+func dial(ctx context.Context, n *pipenet.Network) (net.Conn, error) {
+	return n.Dialer(gent, netip.MustParseAddr("10.0.0.9"))(ctx, "tcp", address.String())
+}
+
+// Guards against writes that wait for the reader, bytes that arrive early or
+// out of order, and a close that overtakes them.
+func TestLatency(t *testing.T) {
+	connected(t, func(t *testing.T, _ *pipenet.Network, near, far net.Conn) {
+		text := strings.Repeat("lineage ", 2_000)
+		started := time.Now()
+		for part := range strings.SplitSeq(text, "e") {
+			_, err := io.WriteString(near, part+"e")
+			assert.NilError(t, err)
+		}
+		assert.NilError(t, near.Close())
+		assert.Equal(t, time.Since(started), time.Duration(0))
+		got, err := io.ReadAll(far)
+		assert.NilError(t, err)
+		assert.Equal(t, string(got), text+"e")
+		assert.Equal(t, time.Since(started), 4*time.Millisecond)
+	})
+}
+
+// Guards against a black hole that drops or passes bytes, and a cut that
+// leaves connections open.
+func TestLinkStates(t *testing.T) {
+	connected(t, func(t *testing.T, n *pipenet.Network, near, far net.Conn) {
+		n.SetLink(namur, gent, pipenet.BlackHole)
+		_, err := io.WriteString(near, "held")
+		assert.NilError(t, err)
+		assert.NilError(t, far.SetReadDeadline(time.Now().Add(time.Minute)))
+		buffer := make([]byte, 8)
+		_, err = far.Read(buffer)
+		var timeout net.Error
+		assert.Assert(t, errors.As(err, &timeout) && timeout.Timeout())
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = dial(ctx, n)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+
+		n.SetLink(gent, namur, pipenet.Up)
+		assert.NilError(t, far.SetReadDeadline(time.Time{}))
+		count, err := far.Read(buffer)
+		assert.NilError(t, err)
+		assert.Equal(t, string(buffer[:count]), "held")
+
+		n.SetLink(gent, namur, pipenet.Cut)
+		_, err = far.Read(buffer)
+		assert.Assert(t, err != nil)
+		_, err = dial(t.Context(), n)
+		assert.ErrorIs(t, err, syscall.ECONNREFUSED)
+	})
+}
