--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -35,6 +35,9 @@
 	Class statement.Class
 	// Floor is the session's floor, zero if it has none.
 	Floor group.Position
+	// FloorKnown says that the caller presented a token in this session: the
+	// floor then covers what the caller wrote through other sessions.
+	FloorKnown bool
 	// Excluded lists servers that have just failed to serve this request.
 	Excluded []group.ServerID
 }
@@ -48,6 +51,9 @@
 	Primary bool
 	// Floor raises the session's floor if it is higher.
 	Floor group.Position
+	// Conversation is set when routing has opened one already, as a
+	// coordinator does for a request that was forwarded to it.
+	Conversation backendserver.Conversation
 }
 
 // Host is what sessions need from the host they run on. Errors are
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -143,14 +143,18 @@
 	}
 	s.decision = Decision{}
 	decision, err := s.host.Route(waiting, Request{
-		Identity: s.identity, SQL: b.sql, Class: class, Floor: s.floor, Excluded: excluded,
+		Identity: s.identity, SQL: b.sql, Class: class, Floor: s.floor, FloorKnown: s.floorKnown, Excluded: excluded,
 	})
 	if err != nil {
 		return verdict{failure: interruption(waiting, err)}
 	}
 	s.decision = decision
 	s.raise(decision.Floor)
-	conv, err := s.host.Acquire(waiting, decision.Target)
+	conv, err := decision.Conversation, error(nil)
+	s.decision.Conversation = nil
+	if conv == nil {
+		conv, err = s.host.Acquire(waiting, decision.Target)
+	}
 	if err != nil {
 		failure := interruption(waiting, err)
 		overloaded := failure.SQLState == outcome.TooManyConnections
--- a/io/caller/local.go
+++ b/io/caller/local.go
@@ -86,16 +86,19 @@
 
 func (s *session) setToken(token string) *outcome.Error {
 	if token == "" {
+		s.floorKnown = false
 		return nil
 	}
-	parsed, err := floor.ParseToken(token)
-	if err != nil || parsed.Group != s.identity.Group {
+	t, err := floor.ParseToken(token)
+	if err != nil || t.Group != s.identity.Group {
 		return refuse(invalidParameterValue, "the token is not valid for this database group")
 	}
-	s.raise(parsed.Position)
+	s.raise(t.Position)
+	s.floorKnown = true
 	return nil
 }
 
+// token returns the session's floor as a token.
 func (s *session) token() string {
 	return floor.Token{Group: s.identity.Group, Position: s.floor}.String()
 }
