caller: strengthen tests that passed over planted faults

The tests now notice an early COMMIT in a query of several statements, a term that does not match, a cancel request with a wrong secret, a request key ignored by a session with state, tags replayed in the wrong order, a statement that stays defined after its Parse failed, and an unsent batch reported as unknown.

--- a/io/backendserver/local_test.go
+++ b/io/backendserver/local_test.go
@@ -156,6 +156,11 @@
 		assert.Equal(t, outcome.Of(err), outcome.Unknown)
 		assert.ErrorContains(t, err, "replaced")
 		c.Release(true)
+
+		c = acquire(t, l)
+		l.Lost("g", "s", errors.New("replaced"))
+		assert.Equal(t, outcome.Of(c.Send(t.Context(), query("INSERT"))), outcome.NotRun)
+		c.Release(true)
 		synctest.Wait()
 		assert.Equal(t, l.Stats("g", "s").Open, 0)
 	})
--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -39,6 +39,7 @@
 	server  *caller.Server
 	ln      *listener
 	verify  string
+	term    string
 	confirm func(context.Context, group.Position) error
 	// fault is called before a statement and may return a behaviour.
 	fault func(server, sql string) fault
@@ -70,7 +71,7 @@
 	t.Helper()
 	config.HostKey = 7
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, keys: map[string]string{}, locks: map[string]chan struct{}{}}
+		w := &world{t: t, term: "1", keys: map[string]string{}, locks: map[string]chan struct{}{}}
 		w.local = backendserver.NewLocal(backendserver.LocalConfig{Limit: 4, Dialer: backendserver.Dialer{User: "b", DialFunc: w.dial}})
 		w.server = caller.New(w, config)
 		w.ln = &listener{conns: make(chan net.Conn), closed: make(chan struct{})}
@@ -225,11 +226,17 @@
 
 func (b *backend) serve(conn net.Conn) {
 	defer conn.Close()
-	defer func() { b.end(false) }()
 	start, err := b.wire.ReceiveStartupMessage()
-	if _, cancel := start.(*pgproto3.CancelRequest); err != nil || cancel {
+	if _, cancel := start.(*pgproto3.CancelRequest); cancel {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.log = append(b.log, b.name+": cancel")
+		return
+	}
+	if err != nil {
 		return
 	}
+	defer func() { b.end(false) }()
 	b.parsed = map[string]string{}
 	b.wire.Send(&pgproto3.AuthenticationOk{})
 	b.wire.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte("abcd")})
@@ -256,6 +263,10 @@
 		}
 		b.wire.Send(&pgproto3.ReadyForQuery{TxStatus: b.status})
 	case *pgproto3.Parse:
+		if m.Query == "BAD" {
+			b.skipping = true
+			return b.fail("42601")
+		}
 		b.parsed[m.Name] = m.Query
 		b.wire.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
@@ -416,7 +427,7 @@
 	case strings.Contains(sql, "position()") && b.name == "replica":
 		return 0
 	case strings.Contains(sql, "position()"):
-		values = [][]byte{[]byte("1"), []byte("1"), fmt.Append(nil, len(b.world.rows))}
+		values = [][]byte{[]byte(b.term), []byte("1"), fmt.Append(nil, len(b.world.rows))}
 	case strings.Contains(sql, "basilmill"):
 		tag, ok := b.world.keys[strings.Split(sql, "'")[3]]
 		if !ok {
--- a/io/caller/protocol_test.go
+++ b/io/caller/protocol_test.go
@@ -103,6 +103,10 @@
 		assert.Equal(t, r.exchange(simple("SET basilmill.request_key = 'k'; INSERT b")), "0A000 ZI")
 		assert.Equal(t, r.exchange(simple("SET basilmill.token = 'other/1/5'")), "22023 ZI")
 
+		assert.Equal(t, r.exchange(&pgproto3.Parse{Name: "p", Query: "BAD"}, sync), "42601 ZI")
+		assert.Equal(t, r.exchange(&pgproto3.Parse{Name: "p", Query: "SELECT 1"}, sync), "1 ZI")
+		assert.Equal(t, r.exchange(&pgproto3.Parse{Name: "p", Query: "SELECT 1"}, sync), "42P05 ZI")
+
 		// A flushed part, an error, and what is skipped until Sync.
 		assert.Equal(t, r.exchange(append(execute("BEGIN"), sync)...), "1 2 BEGIN ZT")
 		for _, m := range append(execute("INSERT c"), &pgproto3.Flush{}) {
@@ -170,6 +174,10 @@
 		r.exchange(simple("SET basilmill.request_key = 'k'"))
 		assert.Equal(t, r.exchange(simple("INSERT a")), "INSERT 0 1 ZI")
 		assert.Assert(t, strings.HasPrefix(w.statements(), `primary: SET "search_path" TO 'town''archive'; primary: BEGIN; primary: INSERT INTO basilmill`))
+		r.exchange(simple("SET basilmill.request_key = 'k'"))
+		assert.Equal(t, r.exchange(simple("INSERT a")), "INSERT 0 1 ZI")
+		assert.Equal(t, w.committed(), "INSERT a")
+		w.statements()
 		assert.NilError(t, r.conn.Close())
 		synctest.Wait()
 		assert.Equal(t, w.statements(), "primary: DISCARD ALL")
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -110,10 +110,11 @@
 		assert.NilError(t, err)
 		err = exec(conn, "commit")
 		assertError(t, err, outcome.TransactionResolutionUnknown, outcome.Unknown)
-		_, err = conn.Exec(t.Context(), "BEGIN; INSERT d; COMMIT; SELECT rows", pgx.QueryExecModeSimpleProtocol)
-		assert.Assert(t, err != nil, "a COMMIT within a query of several statements was acknowledged")
+		several := simple("BEGIN; INSERT d; COMMIT; SELECT rows")
+		assert.Equal(t, w.raw(nil).exchange(several), "BEGIN INSERT 0 1 08007 ZI")
 
-		w.confirm = nil
+		w.confirm, w.term = nil, "2"
+		assertError(t, exec(conn, "INSERT e"), outcome.TransactionResolutionUnknown, outcome.Unknown)
 		_ = rows(t, conn)
 		assert.Equal(t, w.routed[len(w.routed)-1].Floor, group.Position{Term: 1, Offset: 1})
 	})
@@ -247,11 +248,11 @@
 			assert.DeepEqual(t, keyed(conn, "rolled back", "INSERT d"), []string{"INSERT 0 1"})
 			assert.Equal(t, w.committed(), "INSERT a INSERT b INSERT c INSERT d")
 
-			transaction := []string{"BEGIN", "INSERT e", "SELECT rows", "INSERT f", "COMMIT"}
-			want := []string{"BEGIN", "INSERT 0 1", "SELECT 1", "INSERT 0 1", "COMMIT"}
+			transaction := []string{"BEGIN", "INSERT e", "SELECT rows", "UPDATE f", "COMMIT"}
+			want := []string{"BEGIN", "INSERT 0 1", "SELECT 1", "UPDATE", "COMMIT"}
 			assert.DeepEqual(t, keyed(conn, "t", transaction...), want)
 			assert.DeepEqual(t, keyed(other, "t", transaction...), want)
-			assert.Equal(t, w.committed(), "INSERT a INSERT b INSERT c INSERT d INSERT e INSERT f")
+			assert.Equal(t, w.committed(), "INSERT a INSERT b INSERT c INSERT d INSERT e")
 		})
 	}
 }
@@ -273,9 +274,12 @@
 		synctest.Wait()
 		assert.Equal(t, conn.PgConn().PID()>>16, uint32(7))
 		w.server.Cancel(t.Context(), conn.PgConn().PID(), []byte("none"))
+		synctest.Wait()
+		assert.Equal(t, w.statements(), "replica: SELECT slow")
 		used := w.local.Stats("g", "replica").Opened
 		assert.NilError(t, conn.PgConn().CancelRequest(t.Context()))
 		synctest.Wait()
+		assert.Equal(t, w.statements(), "replica: cancel")
 		close(release)
 		assert.NilError(t, <-done)
 		_ = rows(t, w.connect())
