caller: keep a session that starts during a shutdown from being cut

A shutdown closes connections that are still in start-up. The session now leaves start-up when it is registered. Two faults of the tests are fixed too: an unsynchronised field of the fake, and a record read before a closing connection had written it.

--- a/io/backendserver/local_test.go
+++ b/io/backendserver/local_test.go
@@ -63,6 +63,7 @@
 			test.use(c)
 			c.Release(test.reusable)
 			next := acquire(t, l)
+			synctest.Wait() // for the record of a connection that was closed
 			assert.Equal(t, !strings.Contains(f.received(), "open"), test.reused, "case %d", i)
 			assert.NilError(t, c.Cancel(t.Context()))
 			_, err := c.Receive(t.Context())
--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -183,18 +184,44 @@
 	return strings.Join(w.rows, " ")
 }
 
+// setFault replaces the fault function.
+func (w *world) setFault(f func(server, sql string) fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = f
+}
+
+// meet returns the fault for a statement or a "dial".
+func (w *world) meet(server, sql string) fault {
+	w.mu.Lock()
+	f := w.fault
+	w.mu.Unlock()
+	if f == nil {
+		return none
+	}
+	return f(server, sql)
+}
+
+// addressed gives a pipe the address that cancel requests are sent to.
+type addressed struct {
+	net.Conn
+	address netip.AddrPort
+}
+
+func (c addressed) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(c.address) }
+
 func (w *world) dial(_ context.Context, _, address string) (net.Conn, error) {
 	client, server := net.Pipe()
 	for name, a := range addresses {
 		if a.String() != address {
 			continue
 		}
-		if w.fault != nil && w.fault(name, "dial") == dropBefore {
+		if w.meet(name, "dial") == dropBefore {
 			return nil, errDropped
 		}
 		go (&backend{world: w, name: name, wire: pgproto3.NewBackend(server, nonEmpty{server}), status: 'I'}).serve(server)
 	}
-	return client, nil
+	return addressed{client, netip.MustParseAddrPort(address)}, nil
 }
 
 // backend is one connection to a fake server. It knows INSERT, which adds its
@@ -320,12 +347,8 @@
 func (b *backend) run(sql string, simple bool) error {
 	b.mu.Lock()
 	b.log = append(b.log, b.name+": "+sql)
-	trouble := b.fault
 	b.mu.Unlock()
-	f := none
-	if trouble != nil {
-		f = trouble(b.name, sql)
-	}
+	f := b.meet(b.name, sql)
 	if simple {
 		b.bound = ""
 	}
@@ -479,12 +502,11 @@
 
 // once returns a fault for the first statement that contains the text.
 func once(text string, f fault) func(server, sql string) fault {
-	var done bool
+	var done atomic.Bool
 	return func(_, sql string) fault {
-		if done || !strings.Contains(sql, text) {
+		if !strings.Contains(sql, text) || done.Swap(true) {
 			return none
 		}
-		done = true
 		return f
 	}
 }
--- a/io/caller/protocol_test.go
+++ b/io/caller/protocol_test.go
@@ -142,7 +142,7 @@
 func TestTruncatedAnswer(t *testing.T) {
 	newWorld(t, func(t *testing.T, w *world) {
 		r := w.raw(nil)
-		w.fault = once("SELECT", truncateLarge)
+		w.setFault(once("SELECT", truncateLarge))
 		assert.Equal(t, r.exchange(simple("SELECT rows")), "D D 08007 ZI")
 		assert.Equal(t, r.exchange(simple("SELECT rows")), "D SELECT 1 ZI")
 	})
@@ -153,13 +153,13 @@
 func TestPlannedChange(t *testing.T) {
 	newWorld(t, func(t *testing.T, w *world) {
 		r := w.raw(nil)
-		w.fault = once("INSERT", refuseReadOnly)
+		w.setFault(once("INSERT", refuseReadOnly))
 		assert.Equal(t, r.exchange(simple("INSERT a")), "INSERT 0 1 ZI")
 		assert.Equal(t, r.exchange(simple("BEGIN")), "BEGIN ZT")
-		w.fault = once("INSERT", refuseReadOnly)
+		w.setFault(once("INSERT", refuseReadOnly))
 		assert.Equal(t, r.exchange(simple("INSERT b")), "40001 ZE")
 		assert.Equal(t, r.exchange(simple("COMMIT")), "ROLLBACK ZI")
-		w.fault = once("INSERT INTO basilmill", refuseReadOnly)
+		w.setFault(once("INSERT INTO basilmill", refuseReadOnly))
 		r.exchange(simple("SET basilmill.request_key = 'k'"))
 		assert.Equal(t, r.exchange(simple("INSERT c")), "INSERT 0 1 ZI")
 		assert.Equal(t, w.committed(), "INSERT a INSERT c")
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -247,6 +247,9 @@
 	session.secret = make([]byte, 4)
 	_, _ = rand.Read(session.secret) // never fails
 	s.sessions[session.processID] = session
+	// From here on the caller may send requests, so a shutdown must not cut
+	// the connection.
+	delete(s.starting, session.counted.Conn)
 	return nil
 }
 
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -146,7 +146,7 @@
 			t.Run(c.name+" "+mode.String(), func(t *testing.T) {
 				newWorld(t, func(t *testing.T, w *world) {
 					conn := w.connect()
-					w.fault = once(c.at, c.fault)
+					w.setFault(once(c.at, c.fault))
 					var err error
 					for _, sql := range c.run {
 						assert.NilError(t, err)
@@ -179,12 +179,12 @@
 func TestReadOnlyServerReroutes(t *testing.T) {
 	newWorld(t, func(t *testing.T, w *world) {
 		conn := w.connect()
-		w.fault = func(server, sql string) fault {
+		w.setFault(func(server, sql string) fault {
 			if server == "replica" && sql == "SELECT order_book()" {
 				return refuseReadOnly
 			}
 			return none
-		}
+		})
 		for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol} {
 			w.statements()
 			_, err := conn.Exec(t.Context(), "SELECT order_book()", mode)
@@ -200,12 +200,12 @@
 func TestUnreachableServer(t *testing.T) {
 	newWorld(t, func(t *testing.T, w *world) {
 		conn := w.connect()
-		w.fault = func(server, sql string) fault {
+		w.setFault(func(server, sql string) fault {
 			if sql == "dial" && server == "replica" {
 				return dropBefore
 			}
 			return none
-		}
+		})
 		_ = rows(t, conn)
 		assert.DeepEqual(t, w.routed[len(w.routed)-1].Excluded, []group.ServerID{"replica"})
 		assert.NilError(t, exec(conn, "INSERT a"))
@@ -242,9 +242,9 @@
 			assert.DeepEqual(t, both, [][]string{{"INSERT 0 1"}, {"INSERT 0 1"}})
 			assert.Equal(t, w.committed(), "INSERT a INSERT b")
 
-			w.fault = once("COMMIT", dropAfter)
+			w.setFault(once("COMMIT", dropAfter))
 			assert.DeepEqual(t, keyed(conn, "unknown", "INSERT c"), []string{"INSERT 0 1"})
-			w.fault = once("INSERT d", dropAfter)
+			w.setFault(once("INSERT d", dropAfter))
 			assert.DeepEqual(t, keyed(conn, "rolled back", "INSERT d"), []string{"INSERT 0 1"})
 			assert.Equal(t, w.committed(), "INSERT a INSERT b INSERT c INSERT d")
 
@@ -263,12 +263,12 @@
 	newWorld(t, func(t *testing.T, w *world) {
 		conn := w.connect()
 		release := make(chan struct{})
-		w.fault = func(_, sql string) fault {
+		w.setFault(func(_, sql string) fault {
 			if sql == "SELECT slow" {
 				<-release
 			}
 			return none
-		}
+		})
 		done := make(chan error, 1)
 		go func() { done <- exec(conn, "SELECT slow") }()
 		synctest.Wait()
@@ -327,7 +327,7 @@
 
 		err = exec(conn, "LISTEN c")
 		assert.NilError(t, err)
-		w.fault = once("SELECT", dropBefore)
+		w.setFault(once("SELECT", dropBefore))
 		err = exec(conn, "SELECT rows")
 		assert.Assert(t, err != nil && conn.IsClosed(), "the session went on without its state")
 	})
