caller: begin a transaction again while nothing has run in it

In a planned change, and after the loss of a primary, a transaction whose only statement so far was BEGIN failed with 40001 although nothing had run. The engine now begins it again on the server that routing names and runs the statement there, until a second statement was run or a part of the answer was passed on. Unknown users meet the same SCRAM exchange as known ones, and the refusal of set_config carries a hint.

--- a/io/caller/batch.go
+++ b/io/caller/batch.go
@@ -177,7 +177,7 @@
 	switch {
 	case f.SetsKey:
 		refusal := refuse(featureNotSupported, "the request key cannot be set in this way")
-		refusal.Message += "; use SET " + statement.RequestKey + " = '...' as a statement of its own"
+		refusal.Cause = hint("Use SET " + statement.RequestKey + " = '...' as a statement of its own.")
 		return refusal
 	case f.CopyIn && (!simple || f.Multiple):
 		return refuse(featureNotSupported, "COPY FROM STDIN must be a simple query of its own")
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -95,6 +95,16 @@
 	if s.keyed != nil {
 		return s.continueKeyed(ctx, b)
 	}
+	v := s.serveRouted(ctx, b)
+	if s.conv == nil && s.begun != "" {
+		// The transaction could not begin again.
+		s.endTransaction()
+		s.status = failed
+	}
+	return v
+}
+
+func (s *session) serveRouted(ctx context.Context, b *batch) verdict {
 	class := b.class
 	var excluded []group.ServerID
 	for attempt := 1; ; attempt++ {
@@ -115,14 +125,25 @@
 		if v := s.connect(ctx, b, class, excluded); v.failure != nil {
 			return v
 		}
+		if v := s.beginAgain(ctx); v.failure != nil {
+			return v
+		}
 	}
+	begun := s.mayBeginAgain(b)
 	x := s.exchange(b)
 	steps, position := s.withPosition(b)
 	if err := x.run(ctx, steps); err != nil {
 		v := s.lost(b, fresh, err)
 		v.class = class
+		if begun != "" && !v.fatal && s.mayRepeat() {
+			return s.leaveTransaction(begun, v.failure)
+		}
 		return v
 	}
+	if begun != "" && x.code == outcome.ReadOnlyTransaction && s.decision.Primary && s.rewind() {
+		s.release(false)
+		return s.leaveTransaction(begun, outcome.RolledBack("the primary is being replaced", nil))
+	}
 	if s.refusedAsReadOnly(b, x, fresh) {
 		s.release(!b.pins)
 		s.endTransaction()
@@ -132,6 +153,39 @@
 	return s.complete(ctx, b, x, position)
 }
 
+// mayBeginAgain returns the text of BEGIN if the batch is the first in its
+// transaction and does not end it. Until COMMIT is sent the server is certain
+// to roll back a transaction whose connection is lost.
+func (s *session) mayBeginAgain(b *batch) string {
+	if s.status != open || !b.synced || b.ends || b.pins || b.settings || s.pinned || s.readOnly {
+		return ""
+	}
+	return s.begun
+}
+
+// leaveTransaction prepares to begin the transaction again elsewhere.
+func (s *session) leaveTransaction(begun string, cause *outcome.Error) verdict {
+	s.endTransaction()
+	s.begun = begun
+	return verdict{failure: cause, again: true, class: statement.Begin}
+}
+
+// beginAgain begins a transaction on a new connection for a caller whose BEGIN
+// was answered already.
+func (s *session) beginAgain(ctx context.Context) verdict {
+	if s.begun == "" {
+		return verdict{}
+	}
+	done, err := s.hidden(ctx, s.begun)
+	if err == nil && done[0].code == "" {
+		s.status = open
+		return verdict{}
+	}
+	s.release(false)
+	failure := outcome.RolledBack("the transaction could not begin again", err)
+	return verdict{failure: failure, again: true, class: statement.Begin}
+}
+
 // connect routes the batch and opens a conversation.
 func (s *session) connect(ctx context.Context, b *batch, class statement.Class, excluded []group.ServerID) verdict {
 	waiting, cancel := context.WithCancelCause(ctx)
@@ -277,7 +331,7 @@
 func (s *session) endTransaction() {
 	s.status = idle
 	s.wrote, s.readOnly = false, false
-	s.keyed = nil
+	s.begun, s.keyed = "", nil
 	clear(s.portals)
 }
 
@@ -288,6 +342,7 @@
 		s.undefine(p)
 	}
 	if !b.synced {
+		s.begun = ""
 		s.stream.release()
 		s.pinned = s.pinned || b.pins && x.code == ""
 		s.skipping = x.code != ""
@@ -298,6 +353,12 @@
 	}
 	before, wrote := s.status, s.wrote
 	s.status = x.status
+	if b.executed > 0 {
+		s.begun = ""
+	}
+	if before == idle && s.status == open && b.begins && b.executed == 1 && !b.readOnly {
+		s.begun = b.sql
+	}
 	committed := x.committed || x.code == "" && x.status == idle && (before == idle || x.tags > 1)
 	if committed && wrote && position == nil && s.decision.Primary {
 		position = &capture{}
--- a/io/caller/errors.go
+++ b/io/caller/errors.go
@@ -27,6 +27,11 @@
 	internalError          outcome.SQLState = "XX000"
 )
 
+// hint is the cause of a refusal that tells the caller what to do instead.
+type hint string
+
+func (h hint) Error() string { return string(h) }
+
 // refuse returns an error for something that was not run.
 func refuse(code outcome.SQLState, message string) *outcome.Error {
 	return &outcome.Error{Outcome: outcome.NotRun, SQLState: code, Message: message}
@@ -57,7 +62,10 @@
 	if code == "" {
 		code = internalError
 	}
+	var advice hint
+	_ = errors.As(err.Cause, &advice)
 	return &pgproto3.ErrorResponse{
+		Hint:                string(advice),
 		Severity:            severity,
 		SeverityUnlocalized: severity,
 		Code:                string(code),
--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -133,7 +133,10 @@
 	return conn
 }
 
-func (w *world) Authenticate(context.Context, string, string) (caller.Identity, error) {
+func (w *world) Authenticate(_ context.Context, user, _ string) (caller.Identity, error) {
+	if user == "unknown" {
+		return caller.Identity{}, errors.New("no such account")
+	}
 	return caller.Identity{Account: "notary", Group: "g", Database: "naamboek", Verifier: w.verify}, nil
 }
 
--- a/io/caller/protocol_test.go
+++ b/io/caller/protocol_test.go
@@ -157,6 +157,8 @@
 		assert.Equal(t, r.exchange(simple("INSERT a")), "INSERT 0 1 ZI")
 		assert.Equal(t, r.exchange(simple("BEGIN")), "BEGIN ZT")
 		w.setFault(once("INSERT", refuseReadOnly))
+		assert.Equal(t, r.exchange(simple("INSERT b")), "INSERT 0 1 ZT", "a transaction in which nothing had run")
+		w.setFault(once("INSERT", refuseReadOnly))
 		assert.Equal(t, r.exchange(simple("INSERT b")), "40001 ZE")
 		assert.Equal(t, r.exchange(simple("COMMIT")), "ROLLBACK ZI")
 		w.setFault(once("INSERT INTO basilmill", refuseReadOnly))
--- a/io/caller/scram.go
+++ b/io/caller/scram.go
@@ -1,8 +1,12 @@
 package caller
 
 import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
 	"encoding/base64"
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 
@@ -36,6 +40,19 @@
 	return credentials, nil
 }
 
+// decoyIterations is PostgreSQL's default, as verifiers usually have it.
+const decoyIterations = 4096
+
+// decoy returns a verifier that no password matches, with a salt that stays
+// the same for a user, so that an unknown user cannot be told from a known one.
+func (s *Server) decoy(user string) string {
+	mac := hmac.New(sha256.New, s.decoyKey)
+	mac.Write([]byte(user))
+	salt := base64.StdEncoding.EncodeToString(mac.Sum(nil)[:16])
+	key := base64.StdEncoding.EncodeToString([]byte(rand.Text()))
+	return fmt.Sprintf("%s$%d:%s$%s:%s", mechanism, decoyIterations, salt, key, key)
+}
+
 // authenticate runs the SASL exchange. The user name within it is ignored, as
 // PostgreSQL does, in favour of the one in the start-up message.
 func (c *startup) authenticate(verifier string) error {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -106,6 +106,8 @@
 	starting map[net.Conn]context.CancelFunc
 	sessions map[uint32]*session
 	sequence uint16
+	// decoyKey makes the salts that unknown users are shown.
+	decoyKey []byte
 	running  sync.WaitGroup
 }
 
@@ -118,6 +120,7 @@
 		conns:     map[net.Conn]context.CancelFunc{},
 		starting:  map[net.Conn]context.CancelFunc{},
 		sessions:  map[uint32]*session{},
+		decoyKey:  []byte(rand.Text()),
 	}
 }
 
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -75,6 +75,9 @@
 	// readOnly is set when the transaction may be read-only by the caller's
 	// own wish: after BEGIN READ ONLY, SET TRANSACTION and the like.
 	readOnly bool
+	// begun is the text of the BEGIN of a transaction in which nothing else
+	// has run, so that it can begin again elsewhere.
+	begun string
 	// keyed is the request key's part in the open transaction, if any.
 	keyed *keyedTransaction
 
--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -1,10 +1,12 @@
 package caller_test
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/base64"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -12,6 +14,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 	"gotest.tools/v3/assert"
 
@@ -78,18 +81,33 @@
 	return fmt.Sprintf("SCRAM-SHA-256$%d:%s$%s:%s", c.Iters, encode([]byte(c.Salt)), encode(c.StoredKey), encode(c.ServerKey))
 }
 
-// Guards against a wrong password that is accepted.
+// Guards against a wrong password that is accepted, and against an answer that
+// tells whether a user exists.
 func TestWrongPassword(t *testing.T) {
 	newWorld(t, func(t *testing.T, w *world) {
 		w.verify = verifier(t, "other")
-		config, err := pgconn.ParseConfig("host=127.0.0.1 user=notary password=secret sslmode=disable")
-		assert.NilError(t, err)
-		config.DialFunc = w.ln.dial
-		_, err = pgconn.ConnectConfig(t.Context(), config)
-		assertError(t, err, "28P01", outcome.NotRun)
+		for _, user := range []string{"notary", "unknown"} {
+			w.login(t, user)
+		}
 	})
 }
 
+func (w *world) login(t *testing.T, user string) {
+	t.Helper()
+	config, err := pgconn.ParseConfig("host=127.0.0.1 password=secret sslmode=disable user=" + user)
+	assert.NilError(t, err)
+	config.DialFunc = w.ln.dial
+	var trace bytes.Buffer
+	config.BuildFrontend = func(r io.Reader, w io.Writer) *pgproto3.Frontend {
+		f := pgproto3.NewFrontend(r, w)
+		f.Trace(&trace, pgproto3.TracerOptions{SuppressTimestamps: true})
+		return f
+	}
+	_, err = pgconn.ConnectConfig(t.Context(), config)
+	assertError(t, err, "28P01", outcome.NotRun)
+	assert.Equal(t, strings.Count(trace.String(), "AuthenticationSASLContinue"), 1, trace.String())
+}
+
 // Guards against a write that is acknowledged before it is confirmed, or
 // reported as done or not run when its confirmation never comes.
 func TestConfirmation(t *testing.T) {
@@ -136,6 +154,7 @@
 		{"write after", dropAfter, "INSERT", []string{"INSERT a"}, outcome.TransactionResolutionUnknown, outcome.Unknown, "INSERT a"},
 		{"position", dropBefore, "position", []string{"INSERT a"}, outcome.TransactionResolutionUnknown, outcome.Unknown, "INSERT a"},
 		{"in transaction", dropBefore, "INSERT b", []string{"BEGIN", "INSERT a", "INSERT b"}, outcome.SerializationFailure, outcome.NotRun, ""},
+		{"first in transaction", dropAfter, "INSERT a", []string{"BEGIN", "INSERT a", "COMMIT"}, "", outcome.Done, "INSERT a"},
 		{"at commit", dropAfter, "COMMIT", []string{"BEGIN", "INSERT a", "COMMIT"}, outcome.TransactionResolutionUnknown, outcome.Unknown, "INSERT a"},
 		{"truncated read", truncate, "SELECT rows", []string{"SELECT rows"}, "", outcome.Done, ""},
 		{"read before", dropBefore, "SELECT rows", []string{"SELECT rows"}, "", outcome.Done, ""},
@@ -154,6 +173,7 @@
 					}
 					if c.code == "" {
 						assert.NilError(t, err)
+						assert.Equal(t, w.committed(), c.rows)
 						return
 					}
 					assertError(t, err, c.code, c.o)
--- a/io/caller/startup.go
+++ b/io/caller/startup.go
@@ -176,6 +176,8 @@
 	case errors.As(err, &refused):
 		return identity, c.reject(refused)
 	case err != nil:
+		identity.Verifier = c.server.decoy(user)
+		err = errors.Join(err, c.authenticate(identity.Verifier))
 		return identity, errors.Join(err, c.reject(refuse(invalidPassword, "authentication failed")))
 	}
 	if identity.Verifier != "" {
