caller: expect the token format of core/floor in the client test

Cause: tokens now have one format (group/term/offset). Change: the test expects that format; it is as strict as before. Conclusion: one format in both packages.

--- a/io/caller/session_test.go
+++ b/io/caller/session_test.go
@@ -48,7 +48,7 @@
 			assert.Equal(t, tag.String(), "INSERT 0 1")
 			assert.Equal(t, strings.TrimSpace(before+" INSERT "+mode.String()), rows(t, conn, mode))
 			token := conn.PgConn().ParameterStatus("basilmill.token")
-			assert.Equal(t, token, fmt.Sprintf("g:1:%d", strings.Count(w.committed(), "INSERT")))
+			assert.Equal(t, token, fmt.Sprintf("g/1/%d", strings.Count(w.committed(), "INSERT")))
 		}
 		w.statements()
 		batch := &pgx.Batch{}
