--- a/io/backendserver/connection.go
+++ b/io/backendserver/connection.go
@@ -112,7 +112,9 @@
 	if c.broken != nil {
 		return 0, lost(c.sent, c.broken)
 	}
-	c.watch(ctx)
+	if c.watch(ctx); c.broken != nil {
+		return 0, lost(c.sent, c.broken)
+	}
 	c.firstBatch = c.due == 0 && c.status != 0
 	// Set before the write, because a concurrent Receive that fails must not
 	// take a batch that is being written for one that was not sent.
@@ -203,7 +205,9 @@
 	if c.broken != nil {
 		return lost(c.sent, c.broken)
 	}
-	c.watch(ctx)
+	if c.watch(ctx); c.broken != nil {
+		return lost(c.sent, c.broken)
+	}
 	return nil
 }
 
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -134,7 +134,7 @@
 
 // connect routes the batch and opens a conversation.
 func (s *session) connect(ctx context.Context, b *batch, class statement.Class, excluded []group.ServerID) verdict {
-	ctx, cancel := context.WithCancelCause(ctx)
+	waiting, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s.setInterrupt(cancel)
 	defer s.setInterrupt(nil)
@@ -142,21 +142,21 @@
 		class = statement.SessionSetting // the connection will be kept
 	}
 	s.decision = Decision{}
-	decision, err := s.host.Route(ctx, Request{
+	decision, err := s.host.Route(waiting, Request{
 		Identity: s.identity, SQL: b.sql, Class: class, Floor: s.floor, FloorKnown: s.floorKnown, Excluded: excluded,
 	})
 	if err != nil {
-		return verdict{failure: interruption(ctx, err)}
+		return verdict{failure: interruption(waiting, err)}
 	}
 	s.decision = decision
 	s.raise(decision.Floor)
 	conv, err := decision.Conversation, error(nil)
 	s.decision.Conversation = nil
 	if conv == nil {
-		conv, err = s.host.Acquire(ctx, decision.Target)
+		conv, err = s.host.Acquire(waiting, decision.Target)
 	}
 	if err != nil {
-		failure := interruption(ctx, err)
+		failure := interruption(waiting, err)
 		overloaded := failure.SQLState == outcome.TooManyConnections
 		if !overloaded {
 			s.host.Observe(ConnectionLost{Target: decision.Target, Err: err})
@@ -213,6 +213,7 @@
 	if s.status == idle && b.begins {
 		s.readOnly = b.readOnly
 	}
+	s.readOnly = s.readOnly || b.settings
 	return &exchange{session: s, conv: s.conv, gated: b.synced && s.wrote, status: s.status}
 }
 
@@ -333,8 +334,9 @@
 		s.preparedSize = 0
 	}
 	if !s.pinned {
-		// A statement that failed may still have left a lock of the session.
-		s.release(!b.pins)
+		// A statement that failed may still have left a lock of the session,
+		// unless the server could not even parse it.
+		s.release(!b.pins || x.code == syntaxError)
 	}
 }
 
