cluster: run a deployment under the paused clock

Cause: failures at the users' latencies cannot be repeated on real sockets. Change: the harness takes a network; cluster.Virtual is an in-memory one with a link for each pair of machines.

--- a/e2e/cluster/cluster.go
+++ b/e2e/cluster/cluster.go
@@ -38,15 +38,40 @@
 	ConnectionLimit int
 	OpeningCost     time.Duration
 	Account         account.Template
-	// Network returns how a place reaches the others; nil uses loopback TCP.
-	Network func(place host.DataCentre, address netip.AddrPort) serve.Network
-	// Address returns the addresses of the parts; nil selects free ports.
-	Address func() netip.AddrPort
+	// Network carries the traffic; nil uses loopback TCP.
+	Network Network
 	Log     *slog.Logger
 	// Settings adjusts the settings of a host before it starts.
 	Settings func(*settings.Settings)
 }
 
+// Machine is where a part runs: the platform, a backend server, an entry host
+// or a client.
+type Machine struct {
+	Name       string
+	DataCentre host.DataCentre
+}
+
+// PlatformMachine is the machine of the platform.
+const PlatformMachine = "platform"
+
+// Network connects machines.
+type Network interface {
+	// Address returns an address to listen on.
+	Address(m Machine) netip.AddrPort
+	// Of returns how a machine listens and dials.
+	Of(m Machine) serve.Network
+}
+
+// loopback is the network of TCP on 127.0.0.1.
+type loopback struct{}
+
+func (loopback) Address(Machine) netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }
+
+func (loopback) Of(Machine) serve.Network {
+	return serve.Network{Listen: (&net.ListenConfig{}).Listen, Dial: (&net.Dialer{}).DialContext}
+}
+
 // Cluster is a running deployment.
 type Cluster struct {
 	Platform *standin.Server
@@ -82,6 +107,9 @@
 // Start starts a deployment; Close ends it.
 func Start(ctx context.Context, config Config) (c *Cluster, err error) {
 	c = &Cluster{config: config, Platform: standin.New()}
+	if c.config.Network == nil {
+		c.config.Network = loopback{}
+	}
 	if c.config.Log == nil {
 		c.config.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
 	}
@@ -111,23 +139,9 @@
 	return c, nil
 }
 
-func (c *Cluster) network(place host.DataCentre, address netip.AddrPort) serve.Network {
-	if c.config.Network != nil {
-		return c.config.Network(place, address)
-	}
-	return serve.Network{Listen: (&net.ListenConfig{}).Listen, Dial: (&net.Dialer{}).DialContext}
-}
-
-func (c *Cluster) address() netip.AddrPort {
-	if c.config.Address != nil {
-		return c.config.Address()
-	}
-	return netip.MustParseAddrPort("127.0.0.1:0")
-}
-
-func (c *Cluster) listen(place host.DataCentre) (net.Listener, netip.AddrPort, error) {
-	at := c.address()
-	l, err := c.network(place, at).Listen(c.ctx, "tcp", at.String())
+func (c *Cluster) listen(m Machine) (net.Listener, netip.AddrPort, error) {
+	at := c.config.Network.Address(m)
+	l, err := c.config.Network.Of(m).Listen(c.ctx, "tcp", at.String())
 	if err != nil {
 		return nil, netip.AddrPort{}, err
 	}
@@ -135,7 +149,7 @@
 }
 
 func (c *Cluster) startPlatform() error {
-	l, at, err := c.listen(c.config.DataCentres[0])
+	l, at, err := c.listen(Machine{PlatformMachine, c.config.DataCentres[0]})
 	if err != nil {
 		return err
 	}
@@ -147,12 +161,13 @@
 
 func (c *Cluster) startServers() error {
 	for i, place := range c.config.DataCentres {
-		l, at, err := c.listen(place)
+		m := Machine{string('a' + rune(i)), place}
+		l, at, err := c.listen(m)
 		if err != nil {
 			return err
 		}
 		config := backendserver.Config{
-			ID: group.ServerID('a' + rune(i)), Listener: l, Dial: c.network(place, at).Dial, Logger: c.config.Log,
+			ID: group.ServerID(m.Name), Listener: l, Dial: c.config.Network.Of(m).Dial, Logger: c.config.Log,
 			Databases: c.config.Databases, ConnectionLimit: c.config.ConnectionLimit, OpeningCost: c.config.OpeningCost,
 		}
 		if i == 0 {
@@ -228,14 +243,16 @@
 
 // StartHost adds an entry host.
 func (c *Cluster) StartHost(id host.ID, place host.DataCentre) (*Host, error) {
+	m := Machine{string(id), place}
+	address := c.config.Network.Address
 	s := settings.Settings{
-		HostID: id, DataCentre: place, Region: c.config.Region, Listen: c.address(), PeerListen: c.address(),
-		OperatorListen: c.address(), Platform: c.at,
+		HostID: id, DataCentre: place, Region: c.config.Region, Listen: address(m), PeerListen: address(m),
+		OperatorListen: address(m), Platform: c.at,
 	}.WithDefaults()
 	if c.config.Settings != nil {
 		c.config.Settings(&s)
 	}
-	sh, err := serve.New(c.ctx, s, c.config.Log.With("Host", id), c.network(place, s.Listen))
+	sh, err := serve.New(c.ctx, s, c.config.Log.With("Host", id), c.config.Network.Of(m))
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/e2e/virtual_test.go
@@ -0,0 +1,64 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
+	"basilmill/e2e/cluster"
+)
+
+// virtual runs a test against a deployment under the paused clock.
+func virtual(t *testing.T, conf cluster.Config, test func(t *testing.T, c *cluster.Cluster, v *cluster.Virtual)) {
+	synctest.Test(t, func(t *testing.T) {
+		v := cluster.NewVirtual(cluster.Latencies(4*time.Millisecond, 3*time.Millisecond))
+		conf.Network = v
+		c, err := cluster.Start(t.Context(), conf)
+		assert.NilError(t, err)
+		assert.NilError(t, c.Ready(t.Context()))
+		test(t, c, v)
+		c.Close()
+		v.Close()
+		synctest.Wait()
+	})
+}
+
+// dial connects a client near a host to it.
+func dial(t *testing.T, v *cluster.Virtual, client int, h *cluster.Host, database string) *pgx.Conn {
+	conf, err := pgx.ParseConfig(fmt.Sprintf("postgres://vandermeersch:%s@%s/%s?sslmode=disable", password, h.CallerAddress(), database))
+	assert.NilError(t, err)
+	conf.DialFunc = v.Client(cluster.ClientName(client), h.DataCentre)
+	conn, err := pgx.ConnectConfig(t.Context(), conf)
+	assert.NilError(t, err)
+	return conn
+}
+
+func exec(t *testing.T, conn *pgx.Conn, sql string, args ...any) {
+	_, err := conn.Exec(t.Context(), sql, args...)
+	assert.NilError(t, err, sql)
+}
+
+// Guards against a deployment that does not run under the paused clock, which
+// the failure tests rely on.
+func TestVirtualPath(t *testing.T) {
+	virtual(t, config(t), func(t *testing.T, c *cluster.Cluster, v *cluster.Virtual) {
+		conn := dial(t, v, 1, c.Hosts[0], "orders")
+		exec(t, conn, "CREATE TABLE report (id bigint PRIMARY KEY, name text)")
+		began := time.Now()
+		exec(t, conn, "INSERT INTO report VALUES ($1, $2)", 1, "De Smet")
+		t.Logf("first write took %s", time.Since(began))
+		began = time.Now()
+		exec(t, conn, "INSERT INTO report VALUES ($1, $2)", 2, "De Smet")
+		t.Logf("second write took %s", time.Since(began))
+		began = time.Now()
+		c.Servers[0].Kill()
+		exec(t, conn, "INSERT INTO report VALUES ($1, $2)", 3, "Peeters")
+		t.Logf("write after the kill took %s", time.Since(began))
+		assert.NilError(t, conn.Close(context.Background()))
+	})
+}
