--- a/e2e/cluster/cluster.go
+++ b/e2e/cluster/cluster.go
@@ -66,8 +66,10 @@
 // loopback is the network of TCP on 127.0.0.1.
 type loopback struct{}
 
+// Address implements Network.
 func (loopback) Address(Machine) netip.AddrPort { return netip.MustParseAddrPort("127.0.0.1:0") }
 
+// Of implements Network.
 func (loopback) Of(Machine) serve.Network {
 	return serve.Network{Listen: (&net.ListenConfig{}).Listen, Dial: (&net.Dialer{}).DialContext}
 }
