peer: pass cancel requests on to the host of the session

Cause: a cancel request is a new connection, which the balancer may bring to any host; it was dropped unless it reached the host of the session. Change: Cancel between hosts; the host is found by the key's host part.

--- a/cmd/serve/peers.go
+++ b/cmd/serve/peers.go
@@ -10,6 +10,7 @@
 	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/outcome"
+	"basilmill/io/caller"
 	"basilmill/io/peer"
 )
 
@@ -20,6 +21,7 @@
 	runner   *runner
 	entry    *entry
 	hosts    *hostList
+	callers  *caller.Server
 }
 
 // Pull answers with the objects after a version, as soon as there are any.
@@ -85,6 +87,11 @@
 	return nil
 }
 
+// Cancel cancels the running statement of a session of this host.
+func (h *peerHandler) Cancel(ctx context.Context, _ host.Info, processID uint32, secret []byte) {
+	h.callers.Cancel(ctx, processID, secret)
+}
+
 // Confirm waits for the evidence on a coordinator.
 func (h *peerHandler) Confirm(ctx context.Context, _ host.Info, id group.ID, generation group.Generation, position group.Position) error {
 	g, ok := h.snapshot().Groups[id]
--- a/cmd/serve/serve.go
+++ b/cmd/serve/serve.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
@@ -177,15 +178,28 @@
 		shared:    make(map[shareKey]account.Sharing),
 	}
 	h.dist = &distributor{post: h.post, snapshot: h.snapshot, platform: h.platform, peers: h.peers, seeds: h.settings.Peers, log: h.log}
-	h.callers = caller.New(h.entry, caller.Config{TLS: tlsConfig, HostKey: hostKey(h.self.ID)})
+	h.callers = caller.New(h.entry, caller.Config{
+		TLS: tlsConfig, HostKey: hostKey(h.self.ID), ForwardCancel: h.forwardCancel,
+	})
 	h.answers = peer.NewServer(h.Self, &peerHandler{
-		post: h.post, snapshot: h.snapshot, runner: h.runner, entry: h.entry, hosts: &h.dist.hosts,
+		post: h.post, snapshot: h.snapshot, runner: h.runner, entry: h.entry, hosts: &h.dist.hosts, callers: h.callers,
 	})
 }
 
 // hostKey is the part of a cancel key that names the host.
 func hostKey(id host.ID) uint16 { return uint16(xxhash.Sum64String(string(id))) }
 
+// forwardCancel passes a cancel request that the balancer brought here to the
+// host of the session. Keys are short, so several hosts may share one; the
+// secret tells their sessions apart.
+func (h *Host) forwardCancel(ctx context.Context, key uint16, request pgproto3.CancelRequest) {
+	for _, to := range others(h.snapshot().Hosts, h.self.ID) {
+		if hostKey(to.ID) == key {
+			_ = h.peers.Cancel(ctx, to, request.ProcessID, request.SecretKey)
+		}
+	}
+}
+
 func (h *Host) post(input control.Input)    { h.thread.Post(input) }
 func (h *Host) snapshot() *control.Snapshot { return h.thread.Snapshot() }
 
--- a/e2e/virtual_test.go
+++ b/e2e/virtual_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 
 	"basilmill/e2e/cluster"
@@ -62,3 +63,29 @@
 		assert.NilError(t, conn.Close(context.Background()))
 	})
 }
+
+// Guards against a cancel request that is lost because the balancer brings it
+// to another host than the one that serves the session.
+func TestCancelThroughAnotherHost(t *testing.T) {
+	virtual(t, config(t), func(t *testing.T, c *cluster.Cluster, v *cluster.Virtual) {
+		conn := dial(t, v, 1, c.Hosts[0], "orders")
+		go func() {
+			time.Sleep(time.Second)
+			key := conn.PgConn().PID()
+			request := &pgproto3.CancelRequest{ProcessID: key, SecretKey: conn.PgConn().SecretKey()}
+			encoded, err := request.Encode(nil)
+			assert.NilError(t, err)
+			other, err := v.Client(cluster.ClientName(2), c.Hosts[1].DataCentre)(t.Context(), "tcp", c.Hosts[1].CallerAddress().String())
+			assert.NilError(t, err)
+			_, err = other.Write(encoded)
+			assert.NilError(t, err)
+			_ = other.Close()
+		}()
+		began := time.Now()
+		_, err := conn.Exec(t.Context(), "SELECT pg_sleep(30)")
+		assert.ErrorContains(t, err, "57014")
+		assert.Assert(t, time.Since(began) < 2*time.Second)
+		exec(t, conn, "SELECT 1")
+		assert.NilError(t, conn.Close(context.Background()))
+	})
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -130,6 +130,15 @@
 	return fromConnect(err)
 }
 
+// Cancel passes on a cancel request for a session of another host.
+func (c *Client) Cancel(ctx context.Context, to host.Info, processID uint32, secret []byte) (err error) {
+	defer annotate(&err, "cancel on host %s", to.ID)
+	_, err = c.to(to).Cancel(ctx, connect.NewRequest(&peerpb.CancelRequest{
+		Sender: hostToWire(c.self()), ProcessId: processID, Secret: secret,
+	}))
+	return fromConnect(err)
+}
+
 // Confirm waits on a coordinator until a write is confirmed.
 func (c *Client) Confirm(ctx context.Context, to host.Info, id group.ID, generation group.Generation, position group.Position) (err error) {
 	defer annotate(&err, "confirm on host %s", to.ID)
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -111,6 +111,8 @@
 	Observe(ctx context.Context, from host.Info, observation Observation) (ObservationReply, error)
 	Suspect(ctx context.Context, from host.Info, suspicion Suspicion) error
 	Announce(ctx context.Context, from host.Info) error
+	// Cancel cancels the running statement of a session of the receiver.
+	Cancel(ctx context.Context, from host.Info, processID uint32, secret []byte)
 	Confirm(ctx context.Context, from host.Info, id group.ID, generation group.Generation, position group.Position) error
 	Start(ctx context.Context, from host.Info, start Start) (Started, Conversation, error)
 }
--- a/io/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/peer/peerpb/peerpbconnect/peer.connect.go
@@ -42,6 +42,8 @@
 	PeerServiceSuspectProcedure = "/basilmill.peer.v1.PeerService/Suspect"
 	// PeerServiceAnnounceProcedure is the fully-qualified name of the PeerService's Announce RPC.
 	PeerServiceAnnounceProcedure = "/basilmill.peer.v1.PeerService/Announce"
+	// PeerServiceCancelProcedure is the fully-qualified name of the PeerService's Cancel RPC.
+	PeerServiceCancelProcedure = "/basilmill.peer.v1.PeerService/Cancel"
 	// PeerServiceConfirmProcedure is the fully-qualified name of the PeerService's Confirm RPC.
 	PeerServiceConfirmProcedure = "/basilmill.peer.v1.PeerService/Confirm"
 	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
@@ -59,6 +61,8 @@
 	Suspect(context.Context, *connect.Request[peerpb.SuspectRequest]) (*connect.Response[peerpb.SuspectResponse], error)
 	// Announce tells the receiver that the sender is leaving.
 	Announce(context.Context, *connect.Request[peerpb.AnnounceRequest]) (*connect.Response[peerpb.AnnounceResponse], error)
+	// Cancel passes on a cancel request for a session of the receiver.
+	Cancel(context.Context, *connect.Request[peerpb.CancelRequest]) (*connect.Response[peerpb.CancelResponse], error)
 	// Confirm waits until a write is confirmed by the successor's evidence.
 	Confirm(context.Context, *connect.Request[peerpb.ConfirmRequest]) (*connect.Response[peerpb.ConfirmResponse], error)
 	// Forward lets the receiver, a coordinator of the group, choose the server
@@ -101,6 +105,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Announce")),
 			connect.WithClientOptions(opts...),
 		),
+		cancel: connect.NewClient[peerpb.CancelRequest, peerpb.CancelResponse](
+			httpClient,
+			baseURL+PeerServiceCancelProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Cancel")),
+			connect.WithClientOptions(opts...),
+		),
 		confirm: connect.NewClient[peerpb.ConfirmRequest, peerpb.ConfirmResponse](
 			httpClient,
 			baseURL+PeerServiceConfirmProcedure,
@@ -122,6 +132,7 @@
 	observe  *connect.Client[peerpb.ObserveRequest, peerpb.ObserveResponse]
 	suspect  *connect.Client[peerpb.SuspectRequest, peerpb.SuspectResponse]
 	announce *connect.Client[peerpb.AnnounceRequest, peerpb.AnnounceResponse]
+	cancel   *connect.Client[peerpb.CancelRequest, peerpb.CancelResponse]
 	confirm  *connect.Client[peerpb.ConfirmRequest, peerpb.ConfirmResponse]
 	forward  *connect.Client[peerpb.ForwardRequest, peerpb.ForwardResponse]
 }
@@ -146,6 +157,11 @@
 	return c.announce.CallUnary(ctx, req)
 }
 
+// Cancel calls basilmill.peer.v1.PeerService.Cancel.
+func (c *peerServiceClient) Cancel(ctx context.Context, req *connect.Request[peerpb.CancelRequest]) (*connect.Response[peerpb.CancelResponse], error) {
+	return c.cancel.CallUnary(ctx, req)
+}
+
 // Confirm calls basilmill.peer.v1.PeerService.Confirm.
 func (c *peerServiceClient) Confirm(ctx context.Context, req *connect.Request[peerpb.ConfirmRequest]) (*connect.Response[peerpb.ConfirmResponse], error) {
 	return c.confirm.CallUnary(ctx, req)
@@ -167,6 +183,8 @@
 	Suspect(context.Context, *connect.Request[peerpb.SuspectRequest]) (*connect.Response[peerpb.SuspectResponse], error)
 	// Announce tells the receiver that the sender is leaving.
 	Announce(context.Context, *connect.Request[peerpb.AnnounceRequest]) (*connect.Response[peerpb.AnnounceResponse], error)
+	// Cancel passes on a cancel request for a session of the receiver.
+	Cancel(context.Context, *connect.Request[peerpb.CancelRequest]) (*connect.Response[peerpb.CancelResponse], error)
 	// Confirm waits until a write is confirmed by the successor's evidence.
 	Confirm(context.Context, *connect.Request[peerpb.ConfirmRequest]) (*connect.Response[peerpb.ConfirmResponse], error)
 	// Forward lets the receiver, a coordinator of the group, choose the server
@@ -205,6 +223,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Announce")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceCancelHandler := connect.NewUnaryHandler(
+		PeerServiceCancelProcedure,
+		svc.Cancel,
+		connect.WithSchema(peerServiceMethods.ByName("Cancel")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceConfirmHandler := connect.NewUnaryHandler(
 		PeerServiceConfirmProcedure,
 		svc.Confirm,
@@ -227,6 +251,8 @@
 			peerServiceSuspectHandler.ServeHTTP(w, r)
 		case PeerServiceAnnounceProcedure:
 			peerServiceAnnounceHandler.ServeHTTP(w, r)
+		case PeerServiceCancelProcedure:
+			peerServiceCancelHandler.ServeHTTP(w, r)
 		case PeerServiceConfirmProcedure:
 			peerServiceConfirmHandler.ServeHTTP(w, r)
 		case PeerServiceForwardProcedure:
@@ -256,6 +282,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("basilmill.peer.v1.PeerService.Announce is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Cancel(context.Context, *connect.Request[peerpb.CancelRequest]) (*connect.Response[peerpb.CancelResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("basilmill.peer.v1.PeerService.Cancel is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Confirm(context.Context, *connect.Request[peerpb.ConfirmRequest]) (*connect.Response[peerpb.ConfirmResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("basilmill.peer.v1.PeerService.Confirm is not implemented"))
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -137,6 +137,16 @@
 	return connect.NewResponse(&peerpb.AnnounceResponse{}), nil
 }
 
+// Cancel implements the service.
+func (s *Server) Cancel(ctx context.Context, request *connect.Request[peerpb.CancelRequest]) (*connect.Response[peerpb.CancelResponse], error) {
+	from, err := sender(request.Msg.GetSender())
+	if err != nil {
+		return nil, err
+	}
+	s.handler.Cancel(ctx, from, request.Msg.GetProcessId(), request.Msg.GetSecret())
+	return connect.NewResponse(&peerpb.CancelResponse{}), nil
+}
+
 // Confirm implements the service.
 func (s *Server) Confirm(ctx context.Context, request *connect.Request[peerpb.ConfirmRequest]) (*connect.Response[peerpb.ConfirmResponse], error) {
 	from, err := sender(request.Msg.GetSender())
