backendserver: refuse stale commands in tests, add jitter to pipenet

Cause: trials with mutations showed that a delayed command of an older term, a held read and unique keys with a common prefix were not covered. A batch that met an error kept it until Sync, and a simple query ended the skipping. Change: tests of these cases and of TCP; errors of the extended protocol are flushed at once and all messages up to Sync are skipped; pipenet draws an extra delay per crossing; broken feeds are logged without stack traces.

--- a/standin/backendserver/fault_test.go
+++ b/standin/backendserver/fault_test.go
@@ -44,6 +44,7 @@
 		before := c.servers["b"].Status().Received
 		assert.Assert(t, before < a.Status().Received)
 		assert.Equal(t, len(answered), 0)
+		assert.Equal(t, c.number(other, "SELECT count(*) FROM orders"), int64(1))
 		a.SetFaults(backendserver.Faults{})
 		assert.NilError(t, <-answered)
 		wait(time.Second)
--- a/standin/backendserver/protocol_test.go
+++ b/standin/backendserver/protocol_test.go
@@ -69,6 +69,8 @@
 			got, err := pgx.CollectRows(rows, pgx.RowToStructByPos[order])
 			assert.NilError(t, err, mode.String())
 			assert.DeepEqual(t, got, []order{{1, 1 << 40, &note, true}, {-2, 10, nil, true}})
+			c.exec(conn, `INSERT INTO basilmill.request_key (account, key) VALUES ('clubs', $1), ('clubs', $2)`,
+				"k1"+mode.String(), "k2"+mode.String())
 			assert.NilError(t, conn.Ping(c.ctx))
 			assert.Equal(t, c.number(conn, `SELECT "offset" FROM basilmill.position()`), int64(c.servers["a"].Status().Received))
 			assert.NilError(t, conn.Close(c.ctx))
--- a/standin/backendserver/replication.go
+++ b/standin/backendserver/replication.go
@@ -244,7 +244,7 @@
 	for ctx.Err() == nil {
 		started := time.Now()
 		connected, err := s.receiveFeed(ctx, f)
-		s.logger.Debug("feed ended", "primary", f.primary, "address", f.address, "error", err)
+		s.logger.Debug("feed ended", "primary", f.primary, "address", f.address, "error", eris.ToString(err, false))
 		if connected {
 			intervals.Reset()
 			if time.Since(started) > maxReconnect {
--- a/standin/backendserver/replication_test.go
+++ b/standin/backendserver/replication_test.go
@@ -98,6 +98,35 @@
 	})
 }
 
+// Guards against a delayed command of an older term, and against entries of a
+// primary older than the commanded term.
+func TestStaleCommands(t *testing.T) {
+	inBubble(t, func(t *testing.T, c *cluster) {
+		c.add("a", nil)
+		c.add("b", nil)
+		wait(time.Second)
+		b := c.connect("b")
+		c.number(b, "SELECT basilmill.follow(3, 'c', $1)", address("c").String())
+		for _, command := range []string{
+			"SELECT basilmill.promote(2, 2, '')", "SELECT basilmill.promote(3, 3, '')",
+			"SELECT basilmill.follow(2, 'a', '10.0.0.97:5432')",
+		} {
+			_, err := b.Exec(c.ctx, command)
+			assert.Equal(t, code(err), "55000", command)
+		}
+		c.number(b, "SELECT basilmill.follow(3, 'a', $1)", address("a").String())
+		before := c.servers["b"].Status()
+		a := c.connect("a")
+		c.exec(a, "CREATE TABLE orders (id int)")
+		wait(time.Minute)
+		assert.DeepEqual(t, c.servers["b"].Status(), before)
+		c.number(a, "SELECT basilmill.promote(3, 3, 'b')")
+		wait(time.Minute)
+		assert.Equal(t, c.servers["b"].Status().Term, group.Term(3))
+		assert.Equal(t, c.servers["b"].Status().Generation, group.Generation(3))
+	})
+}
+
 // Guards against received entries that are visible before they are applied,
 // and against a promotion that waits for the apply delay.
 func TestDelays(t *testing.T) {
--- a/standin/backendserver/server.go
+++ b/standin/backendserver/server.go
@@ -233,8 +233,8 @@
 
 // Status returns what basilmill.status() reports.
 func (s *Server) Status() group.Status {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	s.mu.RLock()
+	defer s.mu.RUnlock()
 	term := s.log.term()
 	return group.Status{
 		Server:     s.config.ID,
--- a/standin/backendserver/session.go
+++ b/standin/backendserver/session.go
@@ -11,6 +11,7 @@
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rotisserie/eris"
 
 	"basilmill/core/group"
 	"basilmill/standin/internal/sql"
@@ -93,7 +94,7 @@
 		return
 	}
 	err := s.serveFeed(c.ctx, c, id)
-	s.logger.Debug("feed closed", "replica", id, "error", err)
+	s.logger.Debug("feed closed", "replica", id, "error", eris.ToString(err, false))
 }
 
 // cancelStatement cancels what a session executes.
@@ -226,9 +227,12 @@
 
 // handle handles one message. It returns an error when the connection failed.
 func (x *session) handle(ctx context.Context, message pgproto3.FrontendMessage) error {
+	_, isSync := message.(*pgproto3.Sync)
+	if x.skipping && !isSync {
+		return nil
+	}
 	switch m := message.(type) {
 	case *pgproto3.Query:
-		x.skipping = false
 		x.query(ctx, m.String)
 		x.ready()
 		return x.backend.Flush()
@@ -239,12 +243,10 @@
 	case *pgproto3.Flush:
 		return x.backend.Flush()
 	}
-	if x.skipping {
-		return nil
-	}
 	if err := x.extended(ctx, message); err != nil {
 		x.fail(err)
 		x.skipping = true
+		return x.backend.Flush()
 	}
 	return ctx.Err()
 }
--- a/standin/pipenet/conn.go
+++ b/standin/pipenet/conn.go
@@ -80,7 +80,7 @@
 	buffer := make([]byte, chunkSize)
 	for {
 		count, err := s.source.Read(buffer)
-		due := time.Now().Add(n.observe(p).latency)
+		due := time.Now().Add(n.observe(p).delay())
 		if count > 0 {
 			s.push(chunk{append([]byte(nil), buffer[:count]...), due})
 		}
--- a/standin/pipenet/pipenet.go
+++ b/standin/pipenet/pipenet.go
@@ -45,6 +45,7 @@
 // link is the state of a pair. Its fields are guarded by the network's mutex.
 type link struct {
 	latency time.Duration
+	jitter  func() time.Duration
 	state   LinkState
 	changed chan struct{} // closed when the state changes
 }
@@ -91,6 +92,16 @@
 	n.link(newPair(a, b)).latency = oneWay
 }
 
+// SetJitter adds a delay to each crossing of the link between two data
+// centres, drawn anew for each write and each step of connecting. A loss of
+// packets appears to TCP as such a delay. Bytes stay in order. The function
+// is called by several goroutines; nil removes it.
+func (n *Network) SetJitter(a, b host.DataCentre, jitter func() time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.link(newPair(a, b)).jitter = jitter
+}
+
 // SetLink sets the state of the link between two data centres, or within one.
 func (n *Network) SetLink(a, b host.DataCentre, state LinkState) {
 	n.mu.Lock()
@@ -135,6 +146,14 @@
 	return l
 }
 
+// delay returns the time that the next crossing of a link takes.
+func (l link) delay() time.Duration {
+	if l.jitter == nil {
+		return l.latency
+	}
+	return l.latency + l.jitter()
+}
+
 // observe returns a copy of the state of a link.
 func (n *Network) observe(p pair) link {
 	n.mu.Lock()
@@ -212,7 +231,7 @@
 		case Cut:
 			return syscall.ECONNREFUSED
 		case Up:
-			timer := time.NewTimer(l.latency)
+			timer := time.NewTimer(l.delay())
 			defer timer.Stop()
 			passed = timer.C
 		case BlackHole:
--- a/standin/pipenet/pipenet_test.go
+++ b/standin/pipenet/pipenet_test.go
@@ -71,6 +71,29 @@
 	})
 }
 
+// Guards against delayed bytes that later ones overtake.
+func TestJitterKeepsOrder(t *testing.T) {
+	connected(t, func(t *testing.T, n *pipenet.Network, near, far net.Conn) {
+		delays := []time.Duration{50 * time.Millisecond, 0}
+		n.SetJitter(gent, namur, func() (next time.Duration) {
+			next, delays = delays[0], delays[1:]
+			return next
+		})
+		started := time.Now()
+		for _, text := range []string{"one", "two"} {
+			_, err := io.WriteString(near, text)
+			assert.NilError(t, err)
+			synctest.Wait()
+		}
+		buffer := make([]byte, 6)
+		_, err := io.ReadFull(far, buffer)
+		assert.NilError(t, err)
+		assert.Equal(t, string(buffer), "onetwo")
+		assert.Equal(t, time.Since(started), 54*time.Millisecond)
+		n.SetJitter(gent, namur, nil)
+	})
+}
+
 // Guards against a black hole that drops or passes bytes, and a cut that
 // leaves connections open.
 func TestLinkStates(t *testing.T) {
