cmd: register groups, change their servers, show a host's status

Cause: group records and password verifiers had to be made by hand, and what a host knows was visible as JSON only. Change: group create, add-server, leave and remove-server; account verifier; host status. Updates of a record settle lost replies by the change id.

--- a/cmd/internal/command/account.go
+++ b/cmd/internal/command/account.go
@@ -37,6 +37,10 @@
 					&cli.Int64Flag{Name: "base", Usage: "`REVISION` that the change is based on, instead of the file's"})...),
 				Action: action(1, 1, revise),
 			},
+			{
+				Name: "verifier", Usage: "read a password from standard input and print its verifier for a template",
+				Action: action(0, 0, printVerifier),
+			},
 			{
 				Name: "get", Usage: "show a client account", ArgsUsage: "ID",
 				Flags: platformFlags(
--- a/cmd/internal/command/group.go
+++ b/cmd/internal/command/group.go
@@ -1,27 +1,52 @@
 package command
 
 import (
+	"cmp"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
+	"net/netip"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"basilmill/cmd/internal/exit"
+	"basilmill/cmd/internal/groups"
 	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/io/jsonc"
 	"basilmill/io/platform"
 )
 
 func groupCommand() *cli.Command {
 	return &cli.Command{
 		Name:            "group",
-		Usage:           "show database groups",
+		Usage:           "show database groups and change their servers",
 		Action:          subcommandRequired,
 		HideHelpCommand: true,
 		Commands: []*cli.Command{
 			{Name: "list", Usage: "list the groups", Flags: platformFlags(), Action: action(0, 0, listGroups)},
 			{Name: "get", Usage: "show a group and its changes", ArgsUsage: "ID", Flags: platformFlags(), Action: action(1, 1, getGroup)},
+			{
+				Name: "create", Usage: "register a group from a definition", ArgsUsage: "FILE",
+				Flags: platformFlags(changeFlags()...), Action: action(1, 1, createGroup),
+			},
+			{
+				Name: "add-server", Usage: "add a replica to a group", ArgsUsage: "ID SERVER ADDRESS DATACENTRE",
+				Flags: platformFlags(changeFlags()...), Action: action(4, 4, addServer),
+			},
+			{
+				Name: "leave", Usage: "mark a backend server as leaving: it gets no new work", ArgsUsage: "ID SERVER",
+				Description: "A leaving primary is replaced by a planned change. The mark is final: a server that comes back is added under a new id.",
+				Flags:       platformFlags(changeFlags()...), Action: action(2, 2, leaveGroup),
+			},
+			{
+				Name: "remove-server", Usage: "remove a replica from a group", ArgsUsage: "ID SERVER",
+				Flags: platformFlags(changeFlags()...), Action: action(2, 2, removeServer),
+			},
 		},
 	}
 }
@@ -99,3 +124,96 @@
 	}
 	return role
 }
+
+func createGroup(ctx context.Context, c *cli.Command) error {
+	path := c.Args().First()
+	data, err := readFile(path)
+	if err != nil {
+		return err
+	}
+	record, err := jsonc.Group(data)
+	if err != nil {
+		return inFile(path, err)
+	}
+	by := authorOf(c, "created")
+	record.ChangeID = by.ChangeID
+	record.Changes = []group.Change{{
+		ID: by.ChangeID, Host: by.Host, Time: by.Time, Cause: by.Cause,
+		Term: record.Term, Generation: record.Generation, Primary: record.Primary, Successor: record.Successor,
+	}}
+	store, err := groupStore(c)
+	if err != nil {
+		return err
+	}
+	if err := store.Create(ctx, record); err != nil {
+		return err
+	}
+	return writeChanged(c, record.ID, by)
+}
+
+func addServer(ctx context.Context, c *cli.Command) error {
+	address, err := netip.ParseAddrPort(c.Args().Get(2))
+	if err != nil {
+		return &exit.InvalidError{Cause: err}
+	}
+	server := group.Server{ID: group.ServerID(c.Args().Get(1)), Address: address, DataCentre: host.DataCentre(c.Args().Get(3))}
+	return changeGroup(ctx, c, "server added", func(r *group.Record, by group.Author) (*group.Record, error) {
+		return r.AddServer(by, server)
+	})
+}
+
+func leaveGroup(ctx context.Context, c *cli.Command) error {
+	return changeGroup(ctx, c, "server leaving", func(r *group.Record, by group.Author) (*group.Record, error) {
+		return r.MarkLeaving(by, group.ServerID(c.Args().Get(1)))
+	})
+}
+
+func removeServer(ctx context.Context, c *cli.Command) error {
+	return changeGroup(ctx, c, "server removed", func(r *group.Record, by group.Author) (*group.Record, error) {
+		return r.RemoveServer(by, group.ServerID(c.Args().Get(1)))
+	})
+}
+
+func changeGroup(ctx context.Context, c *cli.Command, cause string, transition func(*group.Record, group.Author) (*group.Record, error)) error {
+	store, err := groupStore(c)
+	if err != nil {
+		return err
+	}
+	id, by := group.ID(c.Args().First()), authorOf(c, cause)
+	err = store.Change(ctx, id, by.ChangeID, func(r *group.Record) (*group.Record, error) { return transition(r, by) })
+	if err != nil {
+		return err
+	}
+	return writeChanged(c, id, by)
+}
+
+// changedGroup is an accepted change of a group as JSON.
+type changedGroup struct {
+	ID       group.ID
+	ChangeID group.ChangeID
+	Cause    string
+}
+
+func writeChanged(c *cli.Command, id group.ID, by group.Author) error {
+	t := table{rows: [][]string{{fmt.Sprintf("group %s: %s (change %s)", id, by.Cause, by.ChangeID)}}}
+	return write(c, t, changedGroup{ID: id, ChangeID: by.ChangeID, Cause: by.Cause})
+}
+
+// authorOf names the operator in the audit entry of a record, whose other
+// updates come from hosts.
+func authorOf(c *cli.Command, cause string) group.Author {
+	return group.Author{
+		ChangeID: group.ChangeID(cmp.Or(c.String("change-id"), rand.Text())),
+		Host:     host.ID("operator " + c.String("operator")),
+		Time:     time.Now().UTC(),
+		Cause:    cause,
+	}
+}
+
+func groupStore(c *cli.Command) (groups.Store, error) {
+	api, err := client(c)
+	if err != nil {
+		return groups.Store{}, err
+	}
+	return groups.Store{API: api, Patience: c.Duration("patience")}, nil
+}
--- /dev/null
+++ b/cmd/internal/command/verifier.go
@@ -0,0 +1,57 @@
+package command
+
+import (
+	"bufio"
+	"context"
+	"crypto/rand"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+	"github.com/xdg-go/scram"
+
+	"basilmill/cmd/internal/exit"
+)
+
+const (
+	// iterations is PostgreSQL's default for SCRAM-SHA-256.
+	iterations = 4096
+	saltBytes  = 16
+)
+
+var errNoPassword = errors.New("standard input holds no password")
+
+// printVerifier keeps the password out of the command line, which other users
+// of the machine can see, and out of the template.
+func printVerifier(_ context.Context, c *cli.Command) error {
+	line, err := bufio.NewReader(c.Root().Reader).ReadString('\n')
+	password := strings.TrimRight(line, "\r\n")
+	if password == "" {
+		return &exit.InvalidError{Cause: errors.Join(errNoPassword, err)}
+	}
+	verifier, err := newVerifier(password)
+	if err != nil {
+		return &exit.InvalidError{Cause: err}
+	}
+	_, err = fmt.Fprintln(c.Root().Writer, verifier)
+	return err
+}
+
+// newVerifier returns the verifier of a password with a new salt, in the
+// format of PostgreSQL.
+func newVerifier(password string) (string, error) {
+	salt := make([]byte, saltBytes)
+	_, _ = rand.Read(salt) // never fails
+	client, err := scram.SHA256.NewClient("", password, "")
+	if err != nil {
+		return "", err
+	}
+	credentials, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: iterations})
+	if err != nil {
+		return "", err
+	}
+	encode := base64.StdEncoding.EncodeToString
+	return fmt.Sprintf("SCRAM-SHA-256$%d:%s$%s:%s", iterations, encode(salt), encode(credentials.StoredKey), encode(credentials.ServerKey)), nil
+}
--- a/cmd/serve/status.go
+++ b/cmd/serve/status.go
@@ -85,6 +85,7 @@
 		Received:   int64(v.Status.Received),
 		Applied:    int64(v.Status.Applied),
 		Generation: int64(v.Status.Generation),
+		Heard:      time.Since(v.ReceivedAt).Round(time.Millisecond).String(),
 		Leaving:    server.Leaving || v.Status.Leaving,
 	}
 	if !v.CompleteAt.IsZero() {
--- a/e2e/cmd/demo/demo.go
+++ b/e2e/cmd/demo/demo.go
@@ -17,7 +17,6 @@
 
 	"basilmill/core/group"
 	"basilmill/core/host"
-	"basilmill/io/platform"
 )
 
 // demo is the state of a run.
@@ -42,10 +41,7 @@
 
 const groupID group.ID = "demo-1"
 
-var (
-	dataCentres = []host.DataCentre{"gent-a", "namur-a", "brussel-a"}
-	databases   = []string{"namen", "akten", "orders", "horarios"}
-)
+var dataCentres = []host.DataCentre{"gent-a", "namur-a", "brussel-a"}
 
 func (d *demo) run(ctx context.Context) (err error) {
 	if d.directory, err = os.MkdirTemp("", "basilmill-demo-"); err != nil {
@@ -101,9 +97,7 @@
 }
 
 func (d *demo) startServers(ctx context.Context) error {
-	record := &group.Record{
-		ID: groupID, Term: 1, Generation: 1, Primary: "a", Successor: "b", Databases: databases, ConnectionLimit: 16,
-	}
+	var servers []string
 	for i, place := range dataCentres {
 		address, err := freeAddress()
 		if err != nil {
@@ -123,16 +117,18 @@
 			return err
 		}
 		d.servers = append(d.servers, address)
-		record.Servers = append(record.Servers, group.Server{ID: id, Address: address, DataCentre: place})
+		servers = append(servers, fmt.Sprintf(`{"ID": %q, "Address": %q, "DataCentre": %q}`, id, address, place))
 	}
-	value, err := platform.EncodeGroup(record)
-	if err != nil {
+	definition := fmt.Sprintf(`{
+  "ID": %q, "Databases": ["namen", "akten", "orders", "horarios"], "ConnectionLimit": 16,
+  "Primary": "a", "Successor": "b", "Servers": [%s],
+}
+`, groupID, strings.Join(servers, ", "))
+	file := filepath.Join(d.directory, "group.jsonc")
+	if err := os.WriteFile(file, []byte(definition), 0o600); err != nil {
 		return err
 	}
-	client := platform.NewClient(d.platform, platform.Options{})
-	defer client.Close()
-	_, err = client.Put(ctx, platform.GroupKey(groupID), value, 0)
-	return err
+	return d.basilmill(ctx, "group", "create", "--platform", d.platform.String(), "--operator", "demo", file)
 }
 
 func (d *demo) startHosts(ctx context.Context) error {
@@ -203,10 +199,10 @@
 func (d *demo) submitAccounts(ctx context.Context) error {
 	for _, name := range []string{"vandermeersch", "avisos-oracion"} {
 		file := filepath.Join(d.examples, name+".jsonc")
-		if err := d.runCommand(ctx, "basilmill", "check", file); err != nil {
+		if err := d.basilmill(ctx, "check", file); err != nil {
 			return err
 		}
-		if err := d.runCommand(ctx, "basilmill", "account", "submit", "--platform", d.platform.String(), "--operator", "demo", file); err != nil {
+		if err := d.basilmill(ctx, "account", "submit", "--platform", d.platform.String(), "--operator", "demo", file); err != nil {
 			return err
 		}
 	}
@@ -375,7 +371,10 @@
 	if count != 4 {
 		return fmt.Errorf("%d rows instead of 4: an acknowledged write was lost or run twice", count)
 	}
-	return d.runCommand(ctx, "basilmill", "group", "get", "--platform", d.platform.String(), string(groupID))
+	if err := d.basilmill(ctx, "group", "get", "--platform", d.platform.String(), string(groupID)); err != nil {
+		return err
+	}
+	return d.basilmill(ctx, "host", "status", d.hosts[1].operator.String())
 }
 
 func (d *demo) shutdown(context.Context) error {
--- a/e2e/cmd/demo/process.go
+++ b/e2e/cmd/demo/process.go
@@ -103,9 +103,9 @@
 	return nil
 }
 
-// runCommand runs a program to its end and prints its output.
-func (d *demo) runCommand(ctx context.Context, program string, args ...string) error {
-	output, err := exec.CommandContext(ctx, filepath.Join(d.bin, program), args...).CombinedOutput() //nolint:gosec // the demo's own programs
+// basilmill runs an operator's command and prints its output.
+func (d *demo) basilmill(ctx context.Context, args ...string) error {
+	output, err := exec.CommandContext(ctx, filepath.Join(d.bin, "basilmill"), args...).CombinedOutput() //nolint:gosec // the demo's own programs
 	fmt.Print(string(output))
 	return err
 }
--- a/io/operator/operator.go
+++ b/io/operator/operator.go
@@ -26,7 +26,9 @@
 	Applied    int64
 	Generation int64
 	// Age is the upper bound of the age of reads, or empty if none is proven.
-	Age     string
+	Age string
+	// Heard is how long ago the server last answered.
+	Heard   string
 	Leaving bool
 }
 
