--- a/io/backendserver/local_test.go
+++ b/io/backendserver/local_test.go
@@ -63,6 +63,7 @@
 			test.use(c)
 			c.Release(test.reusable)
 			next := acquire(t, l)
+			synctest.Wait() // for the record of a connection that was closed
 			assert.Equal(t, !strings.Contains(f.received(), "open"), test.reused, "case %d", i)
 			assert.NilError(t, c.Cancel(t.Context()))
 			_, err := c.Receive(t.Context())
@@ -156,6 +157,11 @@
 		assert.Equal(t, outcome.Of(err), outcome.Unknown)
 		assert.ErrorContains(t, err, "replaced")
 		c.Release(true)
+
+		c = acquire(t, l)
+		l.Lost("g", "s", errors.New("replaced"))
+		assert.Equal(t, outcome.Of(c.Send(t.Context(), query("INSERT"))), outcome.NotRun)
+		c.Release(true)
 		synctest.Wait()
 		assert.Equal(t, l.Stats("g", "s").Open, 0)
 	})
