--- /dev/null
+++ b/core/proof/model_test.go
@@ -0,0 +1,174 @@
+package proof_test
+
+import (
+	"time"
+
+	"pgregory.net/rapid"
+
+	"basilmill/core/group"
+)
+
+// model is a group that changes at random. Queries are sent, answered and
+// delivered in separate events beside a stale record of the host. Replaced
+// primaries and retired successors stay reachable and go on answering.
+type model struct {
+	now           time.Time
+	record, stale group.Record // the platform's and the host's
+	records       map[group.Generation]group.Record
+	servers       map[group.ServerID]*group.Status
+	starts        map[group.Term]group.Offset
+	writes        []group.Position
+	acks          map[group.Position]time.Time // what any host may have acknowledged
+	queries       []*query
+	deliver       func(m *model, s group.Status, sent time.Time)
+}
+
+type query struct {
+	server   group.ServerID
+	sent     time.Time
+	answered bool
+	status   group.Status
+}
+
+var names = []group.ServerID{"a", "b", "c", "d"}
+
+func newModel(deliver func(*model, group.Status, time.Time)) *model {
+	m := &model{
+		now: time.Now(), servers: map[group.ServerID]*group.Status{}, records: map[group.Generation]group.Record{},
+		starts: map[group.Term]group.Offset{}, acks: map[group.Position]time.Time{}, deliver: deliver,
+	}
+	for _, n := range names {
+		m.servers[n] = &group.Status{Server: n, Term: 1}
+	}
+	*m.servers["a"] = group.Status{Server: "a", Role: group.Primary, Term: 1, Generation: 1, Successor: "b"}
+	m.servers["b"].Generation = 1
+	m.update(group.Record{Term: 1, Generation: 1, Primary: "a", Successor: "b"})
+	m.stale = m.record
+	return m
+}
+
+func (m *model) update(r group.Record) { m.record, m.records[r.Generation] = r, r }
+
+// schedules draw the events of a model and the parameter of each.
+var schedules = rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) [2]int {
+	return [2]int{rapid.IntRange(0, 19).Draw(rt, "event"), rapid.IntRange(0, 59).Draw(rt, "x")}
+}), 50, 400)
+
+func (m *model) step(event, x int) {
+	m.now = m.now.Add(time.Millisecond)
+	r, s := m.record, m.servers[names[x%4]]
+	primary, successor := m.servers[r.Primary], m.servers[r.Successor]
+	inTerm := primary.Term == r.Term && s.Term == r.Term && s.Role == group.Replica
+	switch event {
+	case 0, 1: // a write on any server that believes it is primary
+		if s.Role == group.Primary {
+			s.Received++
+			s.Applied++
+			m.writes = append(m.writes, group.Position{Term: s.Term, Offset: s.Received})
+		}
+	case 2, 3, 4:
+		m.replicate(s, x)
+	case 5, 6:
+		m.queries = append(m.queries, &query{server: s.Server, sent: m.now})
+	case 7, 8, 9, 10:
+		m.answer(x)
+	case 11:
+		m.stale = r
+	case 12: // the primary stops feeding the successor and a candidate catches up
+		if inTerm && s != successor && primary.Generation == r.Generation {
+			primary.Successor, primary.Generation = s.Server, r.Generation+1
+			s.Received, s.Generation = primary.Received, primary.Generation
+		}
+	case 13: // the candidate becomes the successor
+		if primary.Term == r.Term && primary.Generation > r.Generation {
+			r.Successor, r.Generation = primary.Successor, primary.Generation
+			m.update(r)
+		}
+	case 14: // a change of primary in the record
+		eligible := successor.Term == r.Term && successor.Generation == r.Generation
+		if inTerm && eligible && s != successor {
+			m.update(group.Record{Term: r.Term + 1, Generation: r.Generation + 1, Primary: r.Successor, Successor: s.Server})
+		}
+	case 15: // its promotion
+		if primary.Term < r.Term {
+			m.starts[r.Term] = primary.Received
+			*primary = group.Status{
+				Server: r.Primary, Role: group.Primary, Term: r.Term, Generation: r.Generation, Successor: r.Successor,
+				TermStart: primary.Received, Received: primary.Received, Applied: primary.Received,
+			}
+		}
+	case 16: // a server follows and discards a diverged end
+		if s.Term < primary.Term && primary.Term == r.Term {
+			start := primary.TermStart
+			*s = group.Status{Server: s.Server, Term: r.Term, TermStart: start, Received: start, Applied: min(s.Applied, start)}
+			if primary.Successor == s.Server {
+				s.Generation = primary.Generation
+			}
+		}
+	default: // a query of all servers that takes 2 ms
+		for _, n := range names {
+			m.deliver(m, *m.servers[n], m.now.Add(-2*time.Millisecond))
+		}
+	}
+}
+
+// replicate moves s forward. A replica reports the generation of its last
+// feed, and what the successor of a record received is acknowledged.
+func (m *model) replicate(s *group.Status, x int) {
+	for _, p := range m.servers {
+		if s.Role == group.Primary || p.Role == group.Replica || p.Term != s.Term {
+			continue
+		}
+		s.Received += (p.Received - s.Received) * group.Offset(x%3) / 2
+		s.Generation = 0
+		if p.Successor == s.Server {
+			s.Generation = p.Generation
+		}
+	}
+	s.Applied += (s.Received - s.Applied) * group.Offset(x%2)
+	r := m.records[s.Generation]
+	for p := (group.Position{Term: s.Term, Offset: s.Received}); p.Offset > s.TermStart && s.Confirms(&r, p); p.Offset-- {
+		if _, known := m.acks[p]; !known {
+			m.acks[p] = m.now
+		}
+	}
+}
+
+// answer lets a query be answered or, if it is, delivers the answer.
+func (m *model) answer(x int) {
+	if len(m.queries) == 0 {
+		return
+	}
+	q := m.queries[x%len(m.queries)]
+	if q.answered {
+		m.deliver(m, q.status, q.sent)
+	} else {
+		q.answered, q.status = true, *m.servers[q.server]
+	}
+}
+
+// survives reports whether a write is in the history of the latest term.
+func (m *model) survives(p group.Position) bool {
+	start, replaced := m.starts[p.Term+1]
+	return !replaced || p.Offset <= start
+}
+
+// complete reports whether reads on s see every write acknowledged before at.
+func (m *model) complete(s *group.Status, at time.Time) bool {
+	for p, acked := range m.acks {
+		if acked.Before(at) && (s.Term < p.Term || s.Applied < p.Offset) {
+			return false
+		}
+	}
+	return true
+}
+
+// lastAck returns the highest acknowledged write.
+func (m *model) lastAck() (last group.Position) {
+	for p := range m.acks {
+		if p.Compare(last) > 0 {
+			last = p
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/core/proof/proof_test.go
@@ -0,0 +1,221 @@
+// Package proof_test checks what ack, freshness and floor accept as proof
+// against one random model of a group, and shows that the model detects the
+// faults of simpler rules.
+package proof_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"basilmill/core/ack"
+	"basilmill/core/floor"
+	"basilmill/core/freshness"
+	"basilmill/core/group"
+)
+
+// lostWrite runs a schedule and returns a write that confirm accepted and that
+// a later primary lacks.
+func lostWrite(m *model, schedule [][2]int, confirm func(group.Position) bool) (accepted int, lost string) {
+	confirmed := map[group.Position]bool{}
+	for _, e := range schedule {
+		m.step(e[0], e[1])
+		for _, w := range m.writes {
+			confirmed[w] = confirmed[w] || confirm(w)
+		}
+	}
+	for w, ok := range confirmed {
+		if ok && !m.survives(w) {
+			lost = fmt.Sprintf("write %v was acknowledged, terms start at %v", w, m.starts)
+		}
+		if ok {
+			accepted++
+		}
+	}
+	return accepted, lost
+}
+
+// Guards against acknowledging a write that a later primary does not have
+// (I2), whatever the order of changes, answers and records.
+func TestAcknowledgedWritesSurvive(t *testing.T) {
+	ended, cancel := context.WithCancel(t.Context())
+	cancel() // Confirm answers from what was observed, without waiting
+	total := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		var gate ack.Gate
+		m := newModel(func(m *model, s group.Status, _ time.Time) { gate.Observe(s, &m.stale) })
+		n, lost := lostWrite(m, schedules.Draw(rt, "schedule"), func(w group.Position) bool {
+			return gate.Confirm(ended, 0, w) == nil
+		})
+		total += n
+		assert.Equal(rt, lost, "")
+	})
+	assert.Assert(t, total >= 100, "the schedules acknowledge too few writes: %d", total)
+}
+
+// staleRead runs a schedule and returns a server with a bound below its age.
+func staleRead(m *model, schedule [][2]int, completeAt func(group.Status) (time.Time, bool)) (bounds int, stale string) {
+	for _, e := range schedule {
+		m.step(e[0], e[1])
+		for _, s := range m.servers {
+			at, ok := completeAt(*s)
+			if ok && !m.complete(s, at) {
+				stale = fmt.Sprintf("%+v is not complete at %v, acknowledged %v", *s, at, m.acks)
+			}
+			if ok {
+				bounds++
+			}
+		}
+	}
+	return bounds, stale
+}
+
+// Guards against a bound below the true age (I10), whatever happens to the
+// group, to the host's record and to the order of answers.
+func TestBoundNeverBelowTrueAge(t *testing.T) {
+	total := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		var tracker freshness.Tracker
+		m := newModel(func(m *model, s group.Status, sent time.Time) { tracker.Observe(s, sent, &m.stale) })
+		n, stale := staleRead(m, schedules.Draw(rt, "schedule"), tracker.CompleteAt)
+		total += n
+		assert.Equal(rt, stale, "")
+	})
+	assert.Assert(t, total > 1000, "the schedules give too few bounds: %d", total)
+}
+
+// Shows that the model finds the faults that the rules exclude. Each rule must
+// violate its invariant in some schedule.
+func TestNaiveRules(t *testing.T) {
+	acknowledge := func(proves func(group.Status, *group.Record, group.Position) bool) func([][2]int) string {
+		return func(schedule [][2]int) string {
+			proved := map[group.Position]bool{}
+			m := newModel(func(m *model, s group.Status, _ time.Time) {
+				for _, w := range m.writes {
+					proved[w] = proved[w] || proves(s, &m.stale, w)
+				}
+			})
+			_, lost := lostWrite(m, schedule, func(w group.Position) bool { return proved[w] })
+			return lost
+		}
+	}
+	age := func(observe func(*freshness.Tracker, *model, group.Status, time.Time), rule func(*model, *group.Status)) func([][2]int) string {
+		return func(schedule [][2]int) string {
+			var tracker freshness.Tracker
+			m := newModel(func(m *model, s group.Status, sent time.Time) { observe(&tracker, m, s, sent) })
+			_, stale := staleRead(m, schedule, func(s group.Status) (time.Time, bool) {
+				rule(m, &s)
+				return tracker.CompleteAt(s)
+			})
+			return stale
+		}
+	}
+	asIs := func(*model, *group.Status) {}
+	for name, violation := range map[string]func([][2]int) string{
+		"evidence without generation": acknowledge(func(s group.Status, r *group.Record, p group.Position) bool {
+			s.Generation = r.Generation
+			return s.Confirms(r, p)
+		}),
+		"evidence of any replica": acknowledge(func(s group.Status, _ *group.Record, p group.Position) bool {
+			return s.Role == group.Replica && s.Term == p.Term && s.Received >= p.Offset
+		}),
+		"evidence without terms": acknowledge(func(s group.Status, r *group.Record, p group.Position) bool {
+			return s.Server == r.Successor && s.Generation == r.Generation && s.Received >= p.Offset
+		}),
+		"start of any later term": acknowledge(func(s group.Status, _ *group.Record, p group.Position) bool {
+			return s.Role == group.Primary && s.Term > p.Term && p.Offset <= s.TermStart
+		}),
+		"age from the primary alone": age(func(t *freshness.Tracker, m *model, s group.Status, sent time.Time) {
+			t.Observe(s, sent, &m.stale)
+			t.Observe(group.Status{Server: m.stale.Successor, Term: m.stale.Term}, m.now, &m.stale)
+		}, asIs),
+		"age from the time of the answer": age(func(t *freshness.Tracker, m *model, s group.Status, _ time.Time) {
+			t.Observe(s, m.now, &m.stale)
+		}, asIs),
+		"age without terms": age(func(t *freshness.Tracker, m *model, s group.Status, sent time.Time) {
+			t.Observe(s, sent, &m.stale)
+		}, func(m *model, s *group.Status) { s.Term = m.stale.Term }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range 3000 {
+				if violation(schedules.Example(seed)) != "" {
+					return
+				}
+			}
+			t.Fatal("no schedule violates the invariant under the naive rule")
+		})
+	}
+}
+
+// Guards against a floor below an acknowledged write (I1) in any schedule of
+// changes of the successor, of the primary and of the host's record, while
+// servers and platform are now and then out of reach.
+func TestFloorCoversAcknowledged(t *testing.T) {
+	proved := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		schedule := schedules.Draw(rt, "schedule")
+		fault := ""
+		synctest.Test(t, func(*testing.T) {
+			var mu sync.Mutex
+			m := newModel(func(*model, group.Status, time.Time) {})
+			answer := func(id group.ServerID) (s group.Status, err error) {
+				time.Sleep(4 * time.Millisecond)
+				mu.Lock()
+				s = *m.servers[id]
+				if m.now.UnixMilli()/32%5 == int64(id[0]-'a') {
+					err = errors.New("unreachable")
+				}
+				mu.Unlock()
+				time.Sleep(4 * time.Millisecond)
+				return s, err
+			}
+			read := func(r *group.Record) *group.Record {
+				mu.Lock()
+				defer mu.Unlock()
+				known := *r
+				return &known
+			}
+			asker := floor.NewAsker(floor.Config{
+				Record:       func() *group.Record { return read(&m.stale) },
+				AskPrimary:   func(_ context.Context, r *group.Record) (group.Status, error) { return answer(r.Primary) },
+				AskSuccessor: func(_ context.Context, r *group.Record) (group.Status, error) { return answer(r.Successor) },
+				ReadRecord: func(context.Context) (*group.Record, error) {
+					time.Sleep(2 * time.Millisecond)
+					return read(&m.record), nil
+				},
+			})
+			var sessions sync.WaitGroup
+			for _, e := range schedule {
+				time.Sleep(time.Millisecond)
+				mu.Lock()
+				m.step(e[0], e[1])
+				before := m.lastAck()
+				mu.Unlock()
+				sessions.Go(func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+					defer cancel()
+					p, err := asker.Ask(ctx)
+					mu.Lock()
+					defer mu.Unlock()
+					if err == nil {
+						proved++
+					}
+					if err == nil && p.Compare(before) < 0 {
+						fault = fmt.Sprintf("floor %v, acknowledged %v", p, before)
+					}
+				})
+			}
+			sessions.Wait()
+			time.Sleep(floor.DefaultTimeout) // ends queries that no session waits for
+		})
+		assert.Equal(rt, fault, "")
+	})
+	assert.Assert(t, proved > 500, "the schedules prove too few floors: %d", proved)
+}
