pool: measure turns in connection time

Cause: with one connection and weights 2 to 1 the account with the lower weight got no connection at all (1998 grants to 0), because turns compared the holdings after the grant.

--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -10,6 +10,10 @@
 	"basilmill/core/account"
 )
 
+// quantum is the use that an account's turn assumes for each connection it
+// holds. It is several times the 12 to 30 ms of an opening.
+const quantum = 150 * time.Millisecond
+
 // result is what a waiting request receives.
 type result[T comparable] struct {
 	value T
@@ -36,32 +40,50 @@
 	held int
 	// waiting counts requests in the queue and those an opening serves.
 	waiting int
-	// pass is the account's virtual time in stride scheduling: it advances by
-	// 1/weight with each grant.
-	pass   float64
+	// used is the connection time used per weight up to usedAt, in seconds.
+	used   float64
+	usedAt time.Time
 	queues map[Key]*list.List
 }
 
 func (m *member[T]) weight() float64 { return float64(max(m.share.Weight, 1)) }
 
-// load is the account's holding per weight if it received one more connection.
-func (m *member[T]) load() float64 { return float64(m.held+1) / m.weight() }
+// hold changes the number of held connections.
+func (m *member[T]) hold(change int) {
+	m.accrue()
+	m.held += change
+}
+
+// accrue adds the time since usedAt to the used connection time.
+func (m *member[T]) accrue() {
+	now := time.Now()
+	m.used += float64(m.held) * now.Sub(m.usedAt).Seconds() / m.weight()
+	m.usedAt = now
+}
+
+// turn orders accounts: the used connection time if the account received one
+// more connection and used each for a quantum.
+func (m *member[T]) turn() float64 {
+	m.accrue()
+	return m.used + float64(m.held+1)*quantum.Seconds()/m.weight()
+}
 
 func (m *member[T]) atMax() bool { return m.share.Max > 0 && m.held >= m.share.Max }
 
 // queue holds the waiting requests by account and key.
 //
-// Among the accounts that wait, the one that holds the fewest connections per
-// weight comes first, and equal ones take turns in weighted round robin
-// (stride scheduling). Counting held connections makes a long transaction
-// count for its whole duration, and it lets accounts of different keys keep
-// their own connections once their holdings match their weights; plain turns
-// would close and open a connection at nearly every grant.
+// Accounts that wait take turns in weighted round robin, measured in connection
+// time: the account that used the least per weight comes first. A long
+// transaction thus counts for its whole duration, and no account starves. The
+// quantum per held connection spreads connections that become free at the same
+// moment, and it lets accounts of different keys keep their own connections
+// while their use is balanced within it; counting grants would close and open
+// a connection at nearly every grant.
 type queue[T comparable] struct {
 	members map[account.ID]*member[T]
-	// now is the virtual time of the last grant. Accounts that start to wait
-	// continue from it, so that idle time earns no priority.
-	now     float64
+	// used is the highest use at which an account was served. Accounts that
+	// start to wait continue from it, so that idle time earns no priority.
+	used    float64
 	next    uint64
 	waiting int
 }
@@ -70,6 +92,7 @@
 type candidate[T comparable] struct {
 	member *member[T]
 	key    Key
+	turn   float64
 	number uint64
 }
 
@@ -80,7 +103,7 @@
 func (q *queue[T]) member(id account.ID) *member[T] {
 	m, ok := q.members[id]
 	if !ok {
-		m = &member[T]{id: id, queues: map[Key]*list.List{}}
+		m = &member[T]{id: id, usedAt: time.Now(), queues: map[Key]*list.List{}}
 		q.members[id] = m
 	}
 	return m
@@ -88,6 +111,7 @@
 
 func (q *queue[T]) setShare(id account.ID, share Share) {
 	m := q.member(id)
+	m.accrue()
 	m.share = share
 	m.hasShare = share != Share{}
 	q.forget(m)
@@ -111,7 +135,8 @@
 func (q *queue[T]) push(key Key, id account.ID) *waiter[T] {
 	m := q.member(id)
 	if m.waiting == 0 {
-		m.pass = max(m.pass, q.now)
+		m.accrue()
+		m.used = max(m.used, q.used)
 	}
 	m.waiting++
 	q.waiting++
@@ -144,16 +169,14 @@
 func (q *queue[T]) take(c candidate[T]) *waiter[T] {
 	w := c.member.queues[c.key].Front().Value.(*waiter[T])
 	q.remove(w)
-	c.member.held++
-	q.now = max(q.now, c.member.pass)
-	c.member.pass += 1 / c.member.weight()
+	c.member.hold(1)
+	q.used = max(q.used, c.member.used)
 	return w
 }
 
 // putBack reverses take, in the order of arrival.
 func (q *queue[T]) putBack(w *waiter[T]) {
-	w.member.held--
-	w.member.pass -= 1 / w.member.weight()
+	w.member.hold(-1)
 	l := w.member.queue(w.key)
 	for e := l.Front(); e != nil; e = e.Next() {
 		if e.Value.(*waiter[T]).number > w.number {
@@ -166,7 +189,7 @@
 
 // release ends the holding of one connection or opening.
 func (q *queue[T]) release(m *member[T]) {
-	m.held--
+	m.hold(-1)
 	q.forget(m)
 }
 
@@ -194,8 +217,9 @@
 
 func (q *queue[T]) all() (all []candidate[T]) {
 	for _, m := range q.members {
+		turn := m.turn()
 		for key, l := range m.queues {
-			all = append(all, candidate[T]{m, key, l.Front().Value.(*waiter[T]).number})
+			all = append(all, candidate[T]{m, key, turn, l.Front().Value.(*waiter[T]).number})
 		}
 	}
 	return all
@@ -206,11 +230,7 @@
 func (q *queue[T]) candidates() []candidate[T] {
 	list := slices.DeleteFunc(q.all(), func(c candidate[T]) bool { return c.member.atMax() })
 	slices.SortFunc(list, func(a, b candidate[T]) int {
-		return cmp.Or(
-			cmp.Compare(a.member.load(), b.member.load()),
-			cmp.Compare(a.member.pass, b.member.pass),
-			cmp.Compare(a.number, b.number),
-		)
+		return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.number, b.number))
 	})
 	return list
 }
