serve: limit retries, delete old request keys, give up statements on lost servers

Cause: retries had no budget, the key table grew without end, and a statement on an isolated server hung until the connection broke. Change: a retry budget for each account; keys carry their creation time and the first coordinator of a group deletes those past the account's KeyRetention; conversations with a replaced or silent server are interrupted. Conclusion: lost servers no longer hold callers.

--- a/cmd/serve/entry.go
+++ b/cmd/serve/entry.go
@@ -14,6 +14,7 @@
 	"basilmill/core/host"
 	"basilmill/core/logevent"
 	"basilmill/core/outcome"
+	"basilmill/core/retry"
 	"basilmill/core/statement"
 	"basilmill/io/backendserver"
 	"basilmill/io/caller"
@@ -44,6 +45,7 @@
 	mu        sync.Mutex
 	suspected map[serverKey]time.Time
 	shared    map[shareKey]account.Sharing
+	budgets   map[account.ID]*retry.Budget
 }
 
 // shareKey identifies an account's share of a server's connections.
@@ -268,6 +270,35 @@
 	return err
 }
 
+// Retry budget of an account. Retries wait in routing until a server has
+// answered, so the burst may cover every caller that waits when a primary is
+// lost; the share bounds the load that lasting failures add.
+const (
+	retryShare   = 0.2
+	retryMinRate = 100
+	retryBurst   = 1000
+)
+
+// MayRetry implements caller.Host.
+func (e *entry) MayRetry(id account.ID) bool {
+	allowed := e.budget(id).Allow()
+	if !allowed {
+		e.metrics.retriesRefused.Inc()
+	}
+	return allowed
+}
+
+func (e *entry) budget(id account.ID) *retry.Budget {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b, ok := e.budgets[id]
+	if !ok {
+		b = &retry.Budget{Share: retryShare, MinRate: retryMinRate, Burst: retryBurst}
+		e.budgets[id] = b
+	}
+	return b
+}
+
 // Observe implements caller.Host.
 func (e *entry) Observe(event caller.Event) {
 	e.metrics.observe(event)
@@ -277,6 +308,9 @@
 		e.log.Write(e.ctx, logevent.ConnectionLost, slog.String("Group", string(ev.Target.Group)),
 			slog.String("Server", string(ev.Target.Server)), slog.String("Error", ev.Err.Error()))
 	case caller.StatementDone:
+		if ev.Outcome == outcome.Done {
+			e.budget(ev.Account).Succeeded()
+		}
 		e.logOutcome(ev)
 	}
 }
--- a/cmd/serve/metrics.go
+++ b/cmd/serve/metrics.go
@@ -29,6 +29,7 @@
 	sessions        *prometheus.GaugeVec
 	lost            prometheus.Counter
 	rerouted        prometheus.Counter
+	retriesRefused  prometheus.Counter
 	forwards        *prometheus.CounterVec
 }
 
@@ -67,6 +68,7 @@
 	m.sessions = register(m.registry, prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "basilmill_sessions", Help: "Open sessions of callers."}, []string{"account"}))
 	m.lost = counter("basilmill_backend_connections_lost_total", "Connections to backend servers lost in use, and failed openings.")
 	m.rerouted = counter("basilmill_rerouted_total", "Requests routed again because they certainly had no effect.")
+	m.retriesRefused = counter("basilmill_retries_refused_total", "Retries that an account's retry budget did not allow.")
 	m.forwards = counters("basilmill_forwards_total", "Requests run through another coordinator.", "result")
 	return m
 }
--- a/cmd/serve/runner.go
+++ b/cmd/serve/runner.go
@@ -27,6 +27,10 @@
 	commandTimeout = failover.DefaultCommandTimeout
 )
 
+// errServerLost ends conversations with a server that was replaced or is
+// silent.
+var errServerLost = errors.New("the backend server was replaced or does not answer")
+
 // runner carries out the actions of the control thread, each in a goroutine
 // of its own, and posts the results back as inputs.
 type runner struct {
@@ -86,6 +90,8 @@
 	case control.CoordinatorsChanged:
 		r.setLimits(a.View)
 		r.setEvidence(a.View)
+	case control.ServerLost:
+		go r.local.Lost(a.Group, a.Server, errServerLost)
 	}
 }
 
--- a/cmd/serve/serve.go
+++ b/cmd/serve/serve.go
@@ -26,6 +26,7 @@
 	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/logevent"
+	"basilmill/core/retry"
 	"basilmill/core/settings"
 	"basilmill/io/backendserver"
 	"basilmill/io/caller"
@@ -176,6 +177,7 @@
 		router:    &router{runner: h.runner, lost: make(map[serverKey]time.Time), askers: make(map[group.ID]*floor.Asker)},
 		suspected: make(map[serverKey]time.Time),
 		shared:    make(map[shareKey]account.Sharing),
+		budgets:   make(map[account.ID]*retry.Budget),
 	}
 	h.dist = &distributor{post: h.post, snapshot: h.snapshot, platform: h.platform, peers: h.peers, seeds: h.settings.Peers, log: h.log}
 	h.callers = caller.New(h.entry, caller.Config{
@@ -249,6 +251,7 @@
 	background(h.dist.watch)
 	background(h.dist.readHosts)
 	background(h.dist.reportStaleness)
+	background(h.entry.purgeKeys)
 	background(untilEnd(func(ctx context.Context) error { return h.callers.Serve(ctx, h.listeners.callers) }))
 	background(func(ctx context.Context) error {
 		return operator.Serve(ctx, h.listeners.operators, operator.Handler(h, h.metrics.registry))
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -124,6 +124,7 @@
 			t.fireTimers()
 		case <-ticker.C:
 			t.refreshHosts()
+			t.dropSilent()
 		}
 		t.publishIfDirty()
 	}
--- a/core/control/group.go
+++ b/core/control/group.go
@@ -28,21 +28,21 @@
 	ages         freshness.Tracker
 	servers      map[group.ServerID]ServerView
 	quiesced     bool
+	// silent marks the servers whose silence was acted on.
+	silent map[group.ServerID]bool
 }
 
 func (t *Thread) applyRecord(record *group.Record, version distribution.Version) {
 	g := t.groups[record.ID]
 	if g == nil {
-		g = &groupState{public: &Group{}, index: -1, servers: make(map[group.ServerID]ServerView)}
+		g = &groupState{public: &Group{}, index: -1, servers: make(map[group.ServerID]ServerView), silent: make(map[group.ServerID]bool)}
 		t.groups[record.ID] = g
 		t.dirty = true
 	}
 	if version <= g.version {
 		return
 	}
-	if g.record != nil && record.Term > g.record.Term {
-		g.quiesced = false
-	}
+	t.noteReplacement(g, record)
 	g.record, g.version = record, version
 	t.assign(g)
 	t.publishGroup(g)
@@ -117,12 +117,42 @@
 	if version <= g.version {
 		return
 	}
+	t.noteReplacement(g, record)
 	g.record, g.version = record, version
-	g.quiesced = false
 	t.publishGroup(g)
 	g.public.Gate.ObserveRecord(record)
 }
 
+// noteReplacement gives up what runs on a primary that the record replaces.
+func (t *Thread) noteReplacement(g *groupState, record *group.Record) {
+	if g.record == nil || record.Term <= g.record.Term {
+		return
+	}
+	g.quiesced = false
+	t.config.Act(ServerLost{Group: record.ID, Server: g.record.Primary, Replaced: true})
+}
+
+// silence is how long a server may leave status queries unanswered before
+// what runs on it is given up. Queries are at most 1.5 s apart, and an
+// answer that is merely late by ten round trips still counts.
+const silence = 4 * time.Second
+
+// dropSilent gives up what runs on servers that have become silent.
+func (t *Thread) dropSilent() {
+	for id, g := range t.groups {
+		if g.machine == nil {
+			continue
+		}
+		for server, v := range g.servers {
+			silent := time.Since(v.ReceivedAt) > silence
+			if silent && !g.silent[server] {
+				t.config.Act(ServerLost{Group: id, Server: server})
+			}
+			g.silent[server] = silent
+		}
+	}
+}
+
 func (t *Thread) observeStatus(id group.ID, status group.Status, sentAt time.Time) {
 	if g := t.groups[id]; g != nil && g.machine != nil {
 		t.noteStatus(g, status, sentAt)
--- a/core/control/input.go
+++ b/core/control/input.go
@@ -108,8 +108,18 @@
 // of its connections changed.
 type CoordinatorsChanged struct{ View *GroupView }
 
+// ServerLost says that a server was replaced as primary or has not answered
+// for a while, so that statements that run on it have to be given up.
+type ServerLost struct {
+	Group  group.ID
+	Server group.ServerID
+	// Replaced is set when the server is no longer the primary.
+	Replaced bool
+}
+
 func (GroupAction) action()         {}
 func (ObjectRejected) action()      {}
 func (VersionApplied) action()      {}
 func (HostsChanged) action()        {}
 func (CoordinatorsChanged) action() {}
+func (ServerLost) action()          {}
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -69,6 +69,9 @@
 	// Confirm returns nil once the successor has the write at the position.
 	// The generation is the one under which the primary feeds its successor.
 	Confirm(ctx context.Context, group group.ID, generation group.Generation, position group.Position) error
+	// MayRetry reports whether the account's retry budget allows one more
+	// attempt, and counts it.
+	MayRetry(id account.ID) bool
 	// Observe receives events. It must not block.
 	Observe(event Event)
 }
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -113,6 +113,11 @@
 		if !v.again || attempt == maxAttempts || ctx.Err() != nil {
 			return v
 		}
+		// A write that a replica refused goes to the primary at once; any other
+		// repetition counts as a retry.
+		if v.class == class && !s.host.MayRetry(s.identity.Account) {
+			return v
+		}
 		s.host.Observe(Rerouted{Target: s.decision.Target, Cause: v.failure})
 		excluded = append(excluded, s.decision.Target.Server)
 		class = v.class
--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -18,6 +18,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 
+	"basilmill/core/account"
 	"basilmill/core/group"
 	"basilmill/core/outcome"
 	"basilmill/core/statement"
@@ -166,6 +167,8 @@
 	return nil
 }
 
+func (w *world) MayRetry(account.ID) bool { return true }
+
 func (w *world) Observe(event caller.Event) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -8,6 +8,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"basilmill/core/account"
 	"basilmill/core/outcome"
 	"basilmill/core/retry"
 	"basilmill/core/statement"
@@ -23,12 +24,22 @@
 	replaying bool
 }
 
+// DeleteKeys returns the statement that deletes an account's request keys
+// created before the given time.
+func DeleteKeys(id account.ID, before time.Time) string {
+	return "DELETE FROM basilmill.request_key WHERE account = " + quote(string(id)) + " AND created < " + quote(keyTime(before))
+}
+
+// keyTime returns the text form of a key's creation time. Its order is that of
+// time, so that old keys can be found by comparison.
+func keyTime(at time.Time) string { return at.UTC().Format("2006-01-02T15:04:05.000Z") }
+
 // tagSeparator joins the command tags of a transaction in the key's row.
 const tagSeparator = "\n"
 
 func (s *session) insertKey(key string) string {
-	return "INSERT INTO basilmill.request_key (account, key) VALUES (" +
-		quote(string(s.identity.Account)) + ", " + quote(key) + ")"
+	return "INSERT INTO basilmill.request_key (account, key, created) VALUES (" +
+		quote(string(s.identity.Account)) + ", " + quote(key) + ", " + quote(keyTime(time.Now())) + ")"
 }
 
 func (s *session) storeTags(key string, tags []string) string {
--- a/io/caller/protocol_test.go
+++ b/io/caller/protocol_test.go
@@ -20,6 +20,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 
+	"basilmill/core/account"
 	"basilmill/core/group"
 	"basilmill/core/outcome"
 	"basilmill/io/backendserver"
@@ -260,6 +261,8 @@
 	return nil
 }
 
+func (refusing) MayRetry(account.ID) bool { return true }
+
 func (refusing) Observe(caller.Event) {}
 
 // Guards against a panic, or a session that does not end, on hostile bytes.
