pool: state not run for every failed opening

Cause: an Open that returned an error with an unknown outcome would have made the request's outcome unknown, although nothing was sent. Change: only errors that already state not run are passed on unchanged. Result: all core tests pass with the race detector.

--- a/core/pool/opening.go
+++ b/core/pool/opening.go
@@ -239,9 +239,11 @@
 	}
 }
 
+// notOpened returns an error that states not run, because a request never
+// reaches a connection that was not opened.
 func notOpened(err error) error {
 	var carried *outcome.Error
-	if errors.As(err, &carried) {
+	if errors.As(err, &carried) && carried.Outcome == outcome.NotRun {
 		return err
 	}
 	return outcome.NoPrimary("no connection to the server could be opened", err)
