floor: require that the successor has reached its term

Cause: a floor proved by the successor and the platform's record did not check that the successor had received the start of the term, as section 4.5 of the design requires. After two losses a successor that lags behind its term gave a floor below acknowledged writes of the term before. Change: the proof holds only with Received >= TermStart. Conclusion: the stand-in reports a term only from its start on, so that the whole-system trace cannot reach this state; a server that follows the published rules less strictly could.

--- a/core/floor/asker.go
+++ b/core/floor/asker.go
@@ -11,10 +11,10 @@
 //     record's successor, and the successor answers as a replica of that term.
 //     No other server could have been promoted before the arrival, and the
 //     successor was not. The floor is the primary's offset.
-//  2. The successor answers as a replica of the record's term, and the
-//     platform's record still has the same term and generation. Every
-//     acknowledged write was received by the successor first. The floor is the
-//     successor's received offset.
+//  2. The successor answers as a replica of the record's term that has
+//     received the start of the term, and the platform's record still has the
+//     same term and generation. Every acknowledged write was received by the
+//     successor first. The floor is the successor's received offset.
 //  3. The primary answers in the record's term, and the platform's record
 //     still has that term. A later term begins only after the record changes,
 //     so none had begun. The floor is the primary's offset. This proof serves
--- a/core/floor/attempt.go
+++ b/core/floor/attempt.go
@@ -108,7 +108,7 @@
 	case t.primaryFeeds() && t.successorFollows(),
 		t.primaryInTerm() && t.termStands():
 		return group.Position{Term: t.record.Term, Offset: t.primary.status.Received}, true
-	case t.successorFollows() && t.generationStands():
+	case t.successorFollows() && t.successorReachedTerm() && t.generationStands():
 		return group.Position{Term: t.record.Term, Offset: t.successor.status.Received}, true
 	default:
 		return group.Position{}, false
@@ -147,6 +147,12 @@
 	return s.Server == t.record.Successor && s.Role == group.Replica && s.Term == t.record.Term
 }
 
+// successorReachedTerm reports whether the successor has received everything
+// acknowledged before the term. One named by a promotion may lag behind that.
+func (t *attempt) successorReachedTerm() bool {
+	return t.successor.status.Received >= t.successor.status.TermStart
+}
+
 // termStands reports whether the platform's record still has the term.
 func (t *attempt) termStands() bool {
 	return t.platform != nil && t.platform.err == nil && t.platform.record.Term == t.record.Term
