--- a/e2e/cluster/cluster.go
+++ b/e2e/cluster/cluster.go
@@ -92,6 +92,8 @@
 	Address    netip.AddrPort
 	DataCentre host.DataCentre
 	Kill       context.CancelFunc
+
+	done chan struct{}
 }
 
 // Host is a running entry host.
@@ -183,11 +185,35 @@
 func (c *Cluster) startServer(config backendserver.Config, at netip.AddrPort, place host.DataCentre) *Server {
 	ctx, kill := context.WithCancel(c.ctx)
 	s := &Server{Server: backendserver.New(config), Address: at, DataCentre: place, Kill: kill}
-	c.wait.Go(func() { _ = s.Run(ctx) })
 	c.Servers = append(c.Servers, s)
+	c.run(ctx, s)
 	return s
 }
 
+func (c *Cluster) run(ctx context.Context, s *Server) {
+	server, done := s.Server, make(chan struct{})
+	s.done = done
+	c.wait.Go(func() {
+		_ = server.Run(ctx)
+		close(done)
+	})
+}
+
+// RestartServer kills a server and starts it again with its log and role, as a
+// database that restarts with its disk.
+func (c *Cluster) RestartServer(s *Server) error {
+	s.Kill()
+	<-s.done
+	l, err := c.config.Network.Of(Machine{string(s.ID()), s.DataCentre}).Listen(c.ctx, "tcp", s.Address.String())
+	if err != nil {
+		return err
+	}
+	ctx, kill := context.WithCancel(c.ctx)
+	s.Server, s.Kill = s.Restart(l), kill
+	c.run(ctx, s)
+	return nil
+}
+
 // Record returns the initial record of the group.
 func (c *Cluster) initialRecord() *group.Record {
 	r := &group.Record{
--- a/e2e/cluster/virtual.go
+++ b/e2e/cluster/virtual.go
@@ -71,7 +71,9 @@
 }
 
 // Link sets the state of the link between two machines.
-func (v *Virtual) Link(a, b string, state pipenet.LinkState) { v.net.SetLink(label(a), label(b), state) }
+func (v *Virtual) Link(a, b string, state pipenet.LinkState) {
+	v.net.SetLink(label(a), label(b), state)
+}
 
 // Isolate sets the state of all links of a machine, except those to the
 // machines given.
@@ -86,6 +88,24 @@
 	}
 }
 
+// Partition sets the state of all links between the named machines and the
+// others.
+func (v *Virtual) Partition(state pipenet.LinkState, names ...string) {
+	for _, name := range names {
+		v.Isolate(name, state, names...)
+	}
+}
+
+// Heal sets all links up.
+func (v *Virtual) Heal() {
+	v.mu.Lock()
+	machines := append([]Machine(nil), v.machines...)
+	v.mu.Unlock()
+	for _, m := range machines {
+		v.Isolate(m.Name, pipenet.Up)
+	}
+}
+
 // IsolateDataCentre sets the state of all links that leave a data centre.
 func (v *Virtual) IsolateDataCentre(place host.DataCentre, state pipenet.LinkState) {
 	v.mu.Lock()
--- /dev/null
+++ b/e2e/write_workload_test.go
@@ -0,0 +1,450 @@
+package e2e_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"basilmill/e2e/cluster"
+	"basilmill/e2e/histories"
+)
+
+const (
+	// tick is the interval at which each host gets a new request, whether or
+	// not the earlier ones are answered.
+	tick = 25 * time.Millisecond
+	// requestTimeout is above the confirmation timeout of 5 s and the retry
+	// time of keyed writes of 8 s, so that callers hear the host's own answer.
+	requestTimeout = 15 * time.Second
+	// referenceRows are read back whole to notice truncated answers.
+	referenceRows = 200
+)
+
+// workload sends requests through all hosts and records what it was told.
+type workload struct {
+	c       *cluster.Cluster
+	v       *cluster.Virtual
+	history histories.History
+	swaps   histories.Register
+	// unkeyed makes keyed requests plain ones: the naive variant of I6.
+	unkeyed bool
+
+	running sync.WaitGroup
+	mu      sync.Mutex
+	idle    map[*cluster.Host][]*pgx.Conn
+	lastID  int
+	values  map[string]int // the last value seen of each register
+}
+
+func newWorkload(c *cluster.Cluster, v *cluster.Virtual) *workload {
+	return &workload{c: c, v: v, idle: map[*cluster.Host][]*pgx.Conn{}, values: map[string]int{}}
+}
+
+func (w *workload) prepare(ctx context.Context) error {
+	conn, err := w.take(ctx, w.c.Hosts[0])
+	if err != nil {
+		return err
+	}
+	defer w.put(w.c.Hosts[0], conn, nil)
+	setup := []string{
+		"CREATE TABLE ledger (value text, part bigint)",
+		"CREATE TABLE reference (id bigint PRIMARY KEY, name text)",
+		"CREATE TABLE register (name text PRIMARY KEY, value bigint)",
+		"INSERT INTO register VALUES ('r0', 0), ('r1', 0)",
+	}
+	for i := range referenceRows {
+		setup = append(setup, fmt.Sprintf("INSERT INTO reference VALUES (%d, 'name-%d')", i, i))
+	}
+	for _, sql := range setup {
+		if _, err := conn.Exec(ctx, sql); err != nil {
+			return fmt.Errorf("%s: %w", sql, err)
+		}
+	}
+	return nil
+}
+
+// clientOf names the machine of the clients near a host.
+func clientOf(h *cluster.Host) string { return "client-" + string(h.Self().ID) }
+
+func (w *workload) take(ctx context.Context, h *cluster.Host) (*pgx.Conn, error) {
+	w.mu.Lock()
+	if idle := w.idle[h]; len(idle) > 0 {
+		conn := idle[len(idle)-1]
+		w.idle[h] = idle[:len(idle)-1]
+		w.mu.Unlock()
+		return conn, nil
+	}
+	w.mu.Unlock()
+	conf, err := pgx.ParseConfig(fmt.Sprintf("postgres://vandermeersch:%s@%s/orders?sslmode=disable", password, h.CallerAddress()))
+	if err != nil {
+		return nil, err
+	}
+	conf.DialFunc = w.v.Client(clientOf(h), h.DataCentre)
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	return pgx.ConnectConfig(ctx, conf)
+}
+
+// put returns a session, or closes it after a failure that may have left it in
+// a transaction.
+func (w *workload) put(h *cluster.Host, conn *pgx.Conn, err error) {
+	if conn.IsClosed() || err != nil && conn.PgConn().TxStatus() != 'I' {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = conn.Close(ctx)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.idle[h] = append(w.idle[h], conn)
+}
+
+// run sends requests until ctx ends and waits for their answers.
+func (w *workload) run(ctx context.Context) {
+	for i, h := range w.c.Hosts {
+		w.running.Go(func() {
+			ticker := time.NewTicker(tick)
+			defer ticker.Stop()
+			random := rand.New(rand.NewPCG(uint64(i), 1))
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case <-ticker.C:
+					kind, seed := random.IntN(100), random.Uint64()
+					w.running.Go(func() { w.request(h, kind, rand.New(rand.NewPCG(seed, 2))) })
+				}
+			}
+		})
+	}
+	w.running.Wait()
+}
+
+func (w *workload) close() {
+	for _, idle := range w.idle {
+		for _, conn := range idle {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_ = conn.Close(ctx)
+			cancel()
+		}
+	}
+}
+
+func (w *workload) request(h *cluster.Host, kind int, random *rand.Rand) {
+	value := w.value()
+	switch {
+	case kind < 40:
+		w.attempt(h, histories.Write{Value: value, Rows: 1}, insert(value, kind%2 == 0))
+	case kind < 60:
+		w.attempt(h, histories.Write{Value: value, Rows: 2}, w.transaction(value, "COMMIT"))
+	case kind < 65:
+		w.attempt(h, histories.Write{Value: value, Rows: 2}, w.transaction(value, "ROLLBACK"))
+	case kind < 75:
+		w.keyed(h, value, random.IntN(3) == 0)
+	case kind < 80:
+		// Cancels and closes the connection at some moment of the request.
+		impatient := time.Duration(random.IntN(20)) * time.Millisecond
+		w.attempt(h, histories.Write{Value: value, Rows: 1}, cut(impatient, insert(value, false)))
+	case kind < 90:
+		w.swap(h, fmt.Sprintf("r%d", random.IntN(2)))
+	default:
+		w.read(h, value, random.IntN(2) == 0)
+	}
+}
+
+func (w *workload) value() histories.Value {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lastID++
+	return histories.Value(fmt.Sprintf("v%d", w.lastID))
+}
+
+// statement runs a request on a session and returns the number of rows that it
+// was told to have written.
+type statement func(ctx context.Context, conn *pgx.Conn) (rows int, err error)
+
+// errRolledBack is the answer to a transaction that was not committed.
+var errRolledBack = errors.New("rolled back")
+
+// errMixed is an answer that belongs to another request.
+type errMixed struct{ want, got string }
+
+func (e errMixed) Error() string { return fmt.Sprintf("answer %q instead of %q", e.got, e.want) }
+
+// attempt runs a request once and records it. It reports whether it is done.
+func (w *workload) attempt(h *cluster.Host, record histories.Write, run statement) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	conn, err := w.take(ctx, h)
+	if err != nil {
+		return false
+	}
+	record.Host, record.Start = string(h.Self().ID), time.Now()
+	rows, err := run(ctx, conn)
+	record.End = time.Now()
+	record.Outcome, record.Code = classify(err)
+	if record.Outcome == histories.Done {
+		record.Rows = rows
+	}
+	w.history.Add(record)
+	var mixed errMixed
+	if errors.As(err, &mixed) {
+		w.history.Report(histories.Violation{Invariant: histories.AnswersAreComplete, Seen: err.Error()})
+	}
+	w.put(h, conn, err)
+	return record.Outcome == histories.Done
+}
+
+// classify states what an answer tells the caller.
+func classify(err error) (o histories.Outcome, code string) {
+	var answer *pgconn.PgError
+	switch {
+	case err == nil:
+		return histories.Done, ""
+	case errors.Is(err, errRolledBack):
+		return histories.NotRun, err.Error()
+	case !errors.As(err, &answer):
+		return histories.Unknown, "connection"
+	case answer.Code == "08007" || strings.HasPrefix(answer.Detail, "outcome unknown"):
+		return histories.Unknown, answer.Code
+	case answer.Severity == "FATAL" && !strings.HasPrefix(answer.Detail, "not run"):
+		return histories.Unknown, answer.Code
+	default:
+		return histories.NotRun, answer.Code
+	}
+}
+
+func insert(value histories.Value, simple bool) statement {
+	return func(ctx context.Context, conn *pgx.Conn) (int, error) {
+		var got string
+		var args []any
+		if simple {
+			args = append(args, pgx.QueryExecModeSimpleProtocol)
+		}
+		err := conn.QueryRow(ctx, "INSERT INTO ledger VALUES ($1, 0) RETURNING value", append(args, string(value))...).Scan(&got)
+		if err == nil && got != string(value) {
+			err = errMixed{string(value), got}
+		}
+		return 1, err
+	}
+}
+
+// cut runs a request and closes the connection after a while.
+func cut(after time.Duration, run statement) statement {
+	return func(ctx context.Context, conn *pgx.Conn) (int, error) {
+		ctx, cancel := context.WithTimeout(ctx, after)
+		defer cancel()
+		return run(ctx, conn)
+	}
+}
+
+// transaction writes two rows in a transaction that ends with the given
+// statement. Before COMMIT is sent, any failure means that it did not run.
+func (w *workload) transaction(value histories.Value, end string) statement {
+	return func(ctx context.Context, conn *pgx.Conn) (int, error) {
+		if _, err := conn.Exec(ctx, "BEGIN"); err != nil {
+			return 0, notCommitted(err)
+		}
+		for part := range 2 {
+			if _, err := conn.Exec(ctx, "INSERT INTO ledger VALUES ($1, $2)", string(value), part); err != nil {
+				return 0, notCommitted(err)
+			}
+			var got string
+			err := conn.QueryRow(ctx, "SELECT value FROM ledger WHERE value = $1 LIMIT 1", string(value)).Scan(&got)
+			if err == nil && got != string(value) {
+				err = errMixed{string(value), got}
+			}
+			if err != nil {
+				return 0, notCommitted(err)
+			}
+		}
+		tag, err := conn.Exec(ctx, end)
+		if end == "ROLLBACK" || err == nil && tag.String() == "ROLLBACK" {
+			return 0, errRolledBack
+		}
+		return 2, err
+	}
+}
+
+func notCommitted(err error) error {
+	var mixed errMixed
+	if errors.As(err, &mixed) {
+		return err
+	}
+	var answer *pgconn.PgError
+	if errors.As(err, &answer) {
+		return fmt.Errorf("%w: %s", errRolledBack, answer.Code)
+	}
+	return fmt.Errorf("%w: connection", errRolledBack)
+}
+
+// keyed repeats a request with a request key through the hosts in turn until
+// it is done, and then once more. Each attempt inserts another number of rows,
+// so that the answers tell which attempt ran. At once makes the first two
+// attempts concurrent.
+func (w *workload) keyed(h *cluster.Host, value histories.Value, atOnce bool) {
+	const attempts = 5
+	first := 0
+	for i, each := range w.c.Hosts {
+		if each == h {
+			first = i
+		}
+	}
+	via := func(i int) *cluster.Host { return w.c.Hosts[(first+i)%len(w.c.Hosts)] }
+	run := func(i int) bool {
+		return w.attempt(via(i), histories.Write{Value: value, Rows: i + 1, Keyed: true}, w.insertKeyed(value, i+1))
+	}
+	start, done := 0, 0
+	if atOnce {
+		start = 1
+		w.running.Go(func() { run(0) })
+	}
+	for i := start; i < attempts && done < 2; i++ {
+		if run(i) {
+			done++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (w *workload) insertKeyed(value histories.Value, rows int) statement {
+	return func(ctx context.Context, conn *pgx.Conn) (int, error) {
+		if !w.unkeyed {
+			if _, err := conn.Exec(ctx, fmt.Sprintf("SET basilmill.request_key = '%s'", value)); err != nil {
+				return 0, notCommitted(err)
+			}
+		}
+		var parts []string
+		for part := range rows {
+			parts = append(parts, fmt.Sprintf("($1, %d)", part))
+		}
+		tag, err := conn.Exec(ctx, "INSERT INTO ledger VALUES "+strings.Join(parts, ", "), string(value))
+		return int(tag.RowsAffected()), err
+	}
+}
+
+// swap writes a register on the condition that it holds the last value seen.
+func (w *workload) swap(h *cluster.Host, register string) {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	conn, err := w.take(ctx, h)
+	if err != nil {
+		return
+	}
+	w.mu.Lock()
+	w.lastID++
+	s := histories.Swap{Register: register, Old: w.values[register], New: w.lastID, Start: time.Now()}
+	w.mu.Unlock()
+	tag, err := conn.Exec(ctx, "UPDATE register SET value = $1 WHERE name = $2 AND value = $3", s.New, register, s.Old)
+	s.End, s.Succeeded = time.Now(), tag.RowsAffected() == 1
+	s.Outcome, _ = classify(err)
+	s.Host = string(h.Self().ID)
+	w.swaps.Add(s)
+	w.put(h, conn, err)
+	if s.Outcome == histories.Done && s.Succeeded {
+		w.mu.Lock()
+		w.values[register] = s.New
+		w.mu.Unlock()
+	} else {
+		w.refresh(ctx, h, register)
+	}
+}
+
+// refresh reads a register for the next swaps.
+func (w *workload) refresh(ctx context.Context, h *cluster.Host, register string) {
+	conn, err := w.take(ctx, h)
+	if err != nil {
+		return
+	}
+	var value int
+	err = conn.QueryRow(ctx, "SELECT value FROM register WHERE name = $1", register).Scan(&value)
+	if err == nil {
+		w.mu.Lock()
+		w.values[register] = value
+		w.mu.Unlock()
+	}
+	w.put(h, conn, err)
+}
+
+// read checks that answers are whole and in order: a large one, and three in
+// one flush. An impatient read is cancelled at some moment.
+func (w *workload) read(h *cluster.Host, tag histories.Value, impatient bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	if impatient {
+		ctx, cancel = context.WithTimeout(context.Background(), 12*time.Millisecond)
+	}
+	defer cancel()
+	conn, err := w.take(ctx, h)
+	if err != nil {
+		return
+	}
+	var batch pgx.Batch
+	for i := range 3 {
+		batch.Queue(fmt.Sprintf("SELECT '%s-%d'", tag, i))
+	}
+	batch.Queue("SELECT id, name FROM reference ORDER BY id")
+	results := conn.SendBatch(ctx, &batch)
+	for i := range 3 {
+		want, got := fmt.Sprintf("%s-%d", tag, i), ""
+		if err = results.QueryRow().Scan(&got); err == nil && got != want {
+			w.history.Report(histories.Violation{Invariant: histories.AnswersAreComplete, Seen: errMixed{want, got}.Error()})
+		}
+	}
+	count, err := countReference(results)
+	if err == nil && count != referenceRows {
+		w.history.Report(histories.Violation{Invariant: histories.AnswersAreComplete, Seen: fmt.Sprintf("%d of %d rows", count, referenceRows)})
+	}
+	if closed := results.Close(); err == nil {
+		err = closed
+	}
+	w.put(h, conn, err)
+}
+
+func countReference(results pgx.BatchResults) (count int, err error) {
+	rows, err := results.Query()
+	if err != nil {
+		return 0, err
+	}
+	defer rows.Close()
+	for ; rows.Next(); count++ {
+		var id int
+		var name string
+		if err := rows.Scan(&id, &name); err != nil {
+			return count, err
+		}
+		if want := fmt.Sprintf("name-%d", id); id != count || name != want {
+			return count, errMixed{want, name}
+		}
+	}
+	return count, rows.Err()
+}
+
+// rows reads the ledger through a host and counts the rows by value.
+func (w *workload) rows(ctx context.Context, h *cluster.Host) (count map[histories.Value]int, err error) {
+	conn, err := w.take(ctx, h)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { w.put(h, conn, err) }()
+	rows, err := conn.Query(ctx, "SELECT value FROM ledger")
+	if err != nil {
+		return nil, err
+	}
+	defer rows.Close()
+	count = map[histories.Value]int{}
+	for rows.Next() {
+		var value string
+		if err := rows.Scan(&value); err != nil {
+			return nil, err
+		}
+		count[histories.Value(value)]++
+	}
+	return count, rows.Err()
+}
--- a/standin/backendserver/fault.go
+++ b/standin/backendserver/fault.go
@@ -22,6 +22,9 @@
 	ApplyDelay time.Duration
 	// StatementDelay delays each statement that reads or writes tables.
 	StatementDelay time.Duration
+	// ReceivedExcess is added to the received offset in the status: the server
+	// claims entries that it does not have.
+	ReceivedExcess group.Offset
 	// Leaving sets the leaving mark in the status.
 	Leaving bool
 	// Cuts interrupt connections. The first cut that matches applies.
--- a/standin/backendserver/server.go
+++ b/standin/backendserver/server.go
@@ -243,7 +243,7 @@
 		TermStart:  term.Start,
 		Generation: s.generation,
 		Successor:  s.successor,
-		Received:   s.log.end(),
+		Received:   s.log.end() + s.faults.ReceivedExcess,
 		Applied:    s.log.appliedEnd(),
 		Leaving:    s.faults.Leaving,
 	}
