serve: share the status queries of waiting writes

Cause: each write that waited for a new primary queried the successor's status whenever the view changed, and each answer changed the view. With N waiting writes every answer caused N further queries. Change: one query per server serves all requests that wait for it, at most every 2 ms.

--- a/cmd/serve/router.go
+++ b/cmd/serve/router.go
@@ -27,6 +27,9 @@
 	// requests again once it answered a later status query.
 	lost   map[serverKey]time.Time
 	askers map[group.ID]*floor.Asker
+	// refreshing has the servers whose status is about to be queried for
+	// requests that wait.
+	refreshing map[serverKey]bool
 }
 
 func (r *router) avoid(key serverKey) {
@@ -143,7 +146,7 @@
 		until = timer.C
 	}
 	if d.Server != "" && d.Server != view.Record.Primary {
-		go r.refresh(ctx, view, d.Server)
+		r.refreshForWaiting(view, d.Server)
 	}
 	select {
 	case <-view.Changed:
@@ -193,6 +196,32 @@
 	}
 }
 
+// waitingRefreshInterval is the least time between status queries of a server
+// for which requests wait. It is below the latency between data centres.
+const waitingRefreshInterval = 2 * time.Millisecond
+
+// refreshForWaiting queries a server's status once for all requests that wait
+// for it. Its answer changes the view, which makes them choose again: with a
+// query for each, every answer would cause as many further queries as requests
+// wait, and so on.
+func (r *router) refreshForWaiting(view *control.GroupView, id group.ServerID) {
+	key := serverKey{view.Record.ID, id}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refreshing[key] {
+		return
+	}
+	r.refreshing[key] = true
+	go func() {
+		pause(r.runner.ctx, waitingRefreshInterval)
+		r.mu.Lock()
+		// Requests that this answer wakes may start the next query.
+		delete(r.refreshing, key)
+		r.mu.Unlock()
+		r.refresh(r.runner.ctx, view, id)
+	}()
+}
+
 // refresh queries a server's status and waits until the view has it.
 func (r *router) refresh(ctx context.Context, view *control.GroupView, id group.ServerID) {
 	p, ok := r.runner.poller(view.Record, id)
--- /dev/null
+++ b/e2e/write_waiting_test.go
@@ -0,0 +1,55 @@
+package e2e_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
+	"basilmill/e2e/cluster"
+	"basilmill/standin/platform"
+)
+
+// Guards against status queries that multiply while writes wait for a new
+// primary: each answer woke every waiting write, and each of them then sent a
+// query of its own.
+func TestWaitingWritesShareQueries(t *testing.T) {
+	virtual(t, config(t), func(t *testing.T, c *cluster.Cluster, v *cluster.Virtual) {
+		const writes = 60
+		var conns []*pgx.Conn
+		for i := range writes {
+			conns = append(conns, dial(t, v, i, c.Hosts[i%len(c.Hosts)], "orders"))
+		}
+		exec(t, conns[0], "CREATE TABLE report (id bigint PRIMARY KEY)")
+		idle := runtime.NumGoroutine()
+		c.Platform.SetOutage(platform.Unavailable)
+		c.Servers[0].Kill()
+		time.Sleep(50 * time.Millisecond)
+		var waiting sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		for i, conn := range conns {
+			waiting.Go(func() {
+				_, _ = conn.Exec(ctx, fmt.Sprintf("INSERT INTO report VALUES (%d)", i))
+			})
+		}
+		most := 0
+		for range 500 {
+			time.Sleep(time.Millisecond)
+			if most = max(most, runtime.NumGoroutine()-idle); most > 10*writes {
+				break
+			}
+		}
+		c.Platform.SetOutage(platform.NoOutage)
+		assert.Check(t, most < 3*writes, "%d goroutines for %d writes", most, writes)
+		waiting.Wait()
+		for _, conn := range conns {
+			assert.NilError(t, conn.Close(context.Background()))
+		}
+	})
+}
