--- a/e2e/write_waiting_test.go
+++ b/e2e/write_waiting_test.go
@@ -53,3 +53,35 @@
 		}
 	})
 }
+
+// advancing ends the test program when the paused clock stands still, because
+// some goroutine runs without end. It is called outside the bubble.
+func advancing(t *testing.T, limit time.Duration) {
+	watchdog := time.AfterFunc(limit, func() { panic(t.Name() + ": the paused clock stands still") })
+	t.Cleanup(func() { watchdog.Stop() })
+}
+
+// Guards against a cancelled request that keeps choosing a server in a loop
+// until its deadline and takes up a processor meanwhile.
+func TestCancelledWaitEnds(t *testing.T) {
+	advancing(t, 30*time.Second)
+	virtual(t, config(t), func(t *testing.T, c *cluster.Cluster, v *cluster.Virtual) {
+		conn := dial(t, v, 1, c.Hosts[0], "orders")
+		exec(t, conn, "CREATE TABLE report (id bigint PRIMARY KEY)")
+		c.Platform.SetOutage(platform.Unavailable)
+		c.Servers[0].Kill()
+		time.Sleep(time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		_, err := conn.Exec(ctx, "INSERT INTO report VALUES (1)")
+		assert.Assert(t, err != nil)
+		time.Sleep(10 * time.Second)
+		c.Platform.SetOutage(platform.NoOutage)
+		time.Sleep(time.Second)
+		after := dial(t, v, 1, c.Hosts[0], "orders")
+		var count int
+		assert.NilError(t, after.QueryRow(t.Context(), "SELECT count(*) FROM report").Scan(&count))
+		assert.Equal(t, count, 0)
+		assert.NilError(t, after.Close(context.Background()))
+	})
+}
