--- a/e2e/failover_test.go
+++ b/e2e/failover_test.go
@@ -33,6 +33,7 @@
 // replay runs a trace against a deployment under load, heals all faults, and
 // compares the rows that are left with what callers were told.
 func replay(t *testing.T, tr trace, adjust ...func(*workload)) (r result, err error) {
+	advancing(t, time.Minute)
 	conf := config(t)
 	synctest.Test(t, func(t *testing.T) {
 		v := cluster.NewVirtual(cluster.Latencies(4*time.Millisecond, 3*time.Millisecond))
@@ -185,6 +186,7 @@
 	assert.Assert(t, len(files) > 0)
 	for _, file := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txtar"), func(t *testing.T) {
+			t.Parallel()
 			archive, err := txtar.ParseFile(file)
 			assert.NilError(t, err)
 			tr, err := parseTrace(string(archive.Files[0].Data))
