--- a/e2e/cluster/virtual.go
+++ b/e2e/cluster/virtual.go
@@ -88,6 +88,24 @@
 	}
 }
 
+// Partition sets the state of all links between the named machines and the
+// others.
+func (v *Virtual) Partition(state pipenet.LinkState, names ...string) {
+	for _, name := range names {
+		v.Isolate(name, state, names...)
+	}
+}
+
+// Heal sets all links up.
+func (v *Virtual) Heal() {
+	v.mu.Lock()
+	machines := append([]Machine(nil), v.machines...)
+	v.mu.Unlock()
+	for _, m := range machines {
+		v.Isolate(m.Name, pipenet.Up)
+	}
+}
+
 // IsolateDataCentre sets the state of all links that leave a data centre.
 func (v *Virtual) IsolateDataCentre(place host.DataCentre, state pipenet.LinkState) {
 	v.mu.Lock()
