--- a/e2e/failover_test.go
+++ b/e2e/failover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -108,6 +109,13 @@
 			return fmt.Errorf("no read after all faults were healed: %w", err)
 		}
 	}
+	if os.Getenv("E2E_SLOW") != "" {
+		for _, w := range r.w.history.Writes() {
+			if w.End.Sub(w.Start) > 300*time.Millisecond {
+				fmt.Println(w.Start.Sub(r.began), w.End.Sub(r.began), w)
+			}
+		}
+	}
 	r.violations = histories.Check(&r.w.history, rows)
 	return nil
 }
@@ -119,6 +127,11 @@
 	case "gap": // gap <bound> after <time> [except <hosts>]
 		args, except := split(args, "except")
 		return r.gap(duration(args[0]), duration(args[2]), except)
+	case "stall": // stall <bound> <from> <to>
+		stall := r.w.history.Stall(r.began.Add(duration(args[1])), r.began.Add(duration(args[2])))
+		if stall > duration(args[0]) {
+			return fmt.Errorf("no write landed for %s", stall)
+		}
 	case "primary":
 		if r.primary != args[0] {
 			return fmt.Errorf("the primary is %s", r.primary)
--- a/e2e/histories/check.go
+++ b/e2e/histories/check.go
@@ -86,7 +86,7 @@
 func describe(attempts []Write) string {
 	text := string(attempts[0].Value)
 	for _, a := range attempts {
-		text += fmt.Sprintf(" [%s on %s %s-%s %s]", a.Outcome, a.Host, a.Start.Format("05.000"), a.End.Format("05.000"), a.Code)
+		text += fmt.Sprintf(" [%s %d rows on %s %s-%s %s]", a.Outcome, a.Rows, a.Host, a.Start.Format("05.000"), a.End.Format("05.000"), a.Code)
 	}
 	return text
 }
