measure: add the report and the failover gap

Cause: the figures of the design had no run behind them. Change: scripts/measure runs measurements as test functions through testing.Main and writes a page, the figures and plots; first measurement: failover gap. Conclusion: a frame for all measurements.

--- /dev/null
+++ b/e2e/measure/plot.go
@@ -0,0 +1,61 @@
+package measure
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Curve is a named line of a plot.
+type Curve struct {
+	Name string
+	X, Y []float64
+}
+
+// distribution returns the cumulative distribution of a sample, in
+// milliseconds.
+func distribution(name string, s Sample) Curve {
+	c := Curve{Name: name}
+	for i, d := range slices.Sorted(slices.Values(s)) {
+		c.X = append(c.X, float64(milliseconds(d)))
+		c.Y = append(c.Y, float64(i+1)/float64(len(s)))
+	}
+	return c
+}
+
+// plot writes an SVG file and returns its path relative to the page.
+func (r *Report) plot(t testing.TB, name, title, x, y string, curves []Curve) string {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Top = true
+	for i, c := range curves {
+		points := make(plotter.XYs, len(c.X))
+		for j := range c.X {
+			points[j] = plotter.XY{X: c.X[j], Y: c.Y[j]}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			t.Error(err)
+			return ""
+		}
+		line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i/4)
+		p.Add(line)
+		p.Legend.Add(c.Name, line)
+	}
+	path := filepath.Join("plots", name+".svg")
+	if err := os.MkdirAll(filepath.Join(r.Directory, "plots"), 0o755); err != nil {
+		t.Error(err)
+		return ""
+	}
+	if err := p.Save(24*vg.Centimeter, 14*vg.Centimeter, filepath.Join(r.Directory, path)); err != nil {
+		t.Error(err)
+		return ""
+	}
+	return path
+}
--- /dev/null
+++ b/e2e/measure/run.go
@@ -0,0 +1,58 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+	"time"
+)
+
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Measurement is one measurement of a run.
+type Measurement struct {
+	Name string
+	Run  func(r *Report) func(t *testing.T)
+}
+
+// Measurements returns all measurements in the order in which they run.
+func Measurements() []Measurement {
+	return []Measurement{
+		{"failover", Failover},
+	}
+}
+
+// Tests returns the measurements whose names match as test functions. The
+// last one writes the report, also when others failed.
+func Tests(r *Report, only *regexp.Regexp) []testing.InternalTest {
+	var out []testing.InternalTest
+	for _, m := range Measurements() {
+		if only.MatchString(m.Name) {
+			out = append(out, testing.InternalTest{Name: m.Name, F: func(t *testing.T) {
+				began := time.Now()
+				m.Run(r)(t)
+				fmt.Printf("measure: %s took %s\n", m.Name, time.Since(began).Round(time.Second))
+			}})
+		}
+	}
+	return append(out, testing.InternalTest{Name: "write", F: func(t *testing.T) {
+		if err := r.write(); err != nil {
+			t.Fatal(err)
+		}
+	}})
+}
+
+func (r *Report) write() error {
+	data, err := r.JSON()
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(r.Directory, "measurements.json"), data, 0o644); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(r.Directory, "measurements.md"), r.Markdown(), 0o644)
+}
