--- a/cmd/serve/serve.go
+++ b/cmd/serve/serve.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/oklog/run"
 	"github.com/rotisserie/eris"
 
@@ -25,6 +26,7 @@
 	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/logevent"
+	"basilmill/core/retry"
 	"basilmill/core/settings"
 	"basilmill/io/backendserver"
 	"basilmill/io/caller"
@@ -175,17 +177,31 @@
 		router:    &router{runner: h.runner, lost: make(map[serverKey]time.Time), askers: make(map[group.ID]*floor.Asker)},
 		suspected: make(map[serverKey]time.Time),
 		shared:    make(map[shareKey]account.Sharing),
+		budgets:   make(map[account.ID]*retry.Budget),
 	}
 	h.dist = &distributor{post: h.post, snapshot: h.snapshot, platform: h.platform, peers: h.peers, seeds: h.settings.Peers, log: h.log}
-	h.callers = caller.New(h.entry, caller.Config{TLS: tlsConfig, HostKey: hostKey(h.self.ID)})
+	h.callers = caller.New(h.entry, caller.Config{
+		TLS: tlsConfig, HostKey: hostKey(h.self.ID), ForwardCancel: h.forwardCancel,
+	})
 	h.answers = peer.NewServer(h.Self, &peerHandler{
-		post: h.post, snapshot: h.snapshot, runner: h.runner, entry: h.entry, hosts: &h.dist.hosts,
+		post: h.post, snapshot: h.snapshot, runner: h.runner, entry: h.entry, hosts: &h.dist.hosts, callers: h.callers,
 	})
 }
 
 // hostKey is the part of a cancel key that names the host.
 func hostKey(id host.ID) uint16 { return uint16(xxhash.Sum64String(string(id))) }
 
+// forwardCancel passes a cancel request that the balancer brought here to the
+// host of the session. Keys are short, so several hosts may share one; the
+// secret tells their sessions apart.
+func (h *Host) forwardCancel(ctx context.Context, key uint16, request pgproto3.CancelRequest) {
+	for _, to := range others(h.snapshot().Hosts, h.self.ID) {
+		if hostKey(to.ID) == key {
+			_ = h.peers.Cancel(ctx, to, request.ProcessID, request.SecretKey)
+		}
+	}
+}
+
 func (h *Host) post(input control.Input)    { h.thread.Post(input) }
 func (h *Host) snapshot() *control.Snapshot { return h.thread.Snapshot() }
 
@@ -235,6 +251,7 @@
 	background(h.dist.watch)
 	background(h.dist.readHosts)
 	background(h.dist.reportStaleness)
+	background(h.entry.purgeKeys)
 	background(untilEnd(func(ctx context.Context) error { return h.callers.Serve(ctx, h.listeners.callers) }))
 	background(func(ctx context.Context) error {
 		return operator.Serve(ctx, h.listeners.operators, operator.Handler(h, h.metrics.registry))
--- a/io/backendserver/connection.go
+++ b/io/backendserver/connection.go
@@ -104,18 +104,21 @@
 
 // buffer encodes the batch for the next flush and returns its size.
 func (c *connection) buffer(ctx context.Context, batch []pgproto3.FrontendMessage) (size int, err error) {
-	if err := ctx.Err(); err != nil {
-		return 0, c.fail(err)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.broken != nil {
-		return 0, lost(c.sent, c.broken)
+	c.firstBatch = c.due == 0 && c.status != 0
+	if c.firstBatch {
+		c.sent = false // of this batch, nothing yet
+	}
+	if c.broken == nil {
+		c.watch(ctx)
 	}
-	if c.watch(ctx); c.broken != nil {
+	if c.broken == nil && ctx.Err() != nil {
+		c.breakOff(context.Cause(ctx))
+	}
+	if c.broken != nil {
 		return 0, lost(c.sent, c.broken)
 	}
-	c.firstBatch = c.due == 0 && c.status != 0
 	// Set before the write, because a concurrent Receive that fails must not
 	// take a batch that is being written for one that was not sent.
 	c.sent = true
@@ -202,10 +205,10 @@
 func (c *connection) beginReceive(ctx context.Context) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.broken != nil {
-		return lost(c.sent, c.broken)
+	if c.broken == nil {
+		c.watch(ctx)
 	}
-	if c.watch(ctx); c.broken != nil {
+	if c.broken != nil {
 		return lost(c.sent, c.broken)
 	}
 	return nil
@@ -271,9 +274,14 @@
 	if reason := c.interrupted.Load(); reason != nil {
 		cause = *reason
 	}
+	c.breakOff(cause)
+	return lost(c.sent, cause)
+}
+
+// breakOff marks the connection as lost. The caller holds mu.
+func (c *connection) breakOff(cause error) {
 	c.broken = cause
 	_ = c.conn.Close()
-	return lost(c.sent, cause)
 }
 
 // interrupt makes the pending and every later use fail. It may be called from
--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +18,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
 
+	"basilmill/core/account"
 	"basilmill/core/group"
 	"basilmill/core/outcome"
 	"basilmill/core/statement"
@@ -39,6 +41,7 @@
 	server  *caller.Server
 	ln      *listener
 	verify  string
+	term    string
 	confirm func(context.Context, group.Position) error
 	// fault is called before a statement and may return a behaviour.
 	fault func(server, sql string) fault
@@ -70,7 +73,7 @@
 	t.Helper()
 	config.HostKey = 7
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, keys: map[string]string{}, locks: map[string]chan struct{}{}}
+		w := &world{t: t, term: "1", keys: map[string]string{}, locks: map[string]chan struct{}{}}
 		w.local = backendserver.NewLocal(backendserver.LocalConfig{Limit: 4, Dialer: backendserver.Dialer{User: "b", DialFunc: w.dial}})
 		w.server = caller.New(w, config)
 		w.ln = &listener{conns: make(chan net.Conn), closed: make(chan struct{})}
@@ -131,7 +134,10 @@
 	return conn
 }
 
-func (w *world) Authenticate(context.Context, string, string) (caller.Identity, error) {
+func (w *world) Authenticate(_ context.Context, user, _ string) (caller.Identity, error) {
+	if user == "unknown" {
+		return caller.Identity{}, errors.New("no such account")
+	}
 	return caller.Identity{Account: "notary", Group: "g", Database: "naamboek", Verifier: w.verify}, nil
 }
 
@@ -161,6 +167,8 @@
 	return nil
 }
 
+func (w *world) MayRetry(account.ID) bool { return true }
+
 func (w *world) Observe(event caller.Event) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -182,18 +190,44 @@
 	return strings.Join(w.rows, " ")
 }
 
+// setFault replaces the fault function.
+func (w *world) setFault(f func(server, sql string) fault) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fault = f
+}
+
+// meet returns the fault for a statement or a "dial".
+func (w *world) meet(server, sql string) fault {
+	w.mu.Lock()
+	f := w.fault
+	w.mu.Unlock()
+	if f == nil {
+		return none
+	}
+	return f(server, sql)
+}
+
+// addressed gives a pipe the address that cancel requests are sent to.
+type addressed struct {
+	net.Conn
+	address netip.AddrPort
+}
+
+func (c addressed) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(c.address) }
+
 func (w *world) dial(_ context.Context, _, address string) (net.Conn, error) {
 	client, server := net.Pipe()
 	for name, a := range addresses {
 		if a.String() != address {
 			continue
 		}
-		if w.fault != nil && w.fault(name, "dial") == dropBefore {
+		if w.meet(name, "dial") == dropBefore {
 			return nil, errDropped
 		}
 		go (&backend{world: w, name: name, wire: pgproto3.NewBackend(server, nonEmpty{server}), status: 'I'}).serve(server)
 	}
-	return client, nil
+	return addressed{client, netip.MustParseAddrPort(address)}, nil
 }
 
 // backend is one connection to a fake server. It knows INSERT, which adds its
@@ -225,11 +259,17 @@
 
 func (b *backend) serve(conn net.Conn) {
 	defer conn.Close()
-	defer func() { b.end(false) }()
 	start, err := b.wire.ReceiveStartupMessage()
-	if _, cancel := start.(*pgproto3.CancelRequest); err != nil || cancel {
+	if _, cancel := start.(*pgproto3.CancelRequest); cancel {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.log = append(b.log, b.name+": cancel")
+		return
+	}
+	if err != nil {
 		return
 	}
+	defer func() { b.end(false) }()
 	b.parsed = map[string]string{}
 	b.wire.Send(&pgproto3.AuthenticationOk{})
 	b.wire.Send(&pgproto3.BackendKeyData{ProcessID: 1, SecretKey: []byte("abcd")})
@@ -256,6 +296,10 @@
 		}
 		b.wire.Send(&pgproto3.ReadyForQuery{TxStatus: b.status})
 	case *pgproto3.Parse:
+		if m.Query == "BAD" {
+			b.skipping = true
+			return b.fail("42601")
+		}
 		b.parsed[m.Name] = m.Query
 		b.wire.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
@@ -309,12 +353,8 @@
 func (b *backend) run(sql string, simple bool) error {
 	b.mu.Lock()
 	b.log = append(b.log, b.name+": "+sql)
-	trouble := b.fault
 	b.mu.Unlock()
-	f := none
-	if trouble != nil {
-		f = trouble(b.name, sql)
-	}
+	f := b.meet(b.name, sql)
 	if simple {
 		b.bound = ""
 	}
@@ -416,7 +456,7 @@
 	case strings.Contains(sql, "position()") && b.name == "replica":
 		return 0
 	case strings.Contains(sql, "position()"):
-		values = [][]byte{[]byte("1"), []byte("1"), fmt.Append(nil, len(b.world.rows))}
+		values = [][]byte{[]byte(b.term), []byte("1"), fmt.Append(nil, len(b.world.rows))}
 	case strings.Contains(sql, "basilmill"):
 		tag, ok := b.world.keys[strings.Split(sql, "'")[3]]
 		if !ok {
@@ -468,12 +508,11 @@
 
 // once returns a fault for the first statement that contains the text.
 func once(text string, f fault) func(server, sql string) fault {
-	var done bool
+	var done atomic.Bool
 	return func(_, sql string) fault {
-		if done || !strings.Contains(sql, text) {
+		if !strings.Contains(sql, text) || done.Swap(true) {
 			return none
 		}
-		done = true
 		return f
 	}
 }
