serve: end routing when the request's context has ended

Cause: route waits for a change of the view or the end of the context. When the context ended before the deadline (the caller or the forwarding host is gone), the wait returned at once and routing went round until the deadline without waiting: up to 5 s of a busy processor for each request that waits for a primary, each round starting a goroutine. Change: routing ends with "not run" when the context has ended.

--- a/cmd/serve/router.go
+++ b/cmd/serve/router.go
@@ -52,6 +52,10 @@
 func (r *router) route(ctx context.Context, g *control.Group, start peer.Start) (routed, error) {
 	q := requestOf(ctx, start)
 	for {
+		// A request whose caller is gone must not go round without waiting.
+		if err := ctx.Err(); err != nil {
+			return routed{}, outcome.NoPrimary("no server could be proved able to serve the statement in time", err)
+		}
 		view := g.View()
 		if view.Index < 0 {
 			return routed{}, outcome.NoPrimary("the host does not coordinate the group any more", nil)
