--- a/cmd/serve/router.go
+++ b/cmd/serve/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -73,9 +72,6 @@
 			}
 		case route.WaitFor:
 			r.await(ctx, view, d)
-			if errors.Is(ctx.Err(), context.Canceled) {
-				return routed{}, outcome.NoPrimary("the request was cancelled while it waited for a server", ctx.Err())
-			}
 		case route.Refuse:
 			return routed{}, d.Err
 		}
