failover: tell slow links and hanging servers apart from lost ones

Cause: all probes of a server share one TCP connection, so that one lost packet delays every probe behind it for 200 ms and more; two observers with such delays at once would have replaced a healthy primary. A process that hangs while its host accepts connections was treated like a slow one. Change: a probe without an answer after 40 ms is followed by a ping over a connection of its own (event Reached). A ping that the process answers clears the doubt; 16 connections in a row that are accepted and not answered over a second count as silence. An error answer to a status query counts as an answer. Measured: the new test; failover tests pass. Conclusion: detection no longer depends on one connection.

--- a/cmd/serve/metrics.go
+++ b/cmd/serve/metrics.go
@@ -18,6 +18,7 @@
 	registry        *prometheus.Registry
 	version         prometheus.Gauge
 	probes          prometheus.Counter
+	pings           prometheus.Counter
 	suspicions      prometheus.Counter
 	evidenceQueries prometheus.Counter
 	floorQueries    prometheus.Counter
@@ -57,6 +58,7 @@
 	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	m.version = gauge("basilmill_configuration_version", "Version of the platform's objects in force on the host.")
 	m.probes = counter("basilmill_control_probes_total", "Status queries sent for failure detection.")
+	m.pings = counter("basilmill_control_pings_total", "Pings sent because a status query was late.")
 	m.suspicions = counter("basilmill_control_suspicions_total", "Suspicions of a primary.")
 	m.evidenceQueries = counter("basilmill_control_evidence_queries_total", "Status queries of successors for waiting writes.")
 	m.floorQueries = counter("basilmill_control_floor_queries_total", "Shared floor queries.")
--- a/cmd/serve/runner.go
+++ b/cmd/serve/runner.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgconn"
+
 	"basilmill/core/account"
 	"basilmill/core/control"
 	"basilmill/core/distribution"
@@ -23,6 +25,12 @@
 const (
 	// pollTimeout bounds a status query.
 	pollTimeout = failover.DefaultProbeTimeout
+	// pingAfter is the age of an unanswered probe at which the server is asked
+	// over a connection of its own; an answer usually comes earlier.
+	pingAfter = failover.DefaultMinTimeout
+	// pingTimeout bounds a ping. A lost packet makes one fail; the next probe
+	// sends another.
+	pingTimeout = 500 * time.Millisecond
 	// commandTimeout bounds a command; quiesce waits for open transactions.
 	commandTimeout = failover.DefaultCommandTimeout
 )
@@ -161,15 +169,36 @@
 	ctx, cancel := context.WithTimeout(r.ctx, a.Timeout)
 	defer cancel()
 	r.metrics.probes.Inc()
+	slow := time.AfterFunc(pingAfter, func() { r.ping(ctx, record.ID, p, a) })
+	defer slow.Stop()
 	status, _, err := p.Status(ctx)
-	if err == nil {
+	var answer *pgconn.PgError
+	switch {
+	case err == nil:
 		r.groupEvent(record.ID, failover.StatusReceived{Status: status, SentAt: a.SentAt})
 		return
+	case errors.As(err, &answer):
+		// The server runs, although it gives no status: it is full or starting.
+		r.groupEvent(record.ID, failover.Reached{Server: a.Server, SentAt: a.SentAt, Answered: true})
+		return
 	}
 	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	r.groupEvent(record.ID, failover.ProbeFailed{Server: a.Server, SentAt: a.SentAt, Refused: refused})
 }
 
+// ping asks a server whose status is late over a connection of its own.
+func (r *runner) ping(ctx context.Context, id group.ID, p *serverPoller, a failover.Probe) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	r.metrics.pings.Inc()
+	reached := failover.Reached{Server: a.Server, SentAt: time.Now()}
+	err := r.dialer.Ping(ctx, p.server.Address, func() { r.groupEvent(id, reached) })
+	if err == nil {
+		reached.Answered = true
+		r.groupEvent(id, reached)
+	}
+}
+
 func (r *runner) observe(id group.ID, a failover.Observe) {
 	to, ok := r.host(a.Host)
 	if !ok {
@@ -380,7 +409,7 @@
 			r.queryEvidence(ctx, id, g)
 			if time.Since(since) > stallReportAfter && time.Since(reported) > stallReportInterval {
 				reported = time.Now()
-				r.groupEvent(id, failover.WritesStalled{Since: since})
+				r.groupEvent(id, failover.WritesStalled{Position: g.Gate.Highest()})
 			}
 		}
 	}
--- a/core/ack/gate.go
+++ b/core/ack/gate.go
@@ -120,6 +120,20 @@
 	return time.Time{}, false
 }
 
+// Highest returns the highest position that waits, zero if none does. It looks
+// at every waiter and is meant for stalls, not for each write.
+func (g *Gate) Highest() (highest group.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for e := g.arrivals.Front(); e != nil; e = e.Next() {
+		w := e.Value.(*waiter)
+		if p := (group.Position{Term: w.class.term, Offset: w.offset}); p.Compare(highest) > 0 {
+			highest = p
+		}
+	}
+	return highest
+}
+
 // Wake returns a channel that receives a value after a write started to wait
 // while no other did.
 func (g *Gate) Wake() <-chan struct{} {
--- a/core/failover/config.go
+++ b/core/failover/config.go
@@ -35,6 +35,11 @@
 	MinRefusals    int
 	MinRefusalTime time.Duration
 
+	// MinHung connections that the server's host accepted and the server did
+	// not answer, over at least HangTime, count as silence: the process hangs.
+	MinHung  int
+	HangTime time.Duration
+
 	// Stagger delays the decision of each watcher after that of the watcher
 	// ranked before it, so that normally one acts.
 	Stagger time.Duration
@@ -76,10 +81,14 @@
 	DefaultSpikeFactor = 10
 	// At 20% loss in each direction 36% of the probes fail; two observers in
 	// agreement need 16 failures in a row, about one in 13 million.
-	DefaultMinProbes        = 8
-	DefaultMinSilence       = 300 * time.Millisecond
-	DefaultMinRefusals      = 3
-	DefaultMinRefusalTime   = 100 * time.Millisecond
+	DefaultMinProbes      = 8
+	DefaultMinSilence     = 300 * time.Millisecond
+	DefaultMinRefusals    = 3
+	DefaultMinRefusalTime = 100 * time.Millisecond
+	// At 20% loss in each direction 59% of the pings fail after the connection
+	// was accepted or before; 16 in a row on two observers are one in 20 million.
+	DefaultMinHung          = 16
+	DefaultHangTime         = time.Second
 	DefaultStagger          = 40 * time.Millisecond
 	DefaultResumeDelay      = 150 * time.Millisecond
 	DefaultVerdictLifetime  = 2 * time.Second
@@ -105,6 +114,8 @@
 	setDefault(&c.MinSilence, DefaultMinSilence)
 	setDefault(&c.MinRefusals, DefaultMinRefusals)
 	setDefault(&c.MinRefusalTime, DefaultMinRefusalTime)
+	setDefault(&c.MinHung, DefaultMinHung)
+	setDefault(&c.HangTime, DefaultHangTime)
 	setDefault(&c.Stagger, DefaultStagger)
 	setDefault(&c.ResumeDelay, DefaultResumeDelay)
 	setDefault(&c.VerdictLifetime, DefaultVerdictLifetime)
--- a/core/failover/detector.go
+++ b/core/failover/detector.go
@@ -26,6 +26,12 @@
 	heardAt time.Time
 	// answeredProbe is when the latest answered probe was sent.
 	answeredProbe time.Time
+	// answeredPing is when the latest ping that the process answered was sent.
+	answeredPing time.Time
+	// hung counts the connections that the host accepted and the process left
+	// unanswered since its last answer; hungSince is when the first was sent.
+	hung      int
+	hungSince time.Time
 }
 
 func (d *detector) heard() bool { return !d.heardAt.IsZero() }
@@ -35,10 +41,27 @@
 func (d *detector) answered(now, sentAt time.Time) {
 	d.measure(now.Sub(sentAt))
 	d.reset()
+	d.hung = 0
 	d.heardAt = now
 	d.answeredProbe = later(d.answeredProbe, sentAt)
 }
 
+// reached records that a ping sent at the given time reached the server: the
+// link and the host work, so that failed probes prove nothing.
+func (d *detector) reached(sentAt time.Time, answered bool) {
+	d.reset()
+	d.immediate = true // the status is still unknown
+	if answered {
+		d.hung = 0
+		d.answeredPing = later(d.answeredPing, sentAt)
+		return
+	}
+	if d.hung == 0 {
+		d.hungSince = sentAt
+	}
+	d.hung++
+}
+
 // reset forgets the failed probes.
 func (d *detector) reset() {
 	d.unanswered = d.unanswered[:0]
@@ -100,6 +123,10 @@
 // silent reports whether the server counts as lost and, if it may do so later
 // without further probes, when.
 func (d *detector) silent(now time.Time) (silent bool, at time.Time) {
+	if d.hung >= d.config.MinHung {
+		at = d.hungSince.Add(d.config.HangTime)
+		return !now.Before(at), at
+	}
 	if d.refusals >= d.config.MinRefusals {
 		at = d.firstRefusal.Add(d.config.MinRefusalTime)
 		return !now.Before(at), at
--- a/core/failover/event.go
+++ b/core/failover/event.go
@@ -53,6 +53,17 @@
 	Refused bool
 }
 
+// Reached says that a ping over a connection of its own reached the server's
+// host, although the status query has no answer yet. A status query waits
+// behind the retransmissions of its connection; a ping does not. Answered is
+// set when the server process itself answered, or refused a query with an
+// error; otherwise only its host accepted the connection.
+type Reached struct {
+	Server   group.ServerID
+	SentAt   time.Time
+	Answered bool
+}
+
 // Suspected says that the host, a holder of connections to the primary, lost
 // one or got no answer on it.
 type Suspected struct{ From host.ID }
@@ -129,6 +140,7 @@
 func (WatchersChanged) event()     {}
 func (StatusReceived) event()      {}
 func (ProbeFailed) event()         {}
+func (Reached) event()             {}
 func (Suspected) event()           {}
 func (WritesStalled) event()       {}
 func (ServerLeaving) event()       {}
--- a/core/failover/failover.go
+++ b/core/failover/failover.go
@@ -138,6 +138,10 @@
 		if s, ok := m.servers[e.Server]; ok && e.Refused && !e.SentAt.Before(s.answeredProbe) {
 			s.refused(m.now)
 		}
+	case Reached:
+		if s, ok := m.servers[e.Server]; ok && !e.SentAt.Before(s.answeredProbe) {
+			s.reached(e.SentAt, e.Answered)
+		}
 	case Suspected:
 		m.probeNow()
 	case WritesStalled:
--- a/core/failover/quorum.go
+++ b/core/failover/quorum.go
@@ -32,11 +32,17 @@
 }
 
 // suspected reports whether the server's failed probes are enough to ask the
-// observers: a refusal or three late probes.
+// observers: a refusal, three late probes or a process
+// that leaves connections unanswered.
 func (s *server) suspected(now time.Time) bool {
-	const minLate = 3
+	const (
+		minLate = 3
+		// Connections that were accepted just now are normally answered within
+		// a round trip.
+		minHung = 8
+	)
 	n, _ := s.late(now)
-	return s.refusals > 0 || n >= minLate
+	return s.refusals > 0 || n >= minLate || s.hung >= minHung
 }
 
 // inquire opens, continues or closes the inquiry about a server.
@@ -185,7 +191,7 @@
 	silent, at := s.silent(m.now)
 	rest := s.requests[:0]
 	for _, r := range s.requests {
-		reachable := !s.answeredProbe.Before(r.at) || r.term < m.record.Term
+		reachable := !s.answeredProbe.Before(r.at) || !s.answeredPing.Before(r.at) || r.term < m.record.Term
 		due := r.at.Add(s.timeout())
 		if !reachable && (!silent || m.now.Before(due)) {
 			m.wakeAt(at)
--- /dev/null
+++ b/core/failover/reached_test.go
@@ -0,0 +1,72 @@
+package failover_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/failover"
+	"basilmill/core/group"
+	"basilmill/core/host"
+)
+
+// drive feeds a machine until the time is up: every probe is left unanswered,
+// and reached decides what a ping that follows it shows. It returns whether
+// the primary was suspected and whether its change was decided.
+func drive(m *failover.Machine, length time.Duration, reached func() (accepted, answered bool)) (suspected, decided bool) {
+	end := time.Now().Add(length)
+	var handle func(failover.Event)
+	handle = func(event failover.Event) {
+		for _, action := range m.Handle(event) {
+			switch a := action.(type) {
+			case failover.Probe:
+				accepted, answered := reached()
+				if a.Server == "a" && accepted {
+					handle(failover.Reached{Server: "a", SentAt: a.SentAt, Answered: answered})
+				}
+				if a.Server != "a" {
+					handle(failover.StatusReceived{SentAt: a.SentAt, Status: group.Status{Server: a.Server, Term: 1, Generation: 1, Received: 10, Applied: 10}})
+				}
+			case failover.Observe:
+				handle(failover.ObservationReceived{From: a.Host, DataCentre: "namur-a", Server: a.Server, Term: a.Term})
+			case failover.PrimarySuspected:
+				suspected = true
+			case failover.UpdateRecord:
+				decided = true
+			}
+		}
+	}
+	handle(failover.WatchersChanged{Watchers: []failover.Watcher{{Host: "h1", DataCentre: "gent-a"}, {Host: "h2", DataCentre: "namur-a"}}})
+	handle(failover.RecordChanged{Version: 1, Record: &group.Record{
+		ID: "g", Term: 1, Generation: 1, Primary: "a", Successor: "b",
+		Servers: []group.Server{{ID: "a"}, {ID: "b"}},
+	}})
+	for time.Now().Before(end) && !decided {
+		time.Sleep(max(time.Millisecond, time.Until(m.NextTimer())))
+		handle(failover.TimerFired{})
+	}
+	return suspected, decided
+}
+
+// Guards against a primary that is replaced because the status queries of one
+// connection wait for a retransmission, and against one that hangs, while its
+// host accepts connections, and is never replaced.
+func TestPingsTellSlowLinksFromLostServers(t *testing.T) {
+	for name, tc := range map[string]struct {
+		accepted, answered, decided bool
+	}{
+		"the process answers pings":         {true, true, false},
+		"only the host accepts connections": {true, false, true},
+		"nothing is reached":                {false, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := failover.New(failover.Config{Group: "g", Host: host.ID("h1"), DataCentre: "gent-a"})
+				_, decided := drive(m, 10*time.Second, func() (bool, bool) { return tc.accepted, tc.answered })
+				assert.Equal(t, decided, tc.decided)
+			})
+		})
+	}
+}
