serve: shorten changes of primary

Cause: after a planned change no write landed for 211 ms against the required 200 ms: each command opened a connection (some 40 ms at 4 ms one way), and hosts learnt of the promotion at their next probe, up to 150 ms later. Change: short commands use the status connection; while requests wait for the primary its status is queried back to back, once for all of them.

--- a/cmd/serve/router.go
+++ b/cmd/serve/router.go
@@ -149,7 +149,7 @@
 		defer timer.Stop()
 		until = timer.C
 	}
-	if d.Server != "" && d.Server != view.Record.Primary {
+	if d.Server != "" {
 		r.refreshForWaiting(view, d.Server)
 	}
 	select {
@@ -196,7 +196,7 @@
 		}
 	}
 	if nearest != "" && best < refreshTimeout {
-		r.refresh(ctx, view, nearest)
+		r.refresh(ctx, view, nearest, refreshTimeout)
 	}
 }
 
@@ -204,6 +204,10 @@
 // for which requests wait. It is below the latency between data centres.
 const waitingRefreshInterval = 2 * time.Millisecond
 
+// waitingRefreshTimeout bounds one such query. The server may be the one that
+// is being promoted in another region.
+const waitingRefreshTimeout = time.Second
+
 // refreshForWaiting queries a server's status once for all requests that wait
 // for it. Its answer changes the view, which makes them choose again: with a
 // query for each, every answer would cause as many further queries as requests
@@ -222,17 +226,17 @@
 		// Requests that this answer wakes may start the next query.
 		delete(r.refreshing, key)
 		r.mu.Unlock()
-		r.refresh(r.runner.ctx, view, id)
+		r.refresh(r.runner.ctx, view, id, waitingRefreshTimeout)
 	}()
 }
 
 // refresh queries a server's status and waits until the view has it.
-func (r *router) refresh(ctx context.Context, view *control.GroupView, id group.ServerID) {
+func (r *router) refresh(ctx context.Context, view *control.GroupView, id group.ServerID, timeout time.Duration) {
 	p, ok := r.runner.poller(view.Record, id)
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	status, sentAt, err := p.Status(ctx)
 	if err != nil {
--- a/cmd/serve/runner.go
+++ b/cmd/serve/runner.go
@@ -143,7 +143,7 @@
 		go p.Close()
 	}
 	p = &serverPoller{
-		Poller: backendserver.NewPoller(backendserver.NewControl(r.controlDialer(), server.Address, controlDatabase(record)), pollTimeout),
+		Poller: backendserver.NewPoller(backendserver.NewControl(r.dialer, server.Address, controlDatabase(record)), pollTimeout),
 		server: server,
 	}
 	r.pollers[key] = p
@@ -159,8 +159,6 @@
 	return "postgres"
 }
 
-func (r *runner) controlDialer() backendserver.Dialer { return r.dialer }
-
 func (r *runner) probe(record *group.Record, a failover.Probe) {
 	p, ok := r.poller(record, a.Server)
 	if !ok {
@@ -300,18 +298,21 @@
 	return record, distribution.Version(object.Version), err
 }
 
-// execute sends a command over a connection of its own, so that it neither
-// waits behind a status query nor delays one.
+// execute sends a command. Quiesce waits for open transactions and gets a
+// connection of its own, so that it does not delay status queries.
 func (r *runner) execute(record *group.Record, command failover.Command) {
-	server, ok := record.Server(command.Target())
+	p, ok := r.poller(record, command.Target())
 	if !ok {
 		r.groupEvent(record.ID, failover.CommandFailed{Command: command, Err: errors.New("the record does not name the server")})
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, commandTimeout)
 	defer cancel()
-	c := backendserver.NewControl(r.controlDialer(), server.Address, controlDatabase(record))
-	defer c.Close()
+	c := p.Control()
+	if _, waits := command.(failover.Quiesce); waits {
+		c = backendserver.NewControl(r.dialer, p.server.Address, controlDatabase(record))
+		defer c.Close()
+	}
 	offset, err := send(ctx, c, command)
 	if err != nil {
 		r.groupEvent(record.ID, failover.CommandFailed{Command: command, Err: err})
--- a/io/backendserver/poller.go
+++ b/io/backendserver/poller.go
@@ -30,7 +30,7 @@
 	err    error
 }
 
-// NewPoller returns a poller over a control connection that nobody else uses.
+// NewPoller returns a poller over a control connection.
 func NewPoller(control *Control, timeout time.Duration) *Poller {
 	return &Poller{control: control, timeout: timeout}
 }
@@ -47,6 +47,10 @@
 	}
 }
 
+// Control returns the control connection, for commands that are answered as
+// quickly as a status query. It saves opening a connection.
+func (p *Poller) Control() *Control { return p.control }
+
 // Close closes the connection.
 func (p *Poller) Close() { p.control.Close() }
 
