failover: quiesce a leaving primary without the delay of resumed changes

Cause: hosts hold writes once they see the leaving mark, but the first watcher waited 150 ms, the delay after which another watcher resumes a change, before it told the primary to refuse writes. Change: Quiesce is delayed by rank like a decision; the first watcher sends it at once.

--- a/core/failover/command.go
+++ b/core/failover/command.go
@@ -35,7 +35,7 @@
 	if want != c.want {
 		*c = commandState{want: want}
 	}
-	if want == nil || !m.held(&c.hold, true, m.resumption()) {
+	if want == nil || !m.held(&c.hold, true, m.commandDelay(want)) {
 		return
 	}
 	if m.now.Before(c.next) {
@@ -47,6 +47,16 @@
 	m.wakeAt(m.now.Add(m.config.CommandTimeout))
 }
 
+// commandDelay is the delay before this host sends a command, so that normally
+// one host does. Hosts hold writes as soon as they see that the primary is
+// leaving, so that Quiesce, which begins a change, is delayed like a decision.
+func (m *Machine) commandDelay(command Command) time.Duration {
+	if _, ok := command.(Quiesce); ok {
+		return m.staggered()
+	}
+	return m.resumption()
+}
+
 // retry schedules the next attempt.
 func (c *commandState) retry(m *Machine, now time.Time) {
 	c.current = nil
