caller, serve: do not take a cancelled wait for a lost connection

Cause: a caller that cancelled its wait for a connection made its host report the server as lost: new requests avoided the server until its next answer, and the watchers probed it. Change: a wait that was cancelled is not reported.

--- a/cmd/serve/entry.go
+++ b/cmd/serve/entry.go
@@ -121,7 +121,7 @@
 			r.Conversation = guard(conversation, r.freshUntil)
 			return r.Decision, nil
 		}
-		if !overloaded(err) {
+		if !overloaded(err) && !errors.Is(ctx.Err(), context.Canceled) {
 			e.connectionLost(r.Target)
 		}
 		if attempt == maxRoutes || ctx.Err() != nil || (r.Primary && overloaded(err)) {
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -217,7 +217,8 @@
 	if err != nil {
 		failure := interruption(waiting, err)
 		overloaded := failure.SQLState == outcome.TooManyConnections
-		if !overloaded {
+		// A wait that the caller ended says nothing about the server.
+		if !overloaded && waiting.Err() == nil {
 			s.host.Observe(ConnectionLost{Target: decision.Target, Err: err})
 		}
 		again := failure.SQLState != queryCancelled && (!overloaded || !decision.Primary)
