e2e: show that a replaced primary acknowledges a write without effect

Cause: the position of a write that changes nothing is the old end of the log, which evidence from before the change of primary covers.

--- /dev/null
+++ b/e2e/write_replaced_test.go
@@ -0,0 +1,34 @@
+package e2e_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/e2e/cluster"
+	"basilmill/standin/pipenet"
+)
+
+// Guards against a replaced primary that acknowledges a write which changes
+// nothing: its log has not grown, so that evidence from before the change
+// covers its position, but whether the condition of the write holds is decided
+// by the new primary.
+func TestWriteWithoutEffectOnReplacedPrimary(t *testing.T) {
+	advancing(t, 30*time.Second)
+	virtual(t, config(t), func(t *testing.T, c *cluster.Cluster, v *cluster.Virtual) {
+		near, far := dial(t, v, 1, c.Hosts[0], "orders"), dial(t, v, 2, c.Hosts[1], "orders")
+		exec(t, near, "CREATE TABLE report (id bigint PRIMARY KEY, state bigint)")
+		exec(t, near, "INSERT INTO report VALUES (1, 0)")
+		v.Partition(pipenet.BlackHole, "a", "host-1", cluster.ClientName(1))
+		time.Sleep(2 * time.Second)
+		exec(t, far, "UPDATE report SET state = 1 WHERE id = 1")
+		tag, err := near.Exec(t.Context(), "UPDATE report SET state = 2 WHERE id = 1 AND state = 1")
+		assert.Check(t, err != nil, "acknowledged with %q", tag)
+		v.Heal()
+		time.Sleep(time.Second)
+		assert.NilError(t, near.Close(context.Background()))
+		assert.NilError(t, far.Close(context.Background()))
+	})
+}
--- a/e2e/write_waiting_test.go
+++ b/e2e/write_waiting_test.go
@@ -66,7 +66,7 @@
 func TestCancelledWaitEnds(t *testing.T) {
 	advancing(t, 30*time.Second)
 	virtual(t, config(t), func(t *testing.T, c *cluster.Cluster, v *cluster.Virtual) {
-		conn := dial(t, v, 1, c.Hosts[0], "orders")
+		conn := dial(t, v, 1, c.Hosts[0], "akten")
 		exec(t, conn, "CREATE TABLE report (id bigint PRIMARY KEY)")
 		c.Platform.SetOutage(platform.Unavailable)
 		c.Servers[0].Kill()
@@ -78,7 +78,7 @@
 		time.Sleep(10 * time.Second)
 		c.Platform.SetOutage(platform.NoOutage)
 		time.Sleep(time.Second)
-		after := dial(t, v, 1, c.Hosts[0], "orders")
+		after := dial(t, v, 1, c.Hosts[0], "akten")
 		var count int
 		assert.NilError(t, after.QueryRow(t.Context(), "SELECT count(*) FROM report").Scan(&count))
 		assert.Equal(t, count, 0)
--- a/e2e/write_workload_test.go
+++ b/e2e/write_workload_test.go
@@ -197,10 +197,10 @@
 // errRolledBack is the answer to a transaction that was not committed.
 var errRolledBack = errors.New("rolled back")
 
-// errMixed is an answer that belongs to another request.
-type errMixed struct{ want, got string }
+// mixedError is an answer that belongs to another request.
+type mixedError struct{ want, got string }
 
-func (e errMixed) Error() string { return fmt.Sprintf("answer %q instead of %q", e.got, e.want) }
+func (e mixedError) Error() string { return fmt.Sprintf("answer %q instead of %q", e.got, e.want) }
 
 // attempt runs a request once and records it. It reports whether it is done.
 func (w *workload) attempt(h *cluster.Host, record histories.Write, run statement) bool {
@@ -222,7 +222,7 @@
 		record.Rows = rows
 	}
 	w.history.Add(record)
-	var mixed errMixed
+	var mixed mixedError
 	if errors.As(err, &mixed) {
 		w.history.Report(histories.Violation{Invariant: histories.AnswersAreComplete, Seen: err.Error()})
 	}
@@ -258,7 +258,7 @@
 		}
 		err := conn.QueryRow(ctx, "INSERT INTO "+table+" VALUES ($1, 0) RETURNING value", append(args, string(value))...).Scan(&got)
 		if err == nil && got != string(value) {
-			err = errMixed{string(value), got}
+			err = mixedError{string(value), got}
 		}
 		return 1, err
 	}
@@ -287,7 +287,7 @@
 			var got string
 			err := conn.QueryRow(ctx, "SELECT value FROM "+table+" WHERE value = $1 LIMIT 1", string(value)).Scan(&got)
 			if err == nil && got != string(value) {
-				err = errMixed{string(value), got}
+				err = mixedError{string(value), got}
 			}
 			if err != nil {
 				return 0, notCommitted(err)
@@ -302,7 +302,7 @@
 }
 
 func notCommitted(err error) error {
-	var mixed errMixed
+	var mixed mixedError
 	if errors.As(err, &mixed) {
 		return err
 	}
@@ -422,7 +422,7 @@
 	for i := range 3 {
 		want, got := fmt.Sprintf("%s-%d", tag, i), ""
 		if err = results.QueryRow().Scan(&got); err == nil && got != want {
-			w.history.Report(histories.Violation{Invariant: histories.AnswersAreComplete, Seen: errMixed{want, got}.Error()})
+			w.history.Report(histories.Violation{Invariant: histories.AnswersAreComplete, Seen: mixedError{want, got}.Error()})
 		}
 	}
 	count, err := countReference(results)
@@ -448,7 +448,7 @@
 			return count, err
 		}
 		if want := fmt.Sprintf("name-%d", id); id != count || name != want {
-			return count, errMixed{want, name}
+			return count, mixedError{want, name}
 		}
 	}
 	return count, rows.Err()
