route: ask for a new floor exactly when the old one expires

Cause: a read with a stated age waited until its floor was as old as the age and asked for a new one only when it was older. At the exact time it waited for zero time, over and over. Change: the comparison includes the equal case. Result: TestReadAge/read-second-loss-successor-lags hung under the paused clock, where the time does not advance in such a loop; it passes now. Conclusion: on a real clock the loop lasted for one tick of the clock only.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -210,7 +210,7 @@
 	if p, ok := v.primary(); ok && v.usable(p) && inTime(p) && (!need.OwnWrites || v.primaryContains(p, q.Floor)) {
 		return Serve{p.ID, freshUntil(p)}
 	}
-	if v.Now.Sub(q.FloorAt) > need.MaxAge {
+	if v.Now.Sub(q.FloorAt) >= need.MaxAge {
 		return NeedFloor{}
 	}
 	return WaitFor{Until: earliest(q.FloorAt.Add(need.MaxAge), q.Deadline)}
