serve: end the wait for a server when the request is cancelled

Cause: route chose again as soon as the context ended, and refused only at the deadline. A request that was cancelled while it waited therefore kept a core busy until its deadline, up to the account's QueueTimeout. Change: a cancelled wait ends as not run. Conclusion: found by generated schedules that end while reads wait.

--- a/cmd/serve/router.go
+++ b/cmd/serve/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -65,6 +66,10 @@
 			}
 		case route.WaitFor:
 			r.await(ctx, view, d)
+			// Only the deadline ends the wait in the choice itself.
+			if errors.Is(ctx.Err(), context.Canceled) {
+				return routed{}, outcome.NoPrimary("the request was cancelled while it waited for a server", ctx.Err())
+			}
 		case route.Refuse:
 			return routed{}, d.Err
 		}
