serve: wait for a connection when the primary is at its limit

Cause: while the hosts disagree about the coordinators, for example when one of them drains, their parts of the limit together exceed it for a short time. The server's refusal was passed to the caller at once. Change: a request for the primary waits and tries again up to its queue deadline. Reads on a replica are still routed elsewhere. Result: TestDrainHost/replicas_lag failed with 53300 at a caller of another host, and passes now. Conclusion: the server's limit is reached in the hand-over only; the hosts' parts are not changed.

--- a/cmd/serve/entry.go
+++ b/cmd/serve/entry.go
@@ -246,7 +246,28 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return e.local.Acquire(ctx, target)
+	for {
+		conversation, err := e.local.Acquire(ctx, target)
+		if err == nil || !e.mayWait(target, err) {
+			return conversation, err
+		}
+		pause(ctx, fullPause)
+		if ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
+// fullPause follows a refusal by a server at its connection limit. A returned
+// connection serves the request sooner only if it is this host's.
+const fullPause = 50 * time.Millisecond
+
+// mayWait reports whether a request waits although the server refused a
+// connection at its limit. This happens for a short time while the hosts
+// disagree about the coordinators. A replica is left for another server.
+func (e *entry) mayWait(target backendserver.Target, err error) bool {
+	g, ok := e.snapshot().Groups[target.Group]
+	return ok && g.View().Record.Primary == target.Server && errors.Is(err, backendserver.ErrServerFull)
 }
 
 // Confirm implements caller.Host.
--- a/io/backendserver/backendserver.go
+++ b/io/backendserver/backendserver.go
@@ -103,6 +103,10 @@
 	return config, nil
 }
 
+// ErrServerFull is in the chain of the refusal of a connection by a backend
+// server at its limit. The request has not run.
+var ErrServerFull = errors.New("the backend server is at its connection limit")
+
 // refused converts a failure to open a connection. Nothing was sent, so the
 // outcome is NotRun whatever the cause.
 func refused(err error) error {
@@ -113,7 +117,7 @@
 	if errors.As(err, &pgErr) && pgErr.Code == string(outcome.TooManyConnections) {
 		return &outcome.Error{
 			Outcome: outcome.NotRun, SQLState: outcome.TooManyConnections,
-			Message: "the backend server has no free connection", Cause: err,
+			Message: "the backend server has no free connection", Cause: errors.Join(ErrServerFull, err),
 		}
 	}
 	return outcome.NoPrimary("the backend server does not accept connections", err)
