serve: notice a silent platform or relay sooner

Cause: one attempt took up to 8 s on a platform that does not answer, so that a host that restarted in a silent outage had not asked its peers within the promised 7 s. Change: the wait of a watch or pull is 2 s instead of 5 s, an attempt is bounded by 4 s, and by 2 s on a host without a configuration. Conclusion: relays call the platform every 2 s when nothing changes; 24 relays cause 12 calls a second.

--- a/cmd/serve/distribute.go
+++ b/cmd/serve/distribute.go
@@ -17,8 +17,10 @@
 
 const (
 	// watchWait bounds a watch or a pull without a change. Hosts report the
-	// version in force with each pull, so it bounds the age of that report.
-	watchWait = 5 * time.Second
+	// version in force with each pull, so it bounds the age of that report. With
+	// pullTimeout it bounds the time in which a silent relay or platform is
+	// noticed, which must leave room for another attempt within promisedTime.
+	watchWait = 2 * time.Second
 	// hostListInterval is the time between two reads of the host list. Only
 	// relays read it; the others receive it with their pulls.
 	hostListInterval = 2 * time.Second
@@ -72,7 +74,7 @@
 		fromPlatform = !fromPlatform
 	}
 	if fromPlatform {
-		return d.watchPlatform(ctx, s)
+		return d.watchPlatform(ctx, s, failed)
 	}
 	if len(relays) == 0 {
 		relays = others(s.Hosts, s.Self.ID)
@@ -82,9 +84,19 @@
 		relays = append(others(s.Hosts, s.Self.ID), d.seedHosts()...)
 	}
 	if len(relays) == 0 {
-		return d.watchPlatform(ctx, s)
+		return d.watchPlatform(ctx, s, failed)
 	}
-	return d.pull(ctx, s, relays[failed/2%len(relays)])
+	return d.pull(ctx, s, relays[failed/2%len(relays)], failed)
+}
+
+// attemptTime bounds one attempt. A host without a configuration has nothing
+// to wait for and tries the next source sooner; the bound rises with the
+// failures in case the first transfer is long.
+func attemptTime(s *control.Snapshot, failed int) time.Duration {
+	if s.Version == 0 {
+		return pullTimeout * time.Duration(1+failed/4)
+	}
+	return watchWait + pullTimeout
 }
 
 func others(hosts []host.Info, self host.ID) []host.Info {
@@ -99,8 +111,10 @@
 	return out
 }
 
-func (d *distributor) watchPlatform(ctx context.Context, s *control.Snapshot) bool {
-	items, err := d.platform.Watch(ctx, platform.Version(s.Version), watchWait, kinds...)
+func (d *distributor) watchPlatform(ctx context.Context, s *control.Snapshot, failed int) bool {
+	limited, cancel := context.WithTimeout(ctx, attemptTime(s, failed))
+	defer cancel()
+	items, err := d.platform.Watch(limited, platform.Version(s.Version), watchWait, kinds...)
 	if err != nil {
 		d.post(control.PlatformFailed{})
 		if ctx.Err() == nil {
@@ -141,8 +155,8 @@
 	}
 }
 
-func (d *distributor) pull(ctx context.Context, s *control.Snapshot, from host.Info) bool {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+pullTimeout)
+func (d *distributor) pull(ctx context.Context, s *control.Snapshot, from host.Info, failed int) bool {
+	ctx, cancel := context.WithTimeout(ctx, attemptTime(s, failed))
 	defer cancel()
 	reply, relay, err := d.peers.Pull(ctx, from, peer.Pull{
 		After:          s.Version,
