--- a/e2e/cluster/cluster.go
+++ b/e2e/cluster/cluster.go
@@ -243,6 +243,22 @@
 	return err
 }
 
+// Account returns a client account's template as the platform has it.
+func (c *Cluster) Account(id account.ID) (account.Template, error) {
+	object, ok := c.Platform.Get(standin.Key{Kind: string(platform.KindAccount), Name: string(id)})
+	if !ok {
+		return account.Template{}, fmt.Errorf("no account %s", id)
+	}
+	decoded, err := platform.DecodeAccount(object.Value)
+	if err != nil {
+		return account.Template{}, err
+	}
+	return decoded.Template, nil
+}
+
+// PlatformAddress is the address of the platform's object API.
+func (c *Cluster) PlatformAddress() netip.AddrPort { return c.at }
+
 // StartHost adds an entry host.
 func (c *Cluster) StartHost(id host.ID, place host.DataCentre) (*Host, error) {
 	m := Machine{string(id), place}
--- a/e2e/read_own_write_test.go
+++ b/e2e/read_own_write_test.go
@@ -28,11 +28,10 @@
 // pooledCaller is one caller with a connection to every entry host, opened
 // before its writes, as a pooled driver keeps them. It owns one row.
 type pooledCaller struct {
-	v        *cluster.Virtual
-	number   int
-	hosts    []*cluster.Host
-	database string
-	conns    []*pgx.Conn
+	v      *cluster.Virtual
+	number int
+	hosts  []*cluster.Host
+	conns  []*pgx.Conn
 	// token is presented to the connection of the next read if tokens is set.
 	tokens bool
 	token  string
@@ -43,8 +42,8 @@
 	reads, refused, unknown int
 }
 
-func newPooledCaller(v *cluster.Virtual, number int, hosts []*cluster.Host, database string) *pooledCaller {
-	return &pooledCaller{v: v, number: number, hosts: hosts, database: database, conns: make([]*pgx.Conn, len(hosts))}
+func newPooledCaller(v *cluster.Virtual, number int, hosts []*cluster.Host) *pooledCaller {
+	return &pooledCaller{v: v, number: number, hosts: hosts, conns: make([]*pgx.Conn, len(hosts))}
 }
 
 // conn returns the connection to a host; a broken one is opened again.
@@ -52,7 +51,7 @@
 	if c := p.conns[i]; c != nil && !c.IsClosed() {
 		return c, nil
 	}
-	conf, err := pgx.ParseConfig(fmt.Sprintf("postgres://vandermeersch:%s@%s/%s?sslmode=disable", password, p.hosts[i].CallerAddress(), p.database))
+	conf, err := pgx.ParseConfig(fmt.Sprintf("postgres://vandermeersch:%s@%s/orders?sslmode=disable", password, p.hosts[i].CallerAddress()))
 	if err != nil {
 		return nil, err
 	}
@@ -226,7 +225,7 @@
 func (s scenario) prepare(ctx context.Context, c *cluster.Cluster, v *cluster.Virtual) ([]*pooledCaller, error) {
 	var callers []*pooledCaller
 	for i := range s.callers {
-		p := newPooledCaller(v, i+1, c.Hosts, "orders")
+		p := newPooledCaller(v, i+1, c.Hosts)
 		p.tokens = i%2 == 1
 		if err := p.open(ctx); err != nil {
 			return nil, err
