--- a/e2e/measure/failover.go
+++ b/e2e/measure/failover.go
@@ -242,8 +242,8 @@
 	w.acks = append(w.acks, time.Now())
 }
 
-// BlackHoled measures one loss of a primary that is isolated from all.
-func BlackHoled(t *testing.T, d Deployment, seed uint64) (gap time.Duration, recovered bool) {
-	l := oneLoss(t, d, cause{lose: blackHole}, seed)
+// Killed measures one loss of a primary that is killed.
+func Killed(t *testing.T, d Deployment, seed uint64) (gap time.Duration, recovered bool) {
+	l := oneLoss(t, d, cause{lose: killed}, seed)
 	return l.gap, l.recovered
 }
