measure: add reads, writes, storm, loopback, control and state

Cause: the remaining figures of the design had no run behind them. Change: replica share, evidence latency, connection storm in virtual time; one entry host, idle callers, control cost and two-year state as processes.

--- a/e2e/measure/plot.go
+++ b/e2e/measure/plot.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"cmp"
 	"os"
 	"path/filepath"
 	"slices"
@@ -53,9 +54,23 @@
 		t.Error(err)
 		return ""
 	}
-	if err := p.Save(24*vg.Centimeter, 14*vg.Centimeter, filepath.Join(r.Directory, path)); err != nil {
+	if err := p.Save(10*vg.Inch, 6*vg.Inch, filepath.Join(r.Directory, path)); err != nil {
 		t.Error(err)
 		return ""
 	}
 	return path
 }
+
+// sorted orders a curve's points by x.
+func sorted(c Curve) Curve {
+	order := make([]int, len(c.X))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(c.X[a], c.X[b]) })
+	out := Curve{Name: c.Name}
+	for _, i := range order {
+		out.X, out.Y = append(out.X, c.X[i]), append(out.Y, c.Y[i])
+	}
+	return out
+}
--- a/e2e/measure/run.go
+++ b/e2e/measure/run.go
@@ -22,7 +22,13 @@
 // Measurements returns all measurements in the order in which they run.
 func Measurements() []Measurement {
 	return []Measurement{
+		{"control", Control},
+		{"state", State},
 		{"failover", Failover},
+		{"reads", Reads},
+		{"writes", Writes},
+		{"storm", Storm},
+		{"loopback", Loopback},
 	}
 }
 
@@ -47,6 +53,9 @@
 }
 
 func (r *Report) write() error {
+	if err := os.MkdirAll(r.Directory, 0o755); err != nil {
+		return err
+	}
 	data, err := r.JSON()
 	if err != nil {
 		return err
