measure: take ports below the range of outgoing connections

Cause: of 27 hosts one did not start, because an outgoing connection had taken its port in the meantime. Change: ports come from below that range.

--- a/e2e/measure/loopback.go
+++ b/e2e/measure/loopback.go
@@ -259,6 +259,9 @@
 		var x, cpu, rate, memory []float64
 		for _, s := range sizes {
 			values := controlRow(t, r, s)
+			if values == nil {
+				return
+			}
 			table.Add(fmt.Sprintf("%d, %d", s.hosts, s.groups), values...)
 			x, cpu = append(x, float64(values[0])), append(cpu, float64(values[1]))
 			memory, rate = append(memory, float64(values[2])), append(rate, float64(values[3]))
--- a/e2e/measure/process.go
+++ b/e2e/measure/process.go
@@ -62,13 +62,20 @@
 	return g
 }
 
+// nextPort is the next port to try. Ports below the range of outgoing
+// connections are not taken before a process listens on them.
+var nextPort uint16 = 20000
+
+// free returns an address that is free.
 func (g *rig) free() netip.AddrPort {
-	l, err := (&net.ListenConfig{}).Listen(g.t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		g.t.Fatal(err)
+	for {
+		nextPort++
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), nextPort)
+		if l, err := (&net.ListenConfig{}).Listen(g.t.Context(), "tcp", at.String()); err == nil {
+			_ = l.Close()
+			return at
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return netip.MustParseAddrPort(l.Addr().String())
 }
 
 func (g *rig) start(program string, args ...string) *exec.Cmd {
