serve: stop coordinating at the start of a drain

Cause: a draining host kept its share of connections, idle ones included, until its last session ended. Change: the host leaves its groups as soon as it has announced that; writes that wait for evidence are still confirmed; its status connections are closed.

--- a/cmd/serve/runner.go
+++ b/cmd/serve/runner.go
@@ -399,19 +399,43 @@
 	if g == nil {
 		return
 	}
-	var reported time.Time
 	for {
 		select {
 		case <-ctx.Done():
+			// Writes that wait when the host stops coordinating are confirmed.
+			r.confirmWaiting(id, g)
+			r.closePollers(id)
 			return
 		case <-g.Gate.Wake():
+			r.confirmWaiting(id, g)
 		}
-		for since, waiting := g.Gate.Waiting(); waiting && ctx.Err() == nil; since, waiting = g.Gate.Waiting() {
-			r.queryEvidence(ctx, id, g)
-			if time.Since(since) > stallReportAfter && time.Since(reported) > stallReportInterval {
-				reported = time.Now()
-				r.groupEvent(id, failover.WritesStalled{Position: g.Gate.Highest()})
-			}
+	}
+}
+
+// confirmWaiting queries the successor until no write waits.
+func (r *runner) confirmWaiting(id group.ID, g *control.Group) {
+	var reported time.Time
+	for since, waiting := g.Gate.Waiting(); waiting && r.ctx.Err() == nil; since, waiting = g.Gate.Waiting() {
+		r.queryEvidence(r.ctx, id, g)
+		if time.Since(since) > stallReportAfter && time.Since(reported) > stallReportInterval {
+			reported = time.Now()
+			r.groupEvent(id, failover.WritesStalled{Position: g.Gate.Highest()})
+		}
+	}
+}
+
+// closePollers closes the status connections to a group's servers, unless the
+// host coordinates the group again.
+func (r *runner) closePollers(id group.ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, again := r.evidence[id]; again {
+		return
+	}
+	for key, p := range r.pollers {
+		if key.group == id {
+			go p.Close()
+			delete(r.pollers, key)
 		}
 	}
 }
--- a/cmd/serve/serve.go
+++ b/cmd/serve/serve.go
@@ -292,9 +292,12 @@
 	h.leaving.Store(true)
 	h.log.Write(ctx, logevent.HostStopping, slog.Duration("DrainTime", h.settings.DrainTime))
 	h.announce(ctx)
+	// The host stops coordinating at once: its idle connections are closed,
+	// because the new coordinators need their place below the servers' limits.
+	// Conversations in use go on.
+	h.post(control.Leave{})
 	_ = h.callers.Shutdown(ctx)
 	_ = h.answers.Shutdown(ctx)
-	h.post(control.Leave{})
 	h.local.Drain()
 }
 
