serve: close control connections when a group is handed over

Cause: a host that no longer coordinates a group kept its control connection to each of the group's servers, beyond the parts that the coordinators share. Change: the pollers of the group are closed with the hand-over. Result: TestPoolLimit with 9 hosts in calm operation: 5 refusals by server b at its limit before, 0 after. Conclusion: refusals remain possible while the hosts' views differ; the server's limit holds then.

--- a/cmd/serve/runner.go
+++ b/cmd/serve/runner.go
@@ -86,6 +86,7 @@
 	case control.CoordinatorsChanged:
 		r.setLimits(a.View)
 		r.setEvidence(a.View)
+		r.closePollers(a.View)
 	}
 }
 
@@ -136,6 +137,22 @@
 	return p, true
 }
 
+// closePollers closes the control connections of a group that this host does
+// not coordinate any more. They count against the servers' limits.
+func (r *runner) closePollers(view *control.GroupView) {
+	if view.Index >= 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key, p := range r.pollers {
+		if key.group == view.Record.ID {
+			delete(r.pollers, key)
+			go p.Close()
+		}
+	}
+}
+
 // controlDatabase is the database that control connections name. The
 // functions of schema basilmill are the same in each.
 func controlDatabase(record *group.Record) string {
