serve: refresh a replica's status once for all waiting reads

Cause: every waiting request, also a write, refreshed the status of the server it waited for on each change of the view, and each answer changed the view. With many callers waiting for a lost primary the refreshes multiplied. Change: writes do not refresh, and reads share one refresh for each server. Conclusion: waiting requests cost one status query for each server at a time.

--- a/cmd/serve/router.go
+++ b/cmd/serve/router.go
@@ -28,6 +28,8 @@
 	// requests again once it answered a later status query.
 	lost   map[serverKey]time.Time
 	askers map[group.ID]*floor.Asker
+	// refreshing holds the servers whose status a waiting read refreshes.
+	refreshing map[serverKey]bool
 }
 
 func (r *router) avoid(key serverKey) {
@@ -65,7 +67,10 @@
 				return routed{}, err
 			}
 		case route.WaitFor:
-			r.await(ctx, view, d)
+			if !start.Write && d.Server != "" && d.Server != view.Record.Primary {
+				r.refreshOnce(ctx, view, d.Server)
+			}
+			r.await(ctx, d, view)
 			// Only the deadline ends the wait in the choice itself.
 			if errors.Is(ctx.Err(), context.Canceled) {
 				return routed{}, outcome.NoPrimary("the request was cancelled while it waited for a server", ctx.Err())
@@ -140,16 +145,13 @@
 }
 
 // await blocks until the view changes or the wait is over.
-func (r *router) await(ctx context.Context, view *control.GroupView, d route.WaitFor) {
+func (r *router) await(ctx context.Context, d route.WaitFor, view *control.GroupView) {
 	until := make(<-chan time.Time)
 	if !d.Until.IsZero() {
 		timer := time.NewTimer(time.Until(d.Until))
 		defer timer.Stop()
 		until = timer.C
 	}
-	if d.Server != "" && d.Server != view.Record.Primary {
-		go r.refresh(ctx, view, d.Server)
-	}
 	select {
 	case <-view.Changed:
 	case <-until:
@@ -198,6 +200,25 @@
 	}
 }
 
+// refreshOnce refreshes a server's status unless a refresh is under way. Each
+// refresh wakes every waiting request, which would otherwise start another
+// one each.
+func (r *router) refreshOnce(ctx context.Context, view *control.GroupView, id group.ServerID) {
+	key := serverKey{view.Record.ID, id}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refreshing[key] {
+		return
+	}
+	r.refreshing[key] = true
+	go func() {
+		r.refresh(ctx, view, id)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.refreshing, key)
+	}()
+}
+
 // refresh queries a server's status and waits until the view has it.
 func (r *router) refresh(ctx context.Context, view *control.GroupView, id group.ServerID) {
 	p, ok := r.runner.poller(view.Record, id)
--- a/cmd/serve/serve.go
+++ b/cmd/serve/serve.go
@@ -173,7 +173,7 @@
 	})
 	h.entry = &entry{
 		ctx: h.ctx, snapshot: h.snapshot, post: h.post, peers: h.peers, local: h.local, log: h.log, metrics: h.metrics,
-		router:    &router{runner: h.runner, lost: make(map[serverKey]time.Time), askers: make(map[group.ID]*floor.Asker)},
+		router:    &router{runner: h.runner, lost: make(map[serverKey]time.Time), askers: make(map[group.ID]*floor.Asker), refreshing: make(map[serverKey]bool)},
 		suspected: make(map[serverKey]time.Time),
 		shared:    make(map[shareKey]account.Sharing),
 	}
