--- a/e2e/read_own_write_test.go
+++ b/e2e/read_own_write_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
@@ -304,6 +305,12 @@
 
 // Guards against the same under pairs of overlapping faults of any kind.
 func TestReadOwnWritesGenerated(t *testing.T) {
+	// A fixed small number unless the command line asks for another.
+	checks := flag.Lookup("rapid.checks")
+	if checks.Value.String() == checks.DefValue {
+		assert.NilError(t, checks.Value.Set("6"))
+		defer func() { _ = checks.Value.Set(checks.DefValue) }()
+	}
 	rapid.Check(t, func(r *rapid.T) {
 		schedule := drawSchedule(r)
 		seed := rapid.Uint64().Draw(r, "seed")
