ack: confirm writes without effect by an answer sent after they ran

Cause: a write that changes nothing leaves no trace in the log, so evidence from before a change of primary covered its position, and a replaced primary isolated together with an entry host had "UPDATE 0" acknowledged (found by TestWriteWithoutEffectOnReplacedPrimary, known red until now). Change: sessions track by command tags whether a transaction certainly changed something; otherwise, and for repetitions of keyed requests, the gate waits for the successor's answer to a query sent after the write ran, and never accepts the start of a later term.

--- a/cmd/serve/entry.go
+++ b/cmd/serve/entry.go
@@ -273,24 +273,31 @@
 }
 
 // Confirm implements caller.Host.
-func (e *entry) Confirm(ctx context.Context, id group.ID, generation group.Generation, position group.Position) error {
+func (e *entry) Confirm(ctx context.Context, id group.ID, generation group.Generation, position group.Position, effect bool) error {
 	g, ok := e.snapshot().Groups[id]
 	if !ok {
 		return outcome.Unresolved("the database group is not known", nil)
 	}
 	view := g.View()
 	if view.Index >= 0 {
-		return g.Gate.Confirm(ctx, generation, position)
+		return confirm(ctx, g, generation, position, effect)
 	}
 	var err error
 	for _, to := range e.nearestFirst(view.Coordinators) {
-		if err = e.peers.Confirm(ctx, to, id, generation, position); err == nil || ctx.Err() != nil {
+		if err = e.peers.Confirm(ctx, to, peer.Confirmation{Group: id, Generation: generation, Position: position, Effect: effect}); err == nil || ctx.Err() != nil {
 			return err
 		}
 	}
 	return err
 }
 
+func confirm(ctx context.Context, g *control.Group, generation group.Generation, position group.Position, effect bool) error {
+	if effect {
+		return g.Gate.Confirm(ctx, generation, position)
+	}
+	return g.Gate.ConfirmNoEffect(ctx, generation, position)
+}
+
 // Retry budget of an account. Retries wait in routing until a server has
 // answered, so the burst may cover every caller that waits when a primary is
 // lost; the share bounds the load that lasting failures add.
--- a/cmd/serve/peers.go
+++ b/cmd/serve/peers.go
@@ -7,7 +7,6 @@
 	"basilmill/core/control"
 	"basilmill/core/distribution"
 	"basilmill/core/failover"
-	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/outcome"
 	"basilmill/io/caller"
@@ -93,12 +92,12 @@
 }
 
 // Confirm waits for the evidence on a coordinator.
-func (h *peerHandler) Confirm(ctx context.Context, _ host.Info, id group.ID, generation group.Generation, position group.Position) error {
-	g, ok := h.snapshot().Groups[id]
+func (h *peerHandler) Confirm(ctx context.Context, _ host.Info, c peer.Confirmation) error {
+	g, ok := h.snapshot().Groups[c.Group]
 	if !ok || g.View().Index < 0 {
 		return outcome.Unresolved("the host does not coordinate the group", nil)
 	}
-	return g.Gate.Confirm(ctx, generation, position)
+	return confirm(ctx, g, c.Generation, c.Position, c.Effect)
 }
 
 // Start routes a forwarded request and opens a connection for it.
--- a/cmd/serve/runner.go
+++ b/cmd/serve/runner.go
@@ -468,7 +468,7 @@
 		pause(ctx, evidenceRetry)
 		return
 	}
-	g.Gate.Observe(status, g.View().Record)
+	g.Gate.Observe(status, sentAt, g.View().Record)
 	r.post(control.StatusObserved{Group: id, Status: status, SentAt: sentAt})
 }
 
--- a/core/ack/gate.go
+++ b/core/ack/gate.go
@@ -3,7 +3,7 @@
 //
 // # What counts as proof
 //
-// A write at position (T, o) is done when one of the following is observed.
+// A write that changed something and is at position (T, o) is done when one of the following is observed.
 //
 //  1. The successor of the record, in the record's term T and generation,
 //     reports that it received o. Only that server can be promoted in T, and a
@@ -20,6 +20,12 @@
 // terms, so o may lie beyond the start of T+1, in a part that was discarded,
 // and still before the start of T+2.
 //
+// A write that changed nothing, such as an UPDATE of no row, left no trace in
+// the log: its position is the log's end, which an isolated primary that was
+// replaced before may share with its successor. It is done when the successor
+// answers as in 1 to a query that was sent after the write ran: then no later
+// primary had been promoted when it ran. Proof 2 does not apply.
+//
 // When T+1 starts before o, the outcome is unknown and not "not run". A
 // position is the end of the log after the write, which may include other
 // writes, so the write itself may lie before the start.
@@ -67,6 +73,8 @@
 type class struct {
 	term       group.Term
 	generation group.Generation
+	// noEffect is set for writes that changed nothing.
+	noEffect bool
 }
 
 type waiter struct {
@@ -83,7 +91,16 @@
 // and zero accepts any. The error is an outcome.Unresolved: ctx ended, or a
 // later term began in which the write is not proven to be contained.
 func (g *Gate) Confirm(ctx context.Context, generation group.Generation, p group.Position) error {
-	w := &waiter{class: class{p.Term, generation}, offset: p.Offset, result: make(chan error, 1)}
+	return g.confirm(ctx, class{term: p.Term, generation: generation}, p.Offset)
+}
+
+// ConfirmNoEffect is like Confirm for a write that changed nothing.
+func (g *Gate) ConfirmNoEffect(ctx context.Context, generation group.Generation, p group.Position) error {
+	return g.confirm(ctx, class{term: p.Term, generation: generation, noEffect: true}, p.Offset)
+}
+
+func (g *Gate) confirm(ctx context.Context, c class, offset group.Offset) error {
+	w := &waiter{class: c, offset: offset, result: make(chan error, 1)}
 	if decided, err := g.enter(w); decided {
 		return err
 	}
@@ -95,19 +112,20 @@
 	}
 }
 
-// Observe takes a status answer of a server together with the record that the
-// host knows.
-func (g *Gate) Observe(s group.Status, r *group.Record) {
+// Observe takes a status answer of a server together with the time at which
+// its query was sent and the record that the host knows.
+func (g *Gate) Observe(s group.Status, sentAt time.Time, r *group.Record) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.term = max(g.term, r.Term)
 	g.noteEvidence(s, r)
 	g.noteStart(s, r)
 	g.release()
+	g.releaseNoEffect(s, sentAt, r)
 }
 
 // ObserveRecord takes a record without a status answer.
-func (g *Gate) ObserveRecord(r *group.Record) { g.Observe(group.Status{}, r) }
+func (g *Gate) ObserveRecord(r *group.Record) { g.Observe(group.Status{}, time.Time{}, r) }
 
 // Waiting reports whether any write waits, and since when the oldest does. The
 // status query is repeated back to back exactly while one waits.
@@ -177,9 +195,9 @@
 // decide returns the fate of a write, if it is known.
 func (g *Gate) decide(c class, offset group.Offset) (decided bool, err error) {
 	switch {
-	case g.evidence.covers(c, offset):
+	case !c.noEffect && g.evidence.covers(c, offset):
 		return true, nil
-	case g.start.term == c.term+1 && offset <= g.start.offset:
+	case !c.noEffect && g.start.term == c.term+1 && offset <= g.start.offset:
 		return true, nil
 	case g.start.term == c.term+1:
 		return true, outcome.Unresolved("the primary was replaced before the write was confirmed", nil)
@@ -194,6 +212,7 @@
 func (g *Gate) enter(w *waiter) (decided bool, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	w.since = time.Now()
 	if decided, err = g.decide(w.class, w.offset); decided {
 		return true, err
 	}
@@ -203,7 +222,6 @@
 		default:
 		}
 	}
-	w.since = time.Now()
 	w.arrival = g.arrivals.PushBack(w)
 	heap.Push(g.heapOf(w.class), w)
 	return false, nil
@@ -242,6 +260,26 @@
 	}
 }
 
+// releaseNoEffect ends the waits of writes that changed nothing and that the
+// status confirms.
+func (g *Gate) releaseNoEffect(s group.Status, sentAt time.Time, r *group.Record) {
+	for c, h := range g.waiters {
+		if !c.noEffect || c.generation > s.Generation {
+			continue
+		}
+		for i := h.Len() - 1; i >= 0; i-- {
+			w := (*h)[i]
+			if sentAt.Before(w.since) || !s.Confirms(r, group.Position{Term: c.term, Offset: w.offset}) {
+				continue
+			}
+			heap.Remove(h, i)
+			g.arrivals.Remove(w.arrival)
+			w.result <- nil
+		}
+		g.dropEmpty(c, h)
+	}
+}
+
 func (g *Gate) heapOf(c class) *offsetHeap {
 	if g.waiters == nil {
 		g.waiters = map[class]*offsetHeap{}
--- a/core/ack/gate_test.go
+++ b/core/ack/gate_test.go
@@ -35,10 +35,10 @@
 		record := &group.Record{Term: 2, Generation: 4, Primary: "a", Successor: "b"}
 		old := *record
 		old.Generation = 3
-		gate.Observe(group.Status{Server: "b", Term: 2, Generation: 3, Received: waiters}, &old)
+		gate.Observe(group.Status{Server: "b", Term: 2, Generation: 3, Received: waiters}, time.Now(), &old)
 		synctest.Wait()
 		assert.Equal(t, len(results), 0) // evidence of an older generation
-		gate.Observe(group.Status{Server: "b", Term: 2, Generation: 4, Received: 2000}, record)
+		gate.Observe(group.Status{Server: "b", Term: 2, Generation: 4, Received: 2000}, time.Now(), record)
 		synctest.Wait()
 		assert.Equal(t, len(results), 2000)
 
@@ -46,7 +46,7 @@
 		gate.ObserveRecord(moved)
 		synctest.Wait()
 		assert.Equal(t, len(results), 2000) // the new primary has not reported its start
-		gate.Observe(group.Status{Server: "b", Role: group.Primary, Term: 3, TermStart: 3000, Received: 3500}, moved)
+		gate.Observe(group.Status{Server: "b", Role: group.Primary, Term: 3, TermStart: 3000, Received: 3500}, time.Now(), moved)
 		synctest.Wait()
 		done := 0
 		for range waiters {
--- a/core/control/group.go
+++ b/core/control/group.go
@@ -161,7 +161,7 @@
 
 func (t *Thread) noteStatus(g *groupState, status group.Status, sentAt time.Time) {
 	g.ages.Observe(status, sentAt, g.record)
-	g.public.Gate.Observe(status, g.record)
+	g.public.Gate.Observe(status, sentAt, g.record)
 	v := g.servers[status.Server]
 	v.ReceivedAt = time.Now()
 	v.RoundTrip = smooth(v.RoundTrip, v.ReceivedAt.Sub(sentAt))
--- a/core/proof/proof_test.go
+++ b/core/proof/proof_test.go
@@ -50,7 +50,7 @@
 	total := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		var gate ack.Gate
-		m := newModel(func(m *model, s group.Status, _ time.Time) { gate.Observe(s, &m.stale) })
+		m := newModel(func(m *model, s group.Status, sent time.Time) { gate.Observe(s, sent, &m.stale) })
 		n, lost := lostWrite(m, schedules.Draw(rt, "schedule"), func(w group.Position) bool {
 			return gate.Confirm(ended, 0, w) == nil
 		})
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -68,7 +68,9 @@
 	Acquire(ctx context.Context, target backendserver.Target) (backendserver.Conversation, error)
 	// Confirm returns nil once the successor has the write at the position.
 	// The generation is the one under which the primary feeds its successor.
-	Confirm(ctx context.Context, group group.ID, generation group.Generation, position group.Position) error
+	// Effect is set when the write certainly changed something; a write that
+	// may have left no trace in the log needs a stronger proof.
+	Confirm(ctx context.Context, group group.ID, generation group.Generation, position group.Position, effect bool) error
 	// MayRetry reports whether the account's retry budget allows one more
 	// attempt, and counts it.
 	MayRetry(id account.ID) bool
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -336,7 +337,7 @@
 // endTransaction resets what belongs to a transaction.
 func (s *session) endTransaction() {
 	s.status = idle
-	s.wrote, s.readOnly = false, false
+	s.wrote, s.readOnly, s.effect = false, false, false
 	s.begun, s.keyed = "", nil
 	clear(s.portals)
 }
@@ -357,7 +358,7 @@
 		}
 		return v
 	}
-	before, wrote := s.status, s.wrote
+	before, wrote, effect := s.status, s.wrote, s.effect
 	s.status = x.status
 	if b.executed > 0 {
 		s.begun = ""
@@ -375,7 +376,7 @@
 	}
 	s.afterBatch(b, x)
 	if committed && wrote {
-		if failure := s.confirm(ctx, position); failure != nil {
+		if failure := s.confirm(ctx, position, effect); failure != nil {
 			s.dropHeld()
 			v.failure = failure
 			return v
@@ -407,8 +408,22 @@
 	}
 }
 
+// noteEffect tracks whether the transaction so far certainly changed something,
+// by its command tags. Tags without a count prove nothing: CREATE TABLE IF NOT
+// EXISTS may change nothing. A rollback to a savepoint takes changes back.
+func (s *session) noteEffect(tag string) {
+	command, rest, _ := strings.Cut(tag, " ")
+	switch command {
+	case "ROLLBACK":
+		s.effect = false
+	case "INSERT", "UPDATE", "DELETE", "MERGE", "COPY":
+		count := rest[strings.LastIndexByte(rest, ' ')+1:]
+		s.effect = s.effect || count != "" && count != "0"
+	}
+}
+
 // confirm waits until the successor has what was committed.
-func (s *session) confirm(ctx context.Context, position *capture) *outcome.Error {
+func (s *session) confirm(ctx context.Context, position *capture, effect bool) *outcome.Error {
 	if !s.decision.Primary && (position == nil || position.row == nil) {
 		return nil // a replica
 	}
@@ -424,7 +439,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.identity.ConfirmationTimeout)
 	defer cancel()
-	if err := s.host.Confirm(ctx, s.identity.Group, generation, at); err != nil {
+	if err := s.host.Confirm(ctx, s.identity.Group, generation, at, effect); err != nil {
 		return outcome.Unresolved("the write was not confirmed in time", err)
 	}
 	s.raise(at)
--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -160,7 +160,7 @@
 	return w.local.Acquire(ctx, target)
 }
 
-func (w *world) Confirm(ctx context.Context, _ group.ID, _ group.Generation, p group.Position) error {
+func (w *world) Confirm(ctx context.Context, _ group.ID, _ group.Generation, p group.Position, _ bool) error {
 	if w.confirm != nil {
 		return w.confirm(ctx, p)
 	}
--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -200,11 +200,11 @@
 		failure := outcome.RolledBack("the outcome of the request could not be stored", nil)
 		return verdict{failure: failure}
 	}
-	return s.confirmKeyed(ctx, done[2])
+	return s.confirmKeyed(ctx, done[2], true)
 }
 
-func (s *session) confirmKeyed(ctx context.Context, position *capture) verdict {
-	if failure := s.confirm(ctx, position); failure != nil {
+func (s *session) confirmKeyed(ctx context.Context, position *capture, effect bool) verdict {
+	if failure := s.confirm(ctx, position, effect); failure != nil {
 		s.dropHeld()
 		return verdict{failure: failure, again: true}
 	}
@@ -261,7 +261,7 @@
 		return s.rolledBack(err)
 	}
 	s.giveBack()
-	return s.confirmKeyed(ctx, position)
+	return s.confirmKeyed(ctx, position, false) // a repetition writes nothing
 }
 
 // replaySteps replaces the writes of a batch by the answers of the first run.
--- a/io/caller/protocol_test.go
+++ b/io/caller/protocol_test.go
@@ -257,7 +257,7 @@
 	return nil, outcome.NoPrimary("no primary", nil)
 }
 
-func (refusing) Confirm(context.Context, group.ID, group.Generation, group.Position) error {
+func (refusing) Confirm(context.Context, group.ID, group.Generation, group.Position, bool) error {
 	return nil
 }
 
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -72,6 +72,8 @@
 	// wrote is set when the open transaction or batch ran something that may
 	// have written.
 	wrote bool
+	// effect is set when the open transaction certainly changed something.
+	effect bool
 	// readOnly is set when the transaction may be read-only by the caller's
 	// own wish: after BEGIN READ ONLY, SET TRANSACTION and the like.
 	readOnly bool
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -140,13 +140,14 @@
 }
 
 // Confirm waits on a coordinator until a write is confirmed.
-func (c *Client) Confirm(ctx context.Context, to host.Info, id group.ID, generation group.Generation, position group.Position) (err error) {
+func (c *Client) Confirm(ctx context.Context, to host.Info, confirmation Confirmation) (err error) {
 	defer annotate(&err, "confirm on host %s", to.ID)
 	_, err = c.to(to).Confirm(ctx, connect.NewRequest(&peerpb.ConfirmRequest{
 		Sender:     hostToWire(c.self()),
-		Group:      string(id),
-		Generation: int64(generation),
-		Position:   positionToWire(position),
+		Group:      string(confirmation.Group),
+		Generation: int64(confirmation.Generation),
+		Position:   positionToWire(confirmation.Position),
+		Effect:     confirmation.Effect,
 	}))
 	return fromConnect(err)
 }
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -54,6 +54,15 @@
 	Term      group.Term
 }
 
+// Confirmation asks to wait until a write is confirmed.
+type Confirmation struct {
+	Group      group.ID
+	Generation group.Generation
+	Position   group.Position
+	// Effect says that the write certainly changed something.
+	Effect bool
+}
+
 // Suspicion reports that the sender lost its connection to a backend server.
 type Suspicion struct {
 	Group  group.ID
@@ -113,7 +122,7 @@
 	Announce(ctx context.Context, from host.Info) error
 	// Cancel cancels the running statement of a session of the receiver.
 	Cancel(ctx context.Context, from host.Info, processID uint32, secret []byte)
-	Confirm(ctx context.Context, from host.Info, id group.ID, generation group.Generation, position group.Position) error
+	Confirm(ctx context.Context, from host.Info, confirmation Confirmation) error
 	Start(ctx context.Context, from host.Info, start Start) (Started, Conversation, error)
 }
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -154,7 +154,12 @@
 		return nil, err
 	}
 	m := request.Msg
-	err = s.handler.Confirm(ctx, from, group.ID(m.GetGroup()), group.Generation(m.GetGeneration()), positionFromWire(m.GetPosition()))
+	err = s.handler.Confirm(ctx, from, Confirmation{
+		Group:      group.ID(m.GetGroup()),
+		Generation: group.Generation(m.GetGeneration()),
+		Position:   positionFromWire(m.GetPosition()),
+		Effect:     m.GetEffect(),
+	})
 	if err != nil {
 		return nil, toConnect(err)
 	}
