--- a/cmd/serve/entry.go
+++ b/cmd/serve/entry.go
@@ -78,6 +78,7 @@
 		Database:            database,
 		Verifier:            string(a.Template.Verifier),
 		ConfirmationTimeout: a.Template.ConfirmationTimeout,
+		QueueTimeout:        a.Template.Sharing.QueueTimeout,
 	}, nil
 }
 
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -25,6 +25,9 @@
 	// ConfirmationTimeout bounds the wait for the confirmation of a write; zero
 	// selects DefaultConfirmationTimeout.
 	ConfirmationTimeout time.Duration
+	// QueueTimeout bounds the wait for a server and a connection, counted from
+	// the arrival of a request over all attempts; zero means no bound.
+	QueueTimeout time.Duration
 }
 
 // Request is a statement or transaction to route.
--- a/io/caller/dispatch.go
+++ b/io/caller/dispatch.go
@@ -107,11 +107,13 @@
 
 func (s *session) serveRouted(ctx context.Context, b *batch) verdict {
 	class := b.class
+	s.limitQueue()
+	defer func() { s.queueDeadline = time.Time{} }()
 	var excluded []group.ServerID
 	for attempt := 1; ; attempt++ {
 		s.mark()
 		v := s.attempt(ctx, b, class, excluded)
-		if !v.again || attempt == maxAttempts || ctx.Err() != nil {
+		if !v.again || attempt == maxAttempts || ctx.Err() != nil || s.queueExpired() {
 			return v
 		}
 		// A write that a replica refused goes to the primary at once; any other
@@ -125,6 +127,25 @@
 	}
 }
 
+// limitQueue starts the time that the request may wait to be sent.
+func (s *session) limitQueue() {
+	if s.identity.QueueTimeout > 0 {
+		s.queueDeadline = time.Now().Add(s.identity.QueueTimeout)
+	}
+}
+
+func (s *session) limited(ctx context.Context) (context.Context, context.CancelFunc) {
+	if s.queueDeadline.IsZero() {
+		return ctx, func() {}
+	}
+	return context.WithDeadline(ctx, s.queueDeadline)
+}
+
+// queueExpired reports whether the request may not wait any longer.
+func (s *session) queueExpired() bool {
+	return !s.queueDeadline.IsZero() && !time.Now().Before(s.queueDeadline)
+}
+
 func (s *session) attempt(ctx context.Context, b *batch, class statement.Class, excluded []group.ServerID) verdict {
 	fresh := s.conv == nil
 	if fresh {
@@ -194,7 +215,9 @@
 
 // connect routes the batch and opens a conversation.
 func (s *session) connect(ctx context.Context, b *batch, class statement.Class, excluded []group.ServerID) verdict {
-	waiting, cancel := context.WithCancelCause(ctx)
+	limited, stop := s.limited(ctx)
+	defer stop()
+	waiting, cancel := context.WithCancelCause(limited)
 	defer cancel(nil)
 	s.setInterrupt(cancel)
 	defer s.setInterrupt(nil)
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -72,6 +72,8 @@
 	// wrote is set when the open transaction or batch ran something that may
 	// have written.
 	wrote bool
+	// queueDeadline bounds the wait of the current request; zero means none.
+	queueDeadline time.Time
 	// effect is set when the open transaction certainly changed something.
 	effect bool
 	// readOnly is set when the transaction may be read-only by the caller's
