serve: close status connections in every case of a hand-over

Cause: a host that coordinated a group only until the host list arrived kept its status connections (5 and 22 refusals at the server's limit with 9 calm hosts), and a query under way could open a closed poller again. Change: the pollers are closed when the evidence queries of a group end for any reason; a closed poller stays closed.

--- a/cmd/serve/runner.go
+++ b/cmd/serve/runner.go
@@ -395,6 +395,9 @@
 // gatherEvidence queries the successor of a group back to back while writes
 // wait in the group's gate.
 func (r *runner) gatherEvidence(ctx context.Context, id group.ID) {
+	// Status connections count against the servers' limits, which the new
+	// coordinators share.
+	defer r.closePollers(id)
 	g := r.awaitGroup(ctx, id)
 	if g == nil {
 		return
@@ -404,7 +407,6 @@
 		case <-ctx.Done():
 			// Writes that wait when the host stops coordinating are confirmed.
 			r.confirmWaiting(id, g)
-			r.closePollers(id)
 			return
 		case <-g.Gate.Wake():
 			r.confirmWaiting(id, g)
--- a/io/backendserver/poller.go
+++ b/io/backendserver/poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -20,8 +21,12 @@
 	mu      sync.Mutex
 	next    *poll
 	running bool
+	closed  bool
 }
 
+// errClosed ends queries of a poller that was closed.
+var errClosed = errors.New("the poller is closed")
+
 // poll is one status query; done is closed when its result is set.
 type poll struct {
 	done   chan struct{}
@@ -51,8 +56,13 @@
 // quickly as a status query. It saves opening a connection.
 func (p *Poller) Control() *Control { return p.control }
 
-// Close closes the connection.
-func (p *Poller) Close() { p.control.Close() }
+// Close closes the connection. Later queries fail.
+func (p *Poller) Close() {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.control.Close()
+}
 
 // join returns the next query to be sent and makes sure that it will be.
 func (p *Poller) join() *poll {
@@ -75,14 +85,25 @@
 		if q == nil {
 			return
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), p.timeout)
-		q.sentAt = time.Now()
-		q.status, q.err = p.control.Status(ctx)
-		cancel()
+		p.query(q)
 		close(q.done)
 	}
 }
 
+func (p *Poller) query(q *poll) {
+	p.mu.Lock()
+	closed := p.closed
+	p.mu.Unlock()
+	if closed {
+		q.err = errClosed
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), p.timeout)
+	defer cancel()
+	q.sentAt = time.Now()
+	q.status, q.err = p.control.Status(ctx)
+}
+
 func (p *Poller) take() *poll {
 	p.mu.Lock()
 	defer p.mu.Unlock()
