placement: choose coordinators without ranking every host

Cause: a starting host ranked 3,900 hosts for each of 8,100 groups, which took 35 s in a trial (4.3 ms for each group), more than the 7 s within which it must serve the configuration. Change: one pass keeps the best hosts of each data centre; weights combine two hashes without allocation. The assignment differs from the one before. Measured: 0.39 ms for each group with 3,900 hosts in 12 data centres, about 3.1 s for 8,100 groups; 2,000 random checks of Affected pass. Conclusion: the start fits; hashing each host's id once would save more.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,70 +24,97 @@
 	DefaultRelays = 2
 )
 
-// Rank orders hosts by descending rendezvous weight for the key.
-func Rank(key string, hosts []host.Info) []host.Info {
-	type weighted struct {
-		info   host.Info
-		weight uint64
-	}
-	ranked := make([]weighted, len(hosts))
-	for i, h := range hosts {
-		ranked[i] = weighted{info: h, weight: xxhash.Sum64String(key + "\x00" + string(h.ID))}
-	}
-	slices.SortFunc(ranked, func(a, b weighted) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.info.ID, b.info.ID))
-	})
-	out := make([]host.Info, len(ranked))
-	for i, w := range ranked {
-		out[i] = w.info
-	}
-	return out
+// key is the hash of what work is assigned for.
+type key uint64
+
+func keyOf(kind, name string) key { return key(xxhash.Sum64String(kind + "/" + name)) }
+
+// weight is the rendezvous weight of a host for a key.
+func (k key) weight(id host.ID) uint64 {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], uint64(k))
+	binary.LittleEndian.PutUint64(pair[8:], xxhash.Sum64String(string(id)))
+	return xxhash.Sum64(pair[:])
+}
+
+// weighted is a host with its weight for a key.
+type weighted struct {
+	host.Info
+	weight uint64
+}
+
+// compare orders hosts by descending weight.
+func (w weighted) compare(o weighted) int {
+	return cmp.Or(cmp.Compare(o.weight, w.weight), cmp.Compare(w.ID, o.ID))
 }
 
 // Coordinators returns up to n hosts for the group. It takes at most one host
 // of each data centre before it takes a second one, and data centres that
 // have a backend server of the group come first, so that observers sit in
-// different data centres and connections start close to a server.
+// different data centres and connections start close to a server. It looks at
+// each host once: a host that starts makes this choice for 8,100 groups.
 func Coordinators(record *group.Record, hosts []host.Info, n int) []host.Info {
-	ranked := Rank("group/"+string(record.ID), hosts)
+	k := keyOf("group", string(record.ID))
+	best := make(map[host.DataCentre][]weighted)
+	for _, h := range hosts {
+		w := weighted{Info: h, weight: k.weight(h.ID)}
+		if top := best[h.DataCentre]; len(top) < n || w.compare(top[n-1]) < 0 {
+			best[h.DataCentre] = insert(top, w, n)
+		}
+	}
+	var ranked []weighted
+	for _, top := range best {
+		ranked = append(ranked, top...)
+	}
 	serving := make(map[host.DataCentre]bool, len(record.Servers))
 	for _, s := range record.Servers {
 		serving[s.DataCentre] = true
 	}
-	slices.SortStableFunc(ranked, func(a, b host.Info) int {
-		return boolRank(serving[b.DataCentre]) - boolRank(serving[a.DataCentre])
+	slices.SortFunc(ranked, func(a, b weighted) int {
+		return cmp.Or(boolRank(serving[b.DataCentre])-boolRank(serving[a.DataCentre]), a.compare(b))
 	})
 	return spread(ranked, n)
 }
 
+// insert adds w to the hosts ordered by weight and keeps the first n.
+func insert(top []weighted, w weighted, n int) []weighted {
+	i, _ := slices.BinarySearchFunc(top, w, weighted.compare)
+	top = slices.Insert(top, i, w)
+	return top[:min(n, len(top))]
+}
+
 // Relays returns up to n hosts of the data centre that watch the platform on
 // behalf of the others.
 func Relays(dataCentre host.DataCentre, hosts []host.Info, n int) []host.Info {
-	var local []host.Info
+	k := keyOf("relay", string(dataCentre))
+	var top []weighted
 	for _, h := range hosts {
 		if h.DataCentre == dataCentre {
-			local = append(local, h)
+			top = insert(top, weighted{Info: h, weight: k.weight(h.ID)}, n)
 		}
 	}
-	ranked := Rank("relay/"+string(dataCentre), local)
-	return ranked[:min(n, len(ranked))]
+	out := make([]host.Info, len(top))
+	for i, w := range top {
+		out[i] = w.Info
+	}
+	return out
 }
 
 // spread picks n hosts in rounds; each round takes at most one host of each
 // data centre, in the given order.
-func spread(ranked []host.Info, n int) []host.Info {
+func spread(ranked []weighted, n int) []host.Info {
 	picked := make([]host.Info, 0, min(n, len(ranked)))
 	rest := ranked
 	for len(picked) < n && len(rest) > 0 {
 		taken := make(map[host.DataCentre]bool)
-		var next []host.Info
+		var next []weighted
 		for _, h := range rest {
 			if taken[h.DataCentre] || len(picked) == n {
 				next = append(next, h)
 				continue
 			}
 			taken[h.DataCentre] = true
-			picked = append(picked, h)
+			picked = append(picked, h.Info)
 		}
 		rest = next
 	}
@@ -139,5 +167,6 @@
 
 // before reports whether a ranks before b for the group.
 func before(record *group.Record, a, b host.Info) bool {
-	return Rank("group/"+string(record.ID), []host.Info{a, b})[0].ID == a.ID
+	k := keyOf("group", string(record.ID))
+	return weighted{a, k.weight(a.ID)}.compare(weighted{b, k.weight(b.ID)}) < 0
 }
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -86,3 +86,11 @@
 		}
 	})
 }
+
+// Measures the choice that a starting host makes for each of 8,100 groups.
+func BenchmarkCoordinators(b *testing.B) {
+	all := hosts(3900, "a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l")
+	for i := range b.N {
+		placement.Coordinators(record(i), all, 3)
+	}
+}
