--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -123,7 +123,7 @@
 	}
 	if done, ok := m.(*pgproto3.CommandComplete); ok {
 		x.tags++
-		x.session.noteEffect(string(done.CommandTag))
+		x.noteEffect(string(done.CommandTag))
 		if st.write {
 			x.writeTags = append(x.writeTags, string(done.CommandTag))
 		}
