--- a/cmd/serve/runner.go
+++ b/cmd/serve/runner.go
@@ -5,14 +5,9 @@
 	"errors"
 	"log/slog"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgconn"
-
-	"basilmill/core/account"
 	"basilmill/core/control"
-	"basilmill/core/distribution"
 	"basilmill/core/failover"
 	"basilmill/core/group"
 	"basilmill/core/host"
@@ -99,10 +94,22 @@
 		r.setLimits(a.View)
 		r.setEvidence(a.View)
 	case control.ServerLost:
-		go r.local.Lost(a.Group, a.Server, errServerLost)
+		r.serverLost(a)
 	}
 }
 
+// replacedGrace is the time that a statement on a replaced primary has to end.
+// It covers several round trips between regions.
+const replacedGrace = 500 * time.Millisecond
+
+func (r *runner) serverLost(a control.ServerLost) {
+	if a.Replaced {
+		go r.local.Replaced(a.Group, a.Server, errServerLost, replacedGrace)
+		return
+	}
+	go r.local.Lost(a.Group, a.Server, errServerLost)
+}
+
 func (r *runner) groupAction(record *group.Record, action failover.Action) {
 	switch a := action.(type) {
 	case failover.Probe:
@@ -159,145 +166,6 @@
 	return "postgres"
 }
 
-func (r *runner) probe(record *group.Record, a failover.Probe) {
-	p, ok := r.poller(record, a.Server)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.ctx, a.Timeout)
-	defer cancel()
-	r.metrics.probes.Inc()
-	slow := time.AfterFunc(pingAfter, func() { r.ping(ctx, record.ID, p, a) })
-	defer slow.Stop()
-	status, _, err := p.Status(ctx)
-	var answer *pgconn.PgError
-	switch {
-	case err == nil:
-		r.groupEvent(record.ID, failover.StatusReceived{Status: status, SentAt: a.SentAt})
-		return
-	case errors.As(err, &answer):
-		// The server runs, although it gives no status: it is full or starting.
-		r.groupEvent(record.ID, failover.Reached{Server: a.Server, SentAt: a.SentAt, Answered: true})
-		return
-	}
-	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
-	r.groupEvent(record.ID, failover.ProbeFailed{Server: a.Server, SentAt: a.SentAt, Refused: refused})
-}
-
-// ping asks a server whose status is late over a connection of its own.
-func (r *runner) ping(ctx context.Context, id group.ID, p *serverPoller, a failover.Probe) {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
-	defer cancel()
-	r.metrics.pings.Inc()
-	reached := failover.Reached{Server: a.Server, SentAt: time.Now()}
-	err := r.dialer.Ping(ctx, p.server.Address, func() { r.groupEvent(id, reached) })
-	if err == nil {
-		reached.Answered = true
-		r.groupEvent(id, reached)
-	}
-}
-
-func (r *runner) observe(id group.ID, a failover.Observe) {
-	to, ok := r.host(a.Host)
-	if !ok {
-		r.groupEvent(id, failover.ObservationFailed{From: a.Host, Server: a.Server})
-		return
-	}
-	ctx, cancel := context.WithTimeout(r.ctx, failover.DefaultObserveTimeout)
-	defer cancel()
-	reply, err := r.peers.Observe(ctx, to, peer.Observation{
-		Group: id, Server: a.Server, Term: a.Term, Timeout: failover.DefaultObserveTimeout,
-	})
-	if err != nil {
-		r.groupEvent(id, failover.ObservationFailed{From: a.Host, Server: a.Server})
-		return
-	}
-	r.groupEvent(id, failover.ObservationReceived{
-		From: to.ID, DataCentre: to.DataCentre, Server: a.Server, Term: a.Term, Reachable: reply.Reachable,
-	})
-}
-
-func (r *runner) host(id host.ID) (host.Info, bool) {
-	for _, h := range r.snapshot().Hosts {
-		if h.ID == id {
-			return h, true
-		}
-	}
-	return host.Info{}, false
-}
-
-// awaitObservation asks the own machine on behalf of another watcher.
-func (r *runner) awaitObservation(ctx context.Context, key observation) (reachable bool, err error) {
-	answer := make(chan bool, 1)
-	r.mu.Lock()
-	r.observations[key] = append(r.observations[key], answer)
-	r.mu.Unlock()
-	r.groupEvent(key.group, failover.ObserveRequested{From: key.from, Server: key.server, Term: key.term})
-	select {
-	case reachable = <-answer:
-		return reachable, nil
-	case <-ctx.Done():
-		return false, ctx.Err()
-	}
-}
-
-func (r *runner) answerObservation(id group.ID, a failover.Observation) {
-	key := observation{group: id, from: a.To, server: a.Server, term: a.Term}
-	r.mu.Lock()
-	waiting := r.observations[key]
-	delete(r.observations, key)
-	r.mu.Unlock()
-	for _, answer := range waiting {
-		answer <- a.Reachable
-	}
-}
-
-func (r *runner) updateRecord(a failover.UpdateRecord) {
-	id, change := a.Record.ID, a.Record.ChangeID
-	value, err := platform.EncodeGroup(a.Record)
-	if err != nil {
-		r.log.Write(r.ctx, logevent.ObjectInvalid, slog.String("Object", string(id)), slog.String("Error", err.Error()))
-		return
-	}
-	version, err := r.platform.Put(r.ctx, platform.GroupKey(id), value, platform.Version(a.ExpectedVersion))
-	var conflict *platform.ConflictError
-	switch {
-	case err == nil:
-		r.groupEvent(id, failover.UpdateApplied{ChangeID: change, Version: distribution.Version(version), Record: a.Record})
-	case errors.As(err, &conflict):
-		r.conflict(id, change, conflict.Current)
-	default:
-		r.groupEvent(id, failover.UpdateUnknown{ChangeID: change})
-	}
-}
-
-func (r *runner) conflict(id group.ID, change group.ChangeID, current platform.Object) {
-	record, err := platform.DecodeGroup(current.Value)
-	if err != nil {
-		r.groupEvent(id, failover.UpdateUnknown{ChangeID: change})
-		return
-	}
-	r.groupEvent(id, failover.UpdateConflict{Record: record, Version: distribution.Version(current.Version)})
-}
-
-func (r *runner) readRecord(id group.ID) {
-	record, version, err := r.fetchRecord(r.ctx, id)
-	if err != nil {
-		r.groupEvent(id, failover.ReadFailed{})
-		return
-	}
-	r.groupEvent(id, failover.RecordChanged{Record: record, Version: version})
-}
-
-func (r *runner) fetchRecord(ctx context.Context, id group.ID) (record *group.Record, version distribution.Version, err error) {
-	object, err := r.platform.Get(ctx, platform.GroupKey(id))
-	if err != nil {
-		return nil, 0, err
-	}
-	record, err = platform.DecodeGroup(object.Value)
-	return record, distribution.Version(object.Version), err
-}
-
 // execute sends a command. Quiesce waits for open transactions and gets a
 // connection of its own, so that it does not delay status queries.
 func (r *runner) execute(record *group.Record, command failover.Command) {
@@ -335,165 +203,3 @@
 		return 0, errors.New("unknown command")
 	}
 }
-
-func (r *runner) report(record *group.Record, report failover.Report) {
-	id := slog.String("Group", string(record.ID))
-	switch a := report.(type) {
-	case failover.PrimarySuspected:
-		r.metrics.suspicions.Inc()
-		r.log.Write(r.ctx, logevent.PrimarySuspected, id, slog.String("Server", string(a.Server)), slog.Int64("Term", int64(a.Term)))
-	case failover.SuspicionWithdrawn:
-		r.log.Write(r.ctx, logevent.SuspicionWithdrawn, id, slog.String("Server", string(a.Server)), slog.Duration("Duration", a.Duration))
-	case failover.ChangeDecided:
-		r.log.Write(r.ctx, logevent.ChangeDecided, id, slog.String("Cause", a.Cause), slog.String("Primary", string(a.Record.Primary)),
-			slog.String("Successor", string(a.Record.Successor)), slog.Int64("Term", int64(a.Record.Term)))
-	case failover.ChangeLost:
-		r.log.Write(r.ctx, logevent.ChangeRefused, id, slog.String("ChangeID", string(a.ChangeID)))
-	case failover.NoEligibleSuccessor:
-		r.log.Write(r.ctx, logevent.NoEligibleSuccessor, id, slog.String("Successor", string(a.Successor)), slog.Int64("Term", int64(a.Term)))
-	case failover.ChangeCompleted:
-		r.metrics.observeGap(record.ID, a.Gap)
-		r.log.Write(r.ctx, logevent.ChangeCompleted, id, slog.String("Primary", string(a.Primary)), slog.Int64("Term", int64(a.Term)),
-			slog.Duration("Gap", a.Gap))
-	case failover.SuccessorChanged:
-		r.log.Write(r.ctx, logevent.SuccessorChange, id, slog.String("Successor", string(a.Successor)), slog.Int64("Generation", int64(a.Generation)))
-	case failover.CommandRefused:
-		r.log.Write(r.ctx, logevent.CommandFailed, id, slog.String("Server", string(a.Command.Target())), slog.String("Error", a.Err.Error()))
-	case failover.PlatformUnavailable:
-		r.log.Write(r.ctx, logevent.PlatformUnavailable, id)
-	case failover.PlatformAvailable:
-		r.log.Write(r.ctx, logevent.PlatformAvailable, id)
-	}
-}
-
-// Evidence queries run while writes wait for confirmation. A stalled write is
-// reported to the machine so that it can change the successor or the primary.
-const (
-	stallReportAfter    = 300 * time.Millisecond
-	stallReportInterval = 300 * time.Millisecond
-	// evidenceRetry is the pause after a failed evidence query.
-	evidenceRetry = 20 * time.Millisecond
-)
-
-// setEvidence starts or stops the evidence queries of a group.
-func (r *runner) setEvidence(view *control.GroupView) {
-	id := view.Record.ID
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	stop, running := r.evidence[id]
-	switch {
-	case view.Index >= 0 && !running:
-		ctx, cancel := context.WithCancel(r.ctx)
-		r.evidence[id] = cancel
-		go r.gatherEvidence(ctx, id)
-	case view.Index < 0 && running:
-		stop()
-		delete(r.evidence, id)
-	}
-}
-
-// gatherEvidence queries the successor of a group back to back while writes
-// wait in the group's gate.
-func (r *runner) gatherEvidence(ctx context.Context, id group.ID) {
-	// Status connections count against the servers' limits, which the new
-	// coordinators share.
-	defer r.closePollers(id)
-	g := r.awaitGroup(ctx, id)
-	if g == nil {
-		return
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			// Writes that wait when the host stops coordinating are confirmed.
-			r.confirmWaiting(id, g)
-			return
-		case <-g.Gate.Wake():
-			r.confirmWaiting(id, g)
-		}
-	}
-}
-
-// confirmWaiting queries the successor until no write waits.
-func (r *runner) confirmWaiting(id group.ID, g *control.Group) {
-	var reported time.Time
-	for since, waiting := g.Gate.Waiting(); waiting && r.ctx.Err() == nil; since, waiting = g.Gate.Waiting() {
-		r.queryEvidence(r.ctx, id, g)
-		if time.Since(since) > stallReportAfter && time.Since(reported) > stallReportInterval {
-			reported = time.Now()
-			r.groupEvent(id, failover.WritesStalled{Position: g.Gate.Highest()})
-		}
-	}
-}
-
-// closePollers closes the status connections to a group's servers, unless the
-// host coordinates the group again.
-func (r *runner) closePollers(id group.ID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if _, again := r.evidence[id]; again {
-		return
-	}
-	for key, p := range r.pollers {
-		if key.group == id {
-			go p.Close()
-			delete(r.pollers, key)
-		}
-	}
-}
-
-// awaitGroup waits until the group is in the snapshot; the coordinators of a
-// new group are chosen before it is published.
-func (r *runner) awaitGroup(ctx context.Context, id group.ID) *control.Group {
-	for ctx.Err() == nil {
-		if g, ok := r.snapshot().Groups[id]; ok {
-			return g
-		}
-		pause(ctx, evidenceRetry)
-	}
-	return nil
-}
-
-func (r *runner) queryEvidence(ctx context.Context, id group.ID, g *control.Group) {
-	record := g.View().Record
-	asked := record.Successor
-	p, ok := r.poller(record, asked)
-	if !ok {
-		pause(ctx, evidenceRetry)
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, stallReportInterval)
-	defer cancel()
-	r.metrics.evidenceQueries.Inc()
-	status, sentAt, err := p.Status(ctx)
-	if err != nil {
-		pause(ctx, evidenceRetry)
-		return
-	}
-	g.Gate.Observe(status, sentAt, g.View().Record)
-	r.post(control.StatusObserved{Group: id, Status: status, SentAt: sentAt})
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
-// decoder decodes platform objects for the control thread.
-type decoder struct{}
-
-// Group decodes a group record.
-func (decoder) Group(value []byte) (*group.Record, error) { return platform.DecodeGroup(value) }
-
-// Account decodes the template of an account object.
-func (decoder) Account(value []byte) (template account.Template, err error) {
-	object, err := platform.DecodeAccount(value)
-	if err != nil {
-		return account.Template{}, err
-	}
-	return object.Template, nil
-}
--- a/io/backendserver/connection.go
+++ b/io/backendserver/connection.go
@@ -59,6 +59,9 @@
 	watched     context.Context
 	stopWatched func() bool
 
+	// retired keeps the connection from being used again.
+	retired atomic.Bool
+
 	// interrupted is the reason why another goroutine ended the use.
 	interrupted atomic.Pointer[error]
 }
@@ -295,7 +298,7 @@
 func (c *connection) ready() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.broken == nil && c.interrupted.Load() == nil && c.due == 0 && c.status == 'I'
+	return c.broken == nil && !c.retired.Load() && c.interrupted.Load() == nil && c.due == 0 && c.status == 'I'
 }
 
 // startIdle begins to watch for the loss of the idle connection, which is
--- a/io/backendserver/local.go
+++ b/io/backendserver/local.go
@@ -204,10 +204,38 @@
 	return true
 }
 
-// Lost tells that the server was lost or replaced as primary. Conversations
-// in use fail at once, because a server that is isolated would not answer;
-// idle connections are closed; waiting requests end as NotRun, so that they
-// can be routed elsewhere.
+// Replaced tells that the server was replaced as primary. Waiting requests end
+// as NotRun, so that they can be routed elsewhere, and no connection of before
+// is used again. Conversations in use have the grace to end: after a planned
+// change their answers are under way. Then they fail, because a server that is
+// isolated would not answer.
+func (l *Local) Replaced(id group.ID, s group.ServerID, cause error, grace time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry, ok := l.servers[server{group: id, id: s}]
+	if !ok || entry.pool == nil {
+		return
+	}
+	for c := range entry.inUse {
+		c.retired.Store(true)
+		time.AfterFunc(grace, func() { l.interruptRetired(entry, c, cause) })
+	}
+	entry.pool.CloseIdle()
+	entry.pool.RefuseWaiting("the primary was replaced", cause)
+}
+
+// interruptRetired ends a conversation that outlived its grace.
+func (l *Local) interruptRetired(entry *servedBy, c *connection, cause error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, inUse := entry.inUse[c]; inUse {
+		c.interrupt(cause)
+	}
+}
+
+// Lost tells that the server was lost. Conversations in use fail at once,
+// because the server would not answer; idle connections are closed; waiting
+// requests end as NotRun, so that they can be routed elsewhere.
 func (l *Local) Lost(id group.ID, s group.ServerID, cause error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
