peer: tell an unreachable host from one that refuses

Cause: a coordinator that refused a request, for example because no server could be proved able to serve it, counted as failed; three refusals moved its groups. Change: ErrUnreachable marks failures to reach the host; only they count. Conclusion: refusals no longer move coordinators.

--- a/cmd/serve/entry.go
+++ b/cmd/serve/entry.go
@@ -185,8 +185,10 @@
 		if failure.SQLState == outcome.TooManyConnections || ctx.Err() != nil {
 			return caller.Decision{}, failure
 		}
-		e.post(control.HostFailed{ID: to.ID})
-		e.log.Write(ctx, logevent.PeerUnreachable, slog.String("Host", string(to.ID)), slog.String("Error", err.Error()))
+		if errors.Is(err, peer.ErrUnreachable) {
+			e.post(control.HostFailed{ID: to.ID})
+			e.log.Write(ctx, logevent.PeerUnreachable, slog.String("Host", string(to.ID)), slog.String("Error", err.Error()))
+		}
 	}
 	return caller.Decision{}, failure
 }
--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -242,6 +242,10 @@
 	e.cond.Broadcast()
 }
 
+// ErrUnreachable is in the chain of a failure to reach the other host, as
+// opposed to a refusal by it.
+var ErrUnreachable = errors.New("the host cannot be reached")
+
 // Forward opens an exchange on a coordinator. The conversation is bound to
 // the context given here until it is released. Nothing has run when Forward
 // returns an error.
@@ -260,7 +264,7 @@
 		cancel()
 		var failed *outcome.Error
 		if !errors.As(err, &failed) {
-			err = outcome.NoPrimary("the coordinator of the group cannot be reached", err)
+			err = outcome.NoPrimary("the coordinator of the group cannot be reached", errors.Join(ErrUnreachable, err))
 		}
 		return Started{}, nil, err
 	}
--- a/io/peer/forward_test.go
+++ b/io/peer/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -121,6 +122,8 @@
 	refusing, holder := serve(t, handler{refuse: outcome.Overloaded("queue full")})
 	_, _, err := refusing.Forward(t.Context(), holder, peer.Start{Group: "g", Deadline: time.Second})
 	assert.Equal(t, outcome.Of(err), outcome.NotRun)
+	// A refusal must not count as a failure of the host.
+	assert.Assert(t, !errors.Is(err, peer.ErrUnreachable))
 
 	b := &backend{answers: make(chan pgproto3.BackendMessage, 10), failure: outcome.RolledBack("connection lost", nil), released: make(chan bool, 1)}
 	client, holder := serve(t, handler{backend: b})
@@ -139,4 +142,5 @@
 	dead := host.Info{ID: "dead", PeerAddress: netip.MustParseAddrPort("127.0.0.1:9")}
 	_, _, err = client.Forward(t.Context(), dead, peer.Start{Group: group.ID("g"), Deadline: time.Second})
 	assert.Equal(t, outcome.Of(err), outcome.NotRun)
+	assert.Assert(t, errors.Is(err, peer.ErrUnreachable))
 }
