--- /dev/null
+++ b/core/control/control_test.go
@@ -0,0 +1,116 @@
+package control_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/account"
+	"basilmill/core/control"
+	"basilmill/core/distribution"
+	"basilmill/core/failover"
+	"basilmill/core/group"
+	"basilmill/core/host"
+)
+
+// decoder reads records and templates as plain JSON.
+type decoder struct{}
+
+func (decoder) Group(value []byte) (*group.Record, error) {
+	var r group.Record
+	err := json.Unmarshal(value, &r)
+	return &r, err
+}
+
+func (decoder) Account([]byte) (account.Template, error) {
+	return account.Template{}, errors.New("not a template")
+}
+
+// start runs a control thread of host-1 and returns it with its actions.
+func start(t *testing.T) (thread *control.Thread, actions *[]control.Action) {
+	actions = new([]control.Action)
+	thread = control.New(control.Config{
+		Self:    host.Info{ID: "host-1", DataCentre: "gent-a"},
+		Decoder: decoder{},
+		Act:     func(a control.Action) { *actions = append(*actions, a) },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(func() { cancel(); synctest.Wait() })
+	go func() { _ = thread.Run(ctx) }()
+	return thread, actions
+}
+
+func record(t *testing.T, version distribution.Version, term group.Term, primary group.ServerID) distribution.Object {
+	value, err := json.Marshal(group.Record{
+		ID: "g", Term: term, Generation: group.Generation(term), Primary: primary, Successor: "c",
+		Servers: []group.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}},
+	})
+	assert.NilError(t, err)
+	return distribution.Object{Key: distribution.Key{Kind: control.KindGroup, Name: "g"}, Version: version, Value: value}
+}
+
+func update(version distribution.Version, objects ...distribution.Object) control.ObjectsReceived {
+	return control.ObjectsReceived{Update: distribution.Update{Version: version, Objects: objects}}
+}
+
+// Guards against a record that steps back when a relay delivers an older
+// version than a call to the platform returned, against an invalid object that
+// replaces a valid one, and against waiters that miss a change.
+func TestRecordsNeverStepBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		thread, actions := start(t)
+		before := thread.Snapshot()
+		thread.Post(update(5, record(t, 5, 1, "a")))
+		<-before.Changed
+		g := thread.Snapshot().Groups["g"]
+		assert.Equal(t, g.View().Index, 0)
+
+		var newer group.Record
+		assert.NilError(t, json.Unmarshal(record(t, 9, 2, "b").Value, &newer))
+		thread.Post(control.GroupEvent{Group: "g", Event: failover.RecordChanged{Record: &newer, Version: 9}})
+		thread.Post(update(7, record(t, 7, 1, "a")))
+		thread.Post(update(8, distribution.Object{Key: distribution.Key{Kind: control.KindAccount, Name: "x"}, Version: 8}))
+		synctest.Wait()
+		assert.Equal(t, g.View().Record.Primary, group.ServerID("b"))
+		assert.Equal(t, thread.Snapshot().Version, distribution.Version(8))
+
+		var replaced, rejected bool
+		for _, a := range *actions {
+			switch a := a.(type) {
+			case control.ServerLost:
+				replaced = replaced || (a.Server == "a" && a.Replaced)
+			case control.ObjectRejected:
+				rejected = true
+			}
+		}
+		assert.Assert(t, replaced && rejected)
+	})
+}
+
+// Guards against a group that keeps two sets of coordinators in one view: when
+// hosts arrive or this host leaves, its part must move.
+func TestCoordinatorsFollowTheHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		thread, _ := start(t)
+		thread.Post(update(5, record(t, 5, 1, "a")))
+		thread.Post(control.HostsListed{Hosts: []host.Info{
+			{ID: "host-1", DataCentre: "gent-a"}, {ID: "host-2", DataCentre: "namur-a"}, {ID: "host-3", DataCentre: "brussel-a"},
+		}})
+		synctest.Wait()
+		view := thread.Snapshot().Groups["g"].View()
+		assert.Equal(t, len(view.Coordinators), 3)
+		assert.Assert(t, view.Index >= 0)
+
+		thread.Post(control.Leave{})
+		synctest.Wait()
+		view = thread.Snapshot().Groups["g"].View()
+		assert.Equal(t, view.Index, -1)
+		assert.Equal(t, len(view.Coordinators), 2)
+		time.Sleep(2 * time.Second)
+	})
+}
