--- a/cmd/serve/entry.go
+++ b/cmd/serve/entry.go
@@ -193,7 +193,7 @@
 	return caller.Decision{}, failure
 }
 
-func decisionOf(view *control.GroupView, start peer.Start, started peer.Started, conversation peer.Conversation) caller.Decision {
+func decisionOf(view *control.GroupView, start peer.Start, started peer.Started, conversation backendserver.Conversation) caller.Decision {
 	server, _ := view.Record.Server(started.Server)
 	return caller.Decision{
 		Target: backendserver.Target{
@@ -222,7 +222,7 @@
 }
 
 // start serves a request that another host forwarded.
-func (e *entry) start(ctx context.Context, start peer.Start) (peer.Started, peer.Conversation, error) {
+func (e *entry) start(ctx context.Context, start peer.Start) (peer.Started, backendserver.Conversation, error) {
 	g, ok := e.snapshot().Groups[start.Group]
 	if !ok || g.View().Index < 0 {
 		return peer.Started{}, nil, outcome.NoPrimary("the host does not coordinate the group", nil)
--- a/cmd/serve/peers.go
+++ b/cmd/serve/peers.go
@@ -9,6 +9,7 @@
 	"basilmill/core/failover"
 	"basilmill/core/host"
 	"basilmill/core/outcome"
+	"basilmill/io/backendserver"
 	"basilmill/io/caller"
 	"basilmill/io/peer"
 )
@@ -101,6 +102,6 @@
 }
 
 // Start routes a forwarded request and opens a connection for it.
-func (h *peerHandler) Start(ctx context.Context, _ host.Info, start peer.Start) (peer.Started, peer.Conversation, error) {
+func (h *peerHandler) Start(ctx context.Context, _ host.Info, start peer.Start) (peer.Started, backendserver.Conversation, error) {
 	return h.entry.start(ctx, start)
 }
--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -13,6 +13,7 @@
 
 	"basilmill/core/host"
 	"basilmill/core/outcome"
+	"basilmill/io/backendserver"
 	"basilmill/io/peer/peerpb"
 )
 
@@ -50,7 +51,7 @@
 // on, one reads answers from the backend server, one writes them to the
 // stream.
 type exchange struct {
-	conversation Conversation
+	conversation backendserver.Conversation
 
 	mu   sync.Mutex
 	cond *sync.Cond
@@ -65,7 +66,7 @@
 	closed  bool
 }
 
-func newExchange(conversation Conversation) *exchange {
+func newExchange(conversation backendserver.Conversation) *exchange {
 	e := &exchange{conversation: conversation}
 	e.cond = sync.NewCond(&e.mu)
 	return e
@@ -249,7 +250,7 @@
 // Forward opens an exchange on a coordinator. The conversation is bound to
 // the context given here until it is released. Nothing has run when Forward
 // returns an error.
-func (c *Client) Forward(ctx context.Context, to host.Info, start Start) (started Started, conversation Conversation, err error) {
+func (c *Client) Forward(ctx context.Context, to host.Info, start Start) (started Started, conversation backendserver.Conversation, err error) {
 	defer annotate(&err, "forward to host %s", to.ID)
 	ctx, cancel := context.WithCancel(ctx)
 	stream := c.to(to).Forward(ctx)
--- a/io/peer/forward_test.go
+++ b/io/peer/forward_test.go
@@ -15,6 +15,7 @@
 	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/outcome"
+	"basilmill/io/backendserver"
 	"basilmill/io/peer"
 )
 
@@ -55,7 +56,7 @@
 	refuse  error
 }
 
-func (h handler) Start(context.Context, host.Info, peer.Start) (peer.Started, peer.Conversation, error) {
+func (h handler) Start(context.Context, host.Info, peer.Start) (peer.Started, backendserver.Conversation, error) {
 	if h.refuse != nil {
 		return peer.Started{}, nil, h.refuse
 	}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -7,13 +7,13 @@
 	"net/netip"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rotisserie/eris"
 
 	"basilmill/core/account"
 	"basilmill/core/distribution"
 	"basilmill/core/group"
 	"basilmill/core/host"
+	"basilmill/io/backendserver"
 	"basilmill/io/peer/peerpb"
 )
 
@@ -104,15 +104,6 @@
 	Floor group.Position
 }
 
-// Conversation is a connection to a backend server taken for one exchange.
-// Send and Receive may be called by different goroutines.
-type Conversation interface {
-	Send(ctx context.Context, batch ...pgproto3.FrontendMessage) error
-	Receive(ctx context.Context) (pgproto3.BackendMessage, error)
-	Cancel(ctx context.Context) error
-	Release(reusable bool)
-}
-
 // Handler answers the requests of other hosts. Errors that carry an outcome
 // (outcome.Error) reach the asking host as such.
 type Handler interface {
@@ -123,7 +114,7 @@
 	// Cancel cancels the running statement of a session of the receiver.
 	Cancel(ctx context.Context, from host.Info, processID uint32, secret []byte)
 	Confirm(ctx context.Context, from host.Info, confirmation Confirmation) error
-	Start(ctx context.Context, from host.Info, start Start) (Started, Conversation, error)
+	Start(ctx context.Context, from host.Info, start Start) (Started, backendserver.Conversation, error)
 }
 
 func hostToWire(h host.Info) *peerpb.Host {
