--- a/cmd/serve/entry.go
+++ b/cmd/serve/entry.go
@@ -325,6 +325,10 @@
 	b, ok := e.budgets[id]
 	if !ok {
 		b = &retry.Budget{Share: retryShare, MinRate: retryMinRate, Burst: retryBurst}
+		// A budget starts empty; the first loss of a primary must find it full.
+		for range int(retryBurst / retryShare) {
+			b.Succeeded()
+		}
 		e.budgets[id] = b
 	}
 	return b
