--- /dev/null
+++ b/cmd/entry/entry.go
@@ -0,0 +1,195 @@
+// Package entry assembles an entry host behind a platform that registers the
+// backend servers in its store: the feeds of the catalogue, a monitor for each
+// group, a pool for each server, the proxy, the listeners and the graceful
+// shutdown.
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+
+	"basilmill/core/catalog"
+	"basilmill/core/link"
+	"basilmill/core/logevent"
+	"basilmill/core/proxy"
+	"basilmill/core/settings"
+	"basilmill/core/takeover"
+)
+
+// Platform is what the host needs of the platform.
+type Platform struct {
+	Source catalog.Source
+	Ledger takeover.Ledger
+	Orders takeover.Orders
+	Dialer link.Dialer
+	// Codec returns the codec of a caller's connection.
+	Codec func(net.Conn) Codec
+	// Readiness answers the balancer.
+	Readiness func(ready func() bool) http.Handler
+	// Reload installs changed settings.
+	Reload func(settings.Entry)
+	// Clock is a clock that goes on while the machine is suspended.
+	Clock func() time.Duration
+}
+
+// Host is one entry host.
+type Host struct {
+	settings settings.Entry
+	platform Platform
+	log      *logevent.Logger
+	metrics  *metrics
+
+	book     *catalog.Book
+	groups   *groups
+	servers  *servers
+	proxy    *proxy.Proxy
+	callers  *callers
+	stopping atomic.Bool
+}
+
+// New assembles a host. Nothing is served until Run.
+func New(s settings.Entry, p Platform, log *slog.Logger) *Host {
+	h := &Host{settings: s, platform: p, log: &logevent.Logger{Log: log}, metrics: newMetrics(), book: &catalog.Book{}}
+	h.servers = newServers(h.book, p.Dialer)
+	h.groups = newGroups(h)
+	h.proxy = proxy.New(proxy.Config{
+		Book: h.book, Monitor: h.groups.monitor, Pool: h.servers.pool, DataCentre: s.DataCentre,
+		Clock: p.Clock, Log: h.log, Observe: h.metrics.observe,
+	})
+	h.callers = newCallers(h)
+	h.metrics.watch(h)
+	return h
+}
+
+// ready reports whether the balancer should send new connections.
+func (h *Host) ready() bool {
+	view := h.book.View()
+	return !h.stopping.Load() && view.Config != nil && len(view.Servers) > 0
+}
+
+// tidyInterval is the time between two looks for idle connections and missing
+// entries.
+const tidyInterval = 100 * time.Millisecond
+
+// Run serves until ctx ends and then drains. Each value of reload is a change
+// of the settings.
+func (h *Host) Run(ctx context.Context, reload <-chan settings.Entry) (err error) {
+	defer func() { err = eris.Wrap(err, "entry host") }()
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var g run.Group
+	h.addBackground(&g, background, stop, reload)
+	if err := h.addServers(ctx, &g); err != nil {
+		return err
+	}
+	h.log.Write(ctx, logevent.HostStarted, slog.String("host", string(h.settings.HostID)),
+		slog.String("data_centre", string(h.settings.DataCentre)), slog.String("callers", h.settings.Callers.String()),
+		slog.String("store", h.settings.Store.String()), slog.Duration("grace", h.settings.GraceTime))
+	err = g.Run()
+	h.log.Write(ctx, logevent.HostStopped, slog.String("host", string(h.settings.HostID)))
+	return err
+}
+
+func (h *Host) addBackground(g *run.Group, ctx context.Context, stop func(), reload <-chan settings.Entry) {
+	feed := &catalog.Feed{Book: h.book, Source: h.platform.Source, Report: newFeedReport(h).report}
+	add := func(f func(context.Context) error) {
+		g.Add(func() error { return f(ctx) }, func(error) { stop() })
+	}
+	add(feed.FollowServers)
+	add(feed.FollowConfig)
+	add(h.groups.run)
+	add(func(ctx context.Context) error { return h.tidy(ctx) })
+	add(func(ctx context.Context) error { return h.reload(ctx, reload) })
+}
+
+func (h *Host) addServers(ctx context.Context, g *run.Group) error {
+	listener, err := listen(ctx, h.settings.Callers)
+	if err != nil {
+		return err
+	}
+	g.Add(func() error { return h.serveCallers(ctx, listener) }, func(error) { _ = listener.Close() })
+	if err := h.addHTTP(ctx, g, h.settings.Readiness, h.platform.Readiness(h.ready)); err != nil {
+		return err
+	}
+	if !h.settings.Operators.IsValid() {
+		return nil
+	}
+	return h.addHTTP(ctx, g, h.settings.Operators, promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{}))
+}
+
+func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(ctx, "tcp", address.String())
+}
+
+// headerTimeout bounds the wait for the headers of a probe.
+const headerTimeout = 2 * time.Second
+
+func (h *Host) addHTTP(ctx context.Context, g *run.Group, address netip.AddrPort, handler http.Handler) error {
+	listener, err := listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	g.Add(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	}, func(error) { _ = server.Close() })
+	return nil
+}
+
+// serveCallers serves until ctx ends and the callers have been drained.
+func (h *Host) serveCallers(ctx context.Context, listener net.Listener) error {
+	served := make(chan error, 1)
+	go func() { served <- h.callers.serve(listener) }()
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	h.stopping.Store(true)
+	h.log.Write(ctx, logevent.HostStopping, slog.Int("callers", h.callers.count()), slog.Duration("grace", h.settings.GraceTime))
+	h.callers.drain(listener, h.settings.GraceTime)
+	return nil
+}
+
+// tidy closes idle connections and drops servers without an entry.
+func (h *Host) tidy(ctx context.Context) error {
+	ticker := time.NewTicker(tidyInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			for _, id := range h.book.Expire() {
+				h.log.Write(ctx, logevent.BackendServerGone, slog.String("server", string(id)), slog.String("why", "no entry"))
+			}
+			h.servers.tidy()
+			h.proxy.Forget(h.book.View())
+		}
+	}
+}
+
+func (h *Host) reload(ctx context.Context, changes <-chan settings.Entry) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-changes:
+			h.platform.Reload(s)
+			h.log.Write(ctx, logevent.SettingsReloaded, slog.String("store", s.Store.String()), slog.String("orders", s.Orders.String()))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/internal/command/entry.go
@@ -0,0 +1,79 @@
+package command
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sys/unix"
+
+	"basilmill/cmd/entry"
+	"basilmill/core/settings"
+	"basilmill/platform"
+)
+
+func entryCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "entry",
+		Usage: "run an entry host on the users' platform until SIGTERM, then drain",
+		Description: "The settings file is the platform's; its path is given by the platform. " +
+			"SIGHUP reads it again. With any fault in it nothing is started and the exit code is 2.",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE` of the platform", Value: platform.SettingsPath()},
+		},
+		Action: action(0, 0, runEntry),
+	}
+}
+
+func runEntry(ctx context.Context, c *cli.Command) error {
+	path := c.String("settings")
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	store := platform.NewStore(s.Store)
+	orders := platform.NewPromotions(s.Orders)
+	log := newLogger(c.Root().Writer, settings.Log{Format: settings.JSON})
+	host := entry.New(s, entry.Platform{
+		Source: store, Ledger: store, Orders: orders, Dialer: platform.Dialer{},
+		Codec:     func(conn net.Conn) entry.Codec { return platform.NewCaller(conn) },
+		Readiness: platform.ReadinessHandler,
+		Reload: func(s settings.Entry) {
+			store.SetAddress(s.Store)
+			orders.SetAddress(s.Orders)
+		},
+		Clock: bootClock,
+	}, log)
+	reload := make(chan settings.Entry)
+	go func() {
+		for range hangups {
+			changed, err := platform.ReadSettings(path)
+			if err != nil {
+				log.Error("settings not reloaded", "error", err.Error())
+				continue
+			}
+			select {
+			case reload <- changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return host.Run(ctx, reload)
+}
+
+// bootClock reads the clock that goes on while the machine is suspended.
+func bootClock() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(eris.Wrap(err, "CLOCK_BOOTTIME"))
+	}
+	return time.Duration(t.Nano())
+}
--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,132 @@
+// Package catalog owns a host's view of the routes that operators configure and
+// of the backend servers that register themselves. The view never steps back
+// to a lower version of the configuration.
+package catalog
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"basilmill/core/group"
+	"basilmill/core/host"
+)
+
+// Version is the version of a configuration. It rises in irregular steps.
+type Version int64
+
+// Class says which log a route's reads may see.
+type Class int
+
+// Classes of routes.
+const (
+	// Current reads see every write acknowledged before they arrived.
+	Current Class = iota
+	// BoundedAge reads see every write acknowledged longer ago than MaxAge.
+	BoundedAge
+	// OwnWrites reads are BoundedAge reads that also see every write of their
+	// session.
+	OwnWrites
+)
+
+// String returns the name of the class in logs and metrics.
+func (c Class) String() string {
+	switch c {
+	case Current:
+		return "current"
+	case BoundedAge:
+		return "bounded-age"
+	case OwnWrites:
+		return "own-writes"
+	default:
+		return "unknown"
+	}
+}
+
+// Route leads the callers of a database to a group of backend servers.
+type Route struct {
+	Name string
+	// Database is the name that callers connect to.
+	Database string
+	Group    group.ID
+	Class    Class
+	MaxAge   time.Duration
+	// StatementTimeout bounds one statement.
+	StatementTimeout time.Duration
+	// Target is the latency objective of a whole operation.
+	Target time.Duration
+	// Priority orders waiting requests; 0 is the highest.
+	Priority int
+}
+
+// Group is the configuration of a group of backend servers.
+type Group struct {
+	ID group.ID
+	// ConnectionLimit bounds the connections of all callers to one server.
+	ConnectionLimit int
+	// SyncReplicas is the number of replicas that confirm a commit.
+	SyncReplicas int
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version Version
+	Routes  map[string]Route // by database
+	Groups  map[group.ID]Group
+	// IdleInTransaction bounds the pause between two statements of a
+	// transaction; zero means no bound.
+	IdleInTransaction time.Duration
+	// MaxStatementBytes bounds the text of one statement.
+	MaxStatementBytes int
+}
+
+// Server is a backend server as it registered itself.
+type Server struct {
+	ID         group.ServerID
+	Group      group.ID
+	Address    netip.AddrPort
+	DataCentre host.DataCentre
+	Leaving    bool
+	// Primary is the server's own view of its role, which may be outdated.
+	Primary bool
+	// Boot changes when the server restarts; it then holds nothing of before.
+	Boot int64
+}
+
+// View is an immutable state of the catalogue.
+type View struct {
+	Config  *Config // nil until one is known
+	Servers map[group.ServerID]Server
+}
+
+// Members returns the servers of a group, ordered by id.
+func (v *View) Members(id group.ID) []Server {
+	var members []Server
+	for _, s := range v.Servers {
+		if s.Group == id {
+			members = append(members, s)
+		}
+	}
+	slices.SortFunc(members, func(a, b Server) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return members
+}
+
+// Route returns the route of a database.
+func (v *View) Route(database string) (Route, bool) {
+	if v.Config == nil {
+		return Route{}, false
+	}
+	r, ok := v.Config.Routes[database]
+	return r, ok
+}
+
+// clone returns a copy whose servers may be changed.
+func (v *View) clone() *View {
+	return &View{Config: v.Config, Servers: maps.Clone(v.Servers)}
+}
--- /dev/null
+++ b/core/lead/input.go
@@ -0,0 +1,126 @@
+package lead
+
+import (
+	"errors"
+	"log/slog"
+	"time"
+
+	"basilmill/core/catalog"
+	"basilmill/core/exchange"
+	"basilmill/core/group"
+	"basilmill/core/logevent"
+	"basilmill/core/takeover"
+)
+
+// askInput asks for a probe.
+type askInput struct{}
+
+func (askInput) apply(m *Monitor) { m.asked = true }
+
+// refusedInput says that a server refused because it does not lead.
+type refusedInput struct{ server group.ServerID }
+
+func (i refusedInput) apply(m *Monitor) {
+	if m.known && i.server == m.leader.ID {
+		m.asked = true
+	}
+}
+
+// probeInput is the result of a probe.
+type probeInput struct {
+	server   catalog.Server
+	sent     time.Duration
+	position group.Position
+	err      error
+	search   bool
+}
+
+func (i probeInput) apply(m *Monitor) {
+	if i.search {
+		m.searching--
+	} else {
+		m.probing = false
+	}
+	if i.err == nil {
+		i.succeeded(m)
+		return
+	}
+	if !m.known || i.server.ID != m.leader.ID {
+		return
+	}
+	var refusal *exchange.Failure
+	switch {
+	case errors.As(i.err, &refusal) && refusal.Code == exchange.ReadOnly:
+		m.lose("does not lead", true)
+	case refuses(i.err):
+		m.lose("refuses connections", true)
+	}
+}
+
+// succeeded takes a proof that a server leads. A proof of a lower term than a
+// known one was overtaken while it was on its way.
+func (i probeInput) succeeded(m *Monitor) {
+	if n := len(m.samples); n > 0 && i.position.Term < m.samples[n-1].Position.Term {
+		return
+	}
+	if !m.known || m.leader.ID != i.server.ID {
+		m.log(logevent.PrimaryFound, slog.String("server", string(i.server.ID)), slog.Int64("term", int64(i.position.Term)),
+			slog.Duration("gap", m.config.Clock()-m.proven))
+		m.leader, m.known, m.gone = i.server, true, false
+		m.lost = i.sent
+		m.nextProbe = i.sent + probeInterval
+	}
+	m.proven = max(m.proven, i.sent)
+	m.keep(Sample{At: i.sent, Position: i.position})
+	m.publish()
+}
+
+// keep adds a sample. Samples of earlier terms are dropped: their positions
+// may lie beyond the start of the new term and never be reached.
+func (m *Monitor) keep(s Sample) {
+	var kept []Sample
+	for _, old := range m.samples {
+		if old.Position.Term == s.Position.Term && s.At-old.At < sampleTime {
+			kept = append(kept, old)
+		}
+	}
+	at := len(kept)
+	for at > 0 && kept[at-1].At > s.At {
+		at--
+	}
+	kept = append(kept, Sample{})
+	copy(kept[at+1:], kept[at:])
+	kept[at] = s
+	m.samples = kept
+}
+
+// attemptInput is the result of an attempt to change the primary.
+type attemptInput struct {
+	situation takeover.Situation
+	server    group.ServerID
+	err       error
+}
+
+func (i attemptInput) apply(m *Monitor) {
+	m.attempt = false
+	now := m.config.Clock()
+	m.nextTry = now + retryTime
+	if i.err != nil {
+		m.log(logevent.ChangeRefused, slog.String("cause", i.situation.Cause.String()), errAttr(i.err))
+		return
+	}
+	m.log(logevent.ChangeCompleted, slog.String("cause", i.situation.Cause.String()), slog.String("server", string(i.server)))
+	if m.known && m.leader.ID != i.server {
+		m.lose("replaced by this host", true)
+	}
+	m.nextProbe = now
+	m.nextAudit = now
+}
+
+// auditInput is the result of an audit.
+type auditInput struct{ found map[group.ServerID]bool }
+
+func (i auditInput) apply(m *Monitor) {
+	m.auditing = false
+	m.audited = i.found
+}
--- /dev/null
+++ b/core/link/pool.go
@@ -0,0 +1,401 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"basilmill/core/catalog"
+	"basilmill/core/exchange"
+)
+
+const (
+	// openTimeout bounds the opening of a connection: ten times the slowest
+	// one of today's deployments (27 ms and two round trips of 40 ms).
+	openTimeout = time.Second
+	// fullPause is the pause after a server refused a connection over its
+	// limit. Other hosts close their spare connections after spareTime.
+	fullPause = 60 * time.Millisecond
+	// failPause is the pause after an opening failed in another way.
+	failPause = 100 * time.Millisecond
+	// spareTime is how long an idle connection beyond the first is kept. At a
+	// price of a connection of about a hundredth of a request it is short, so
+	// that the hosts can share the server's limit.
+	spareTime = 700 * time.Millisecond
+	// idleTime is how long the last idle connection is kept.
+	idleTime = 10 * time.Second
+	// crowd is the number of sessions on a shared connection beyond which
+	// another one is opened.
+	crowd = 2
+	// stuckTime is how long the oldest statement on a connection may be
+	// unanswered before the connection serves no further session.
+	stuckTime = 250 * time.Millisecond
+	// abandonTime ends a connection whose oldest statement has had no answer.
+	// It exceeds every route's statement timeout, so that nothing at work is
+	// broken off.
+	abandonTime = 4 * time.Second
+)
+
+// ErrNoConnection is the error of requests that got no connection. Nothing was
+// sent for them.
+var ErrNoConnection = errors.New("no connection to the backend server")
+
+// Pool shares the connections to one server between sessions.
+type Pool struct {
+	server catalog.Server
+	dialer Dialer
+
+	mu      sync.Mutex
+	limit   int
+	conns   []*Conn
+	opening int
+	waiters []*waiter
+	// pausedUntil is when the next opening may start after a failed one.
+	pausedUntil time.Time
+	pause       *time.Timer
+	full        bool
+	closed      bool
+	stats       Stats
+}
+
+// Stats describes a pool at one moment.
+type Stats struct {
+	Open, Exclusive, Waiting int
+	// Opened, Refused and Failed count openings by result.
+	Opened, Refused, Failed int64
+}
+
+type waiter struct {
+	exclusive bool
+	wanted    *Settings
+	priority  int
+	ready     chan leased
+}
+
+type leased struct {
+	lease *Lease
+	err   error
+}
+
+// Lease is the right to use a connection until Release.
+type Lease struct {
+	*Conn
+	pool      *Pool
+	exclusive bool
+	once      sync.Once
+}
+
+// NewPool returns a pool without connections that opens up to limit of them.
+func NewPool(server catalog.Server, dialer Dialer, limit int) *Pool {
+	return &Pool{server: server, dialer: dialer, limit: limit}
+}
+
+// SetLimit changes the bound of this host's connections.
+func (p *Pool) SetLimit(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	p.dispatch()
+}
+
+// Shared returns a connection on which other sessions may have statements in
+// flight.
+func (p *Pool) Shared(ctx context.Context, wanted *Settings, priority int) (*Lease, error) {
+	return p.get(ctx, &waiter{wanted: wanted, priority: priority})
+}
+
+// Exclusive returns a connection that no other session uses until Release.
+func (p *Pool) Exclusive(ctx context.Context, wanted *Settings, priority int) (*Lease, error) {
+	return p.get(ctx, &waiter{exclusive: true, wanted: wanted, priority: priority})
+}
+
+func (p *Pool) get(ctx context.Context, w *waiter) (*Lease, error) {
+	w.ready = make(chan leased, 1)
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, ErrNoConnection
+	}
+	at := slices.IndexFunc(p.waiters, func(o *waiter) bool { return o.priority > w.priority })
+	if at < 0 {
+		at = len(p.waiters)
+	}
+	p.waiters = slices.Insert(p.waiters, at, w)
+	p.dispatch()
+	p.mu.Unlock()
+	select {
+	case l := <-w.ready:
+		return l.lease, l.err
+	case <-ctx.Done():
+		p.abandon(w)
+		return nil, eris.Wrap(ErrNoConnection, ctx.Err().Error())
+	}
+}
+
+// abandon removes a waiter, or returns the connection that it was just given.
+func (p *Pool) abandon(w *waiter) {
+	p.mu.Lock()
+	i := slices.Index(p.waiters, w)
+	if i >= 0 {
+		p.waiters = slices.Delete(p.waiters, i, i+1)
+	}
+	p.mu.Unlock()
+	if i >= 0 {
+		return
+	}
+	if l := <-w.ready; l.lease != nil {
+		l.lease.Release()
+	}
+}
+
+// Release hands the connection back.
+func (l *Lease) Release() {
+	l.once.Do(func() {
+		p := l.pool
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if l.exclusive {
+			l.Conn.exclusive = false
+		} else {
+			l.shares--
+		}
+		l.idleSince = time.Now()
+		p.dispatch()
+	})
+}
+
+// dispatch serves the waiters that can be served and starts the openings that
+// the others need. The caller holds the lock.
+func (p *Pool) dispatch() {
+	unserved := 0
+	p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter) bool {
+		c := p.choose(w)
+		if c == nil {
+			unserved++
+			return false
+		}
+		p.grant(w, c)
+		return true
+	})
+	if unserved == 0 && p.crowded() {
+		unserved = 1
+	}
+	p.open(unserved)
+}
+
+func (p *Pool) grant(w *waiter, c *Conn) {
+	if w.exclusive {
+		c.exclusive = true
+	} else {
+		c.shares++
+	}
+	w.ready <- leased{lease: &Lease{Conn: c, pool: p, exclusive: w.exclusive}}
+}
+
+// choose returns the connection for a waiter, or nil. One connection stays
+// free of exclusive use where more than one is allowed, so that a transaction
+// does not keep reads waiting.
+func (p *Pool) choose(w *waiter) *Conn {
+	var best *Conn
+	free := 0
+	for _, c := range p.conns {
+		if c.exclusive || c.Ended() || stuck(c) {
+			continue
+		}
+		free++
+		if w.exclusive && c.shares > 0 {
+			continue
+		}
+		if best == nil || c.shares < best.shares || c.shares == best.shares && !best.matches(w.wanted) && c.matches(w.wanted) {
+			best = c
+		}
+	}
+	if w.exclusive && free < 2 && p.limit > 1 {
+		return nil
+	}
+	return best
+}
+
+func stuck(c *Conn) bool {
+	since, waiting := c.waitingSince()
+	return waiting && time.Since(since) > stuckTime
+}
+
+// crowded reports whether each shared connection serves several sessions.
+func (p *Pool) crowded() bool {
+	if len(p.conns) == 0 || p.full {
+		return false
+	}
+	for _, c := range p.conns {
+		if !c.exclusive && c.shares <= crowd {
+			return false
+		}
+	}
+	return true
+}
+
+// open starts openings for the unserved waiters. A waiter for exclusive use
+// may need a second connection beside its own.
+func (p *Pool) open(unserved int) {
+	if p.closed || unserved == 0 {
+		return
+	}
+	if wait := time.Until(p.pausedUntil); wait > 0 {
+		p.wake(wait)
+		return
+	}
+	want := unserved
+	if p.full {
+		want = 1
+	}
+	for p.opening < want && len(p.conns)+p.opening < p.limit {
+		p.opening++
+		go p.dial()
+	}
+}
+
+// wake dispatches again when the pause after a failed opening is over.
+func (p *Pool) wake(after time.Duration) {
+	if p.pause != nil {
+		return
+	}
+	p.pause = time.AfterFunc(after, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.pause = nil
+		p.dispatch()
+	})
+}
+
+func (p *Pool) dial() {
+	ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+	defer cancel()
+	stream, err := p.dialer.Dial(ctx, p.server)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	if err != nil {
+		p.failed(err)
+		return
+	}
+	if p.closed {
+		go func() { _ = stream.Close() }()
+		return
+	}
+	p.full = false
+	p.stats.Opened++
+	c := NewConn(stream, p.ended)
+	c.idleSince = time.Now()
+	p.conns = append(p.conns, c)
+	p.dispatch()
+}
+
+// failed notes a failed opening. Waiters fail with it unless the server is
+// full or other connections can serve them.
+func (p *Pool) failed(err error) {
+	var refusal *exchange.Failure
+	if errors.As(err, &refusal) && refusal.Code == exchange.TooManyConnections {
+		p.stats.Refused++
+		p.full = true
+		p.pausedUntil = time.Now().Add(fullPause)
+		p.dispatch()
+		return
+	}
+	p.stats.Failed++
+	p.pausedUntil = time.Now().Add(failPause)
+	if len(p.conns) > 0 {
+		p.dispatch()
+		return
+	}
+	for _, w := range p.waiters {
+		w.ready <- leased{err: eris.Wrap(ErrNoConnection, err.Error())}
+	}
+	p.waiters = nil
+}
+
+// ended removes a connection.
+func (p *Pool) ended(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns = slices.DeleteFunc(p.conns, func(o *Conn) bool { return o == c })
+	p.dispatch()
+}
+
+// Tidy closes connections that have been idle for longer than they are kept
+// and those on which a statement has been unanswered for too long.
+func (p *Pool) Tidy() {
+	p.mu.Lock()
+	var ending []*Conn
+	now := time.Now()
+	for _, c := range p.conns {
+		if since, waiting := c.waitingSince(); waiting {
+			if now.Sub(since) > abandonTime {
+				ending = append(ending, c)
+			}
+			continue
+		}
+		if c.exclusive || c.shares > 0 {
+			continue
+		}
+		keep := spareTime
+		if len(p.conns)-len(ending) == 1 {
+			keep = idleTime
+		}
+		if now.Sub(c.idleSince) > keep {
+			ending = append(ending, c)
+		}
+	}
+	p.dispatch()
+	p.mu.Unlock()
+	for _, c := range ending {
+		c.Close()
+	}
+}
+
+// Close ends all connections and fails all waiters.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	p.closed = true
+	conns := slices.Clone(p.conns)
+	for _, w := range p.waiters {
+		w.ready <- leased{err: ErrNoConnection}
+	}
+	p.waiters = nil
+	p.mu.Unlock()
+	for _, c := range conns {
+		c.Close()
+	}
+}
+
+// Load returns the number of sessions on the pool's connections and waiting
+// for one.
+func (p *Pool) Load() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	load := len(p.waiters)
+	for _, c := range p.conns {
+		load += c.shares
+		if c.exclusive {
+			load++
+		}
+	}
+	return load
+}
+
+// Stats returns the pool's statistics.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stats
+	s.Open, s.Waiting = len(p.conns), len(p.waiters)
+	for _, c := range p.conns {
+		if c.exclusive {
+			s.Exclusive++
+		}
+	}
+	return s
+}
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -20,6 +20,8 @@
 	HostStopping          Number = 1002
 	HostStopped           Number = 1003
 	ListenerFailed        Number = 1004
+	SettingsReloaded      Number = 1005
+	DrainIncomplete       Number = 1006
 	PlatformUnavailable   Number = 2001
 	PlatformAvailable     Number = 2002
 	ObjectInvalid         Number = 2003
@@ -34,13 +36,19 @@
 	NoEligibleSuccessor   Number = 3006
 	CommandFailed         Number = 3007
 	SuccessorChange       Number = 3008
+	PrimaryLost           Number = 3009
+	PrimaryFound          Number = 3010
+	ChangeStep            Number = 3011
+	ReplicaResumed        Number = 3012
 	CallerRefused         Number = 4001
 	OutcomeUnknown        Number = 4002
 	ConnectionLost        Number = 4003
 	RequestNotRun         Number = 4004
+	RequestRetried        Number = 4006
 	ConnectionLimitHit    Number = 4005
 	PeerUnreachable       Number = 5001
 	BackendServerLeaving  Number = 5002
+	BackendServerGone     Number = 5005
 	ProtocolError         Number = 5003
 	AuthenticationFailure Number = 5004
 )
@@ -63,6 +71,8 @@
 	{HostStopping, "HostStopping", slog.LevelInfo, "host stopping, draining callers", "None."},
 	{HostStopped, "HostStopped", slog.LevelInfo, "host stopped", "None."},
 	{ListenerFailed, "ListenerFailed", slog.LevelError, "listener failed", "Check that the address in the settings is free and belongs to the host."},
+	{SettingsReloaded, "SettingsReloaded", slog.LevelInfo, "settings reloaded", "None."},
+	{DrainIncomplete, "DrainIncomplete", slog.LevelWarn, "callers still connected at the end of the grace time", "Check what the remaining callers wait for; their statements are cut."},
 	{PlatformUnavailable, "PlatformUnavailable", slog.LevelWarn, "platform unavailable", "Restore the platform. Traffic continues; no change of primary and no new configuration is possible meanwhile."},
 	{PlatformAvailable, "PlatformAvailable", slog.LevelInfo, "platform available", "None."},
 	{ObjectInvalid, "ObjectInvalid", slog.LevelError, "platform object cannot be decoded", "Inspect the object; the host keeps the last valid version."},
@@ -77,13 +87,19 @@
 	{NoEligibleSuccessor, "NoEligibleSuccessor", slog.LevelError, "no server is eligible as primary", "Bring the primary or the successor back. Never promote another server by hand: it may lack acknowledged writes."},
 	{CommandFailed, "CommandFailed", slog.LevelWarn, "command to a backend server failed", "None unless it repeats; then check the backend server."},
 	{SuccessorChange, "SuccessorChange", slog.LevelInfo, "change of successor", "None."},
+	{PrimaryLost, "PrimaryLost", slog.LevelWarn, "primary no longer believed to lead", "None; a search for another one follows."},
+	{PrimaryFound, "PrimaryFound", slog.LevelInfo, "primary proven to lead", "None."},
+	{ChangeStep, "ChangeStep", slog.LevelInfo, "step of a change of primary", "None."},
+	{ReplicaResumed, "ReplicaResumed", slog.LevelWarn, "replica left suspended by an unfinished change told to receive again", "None unless it repeats; then check which host's changes do not finish."},
 	{CallerRefused, "CallerRefused", slog.LevelWarn, "caller refused", "Check the account's template if the caller is legitimate."},
 	{OutcomeUnknown, "OutcomeUnknown", slog.LevelWarn, "outcome of a write is unknown", "Callers retry with the same request key; check replication to the successor when frequent."},
 	{ConnectionLost, "ConnectionLost", slog.LevelWarn, "connection to a backend server lost", "None."},
 	{RequestNotRun, "RequestNotRun", slog.LevelWarn, "request refused, not run", "Check for a missing primary or an overloaded account."},
 	{ConnectionLimitHit, "ConnectionLimitHit", slog.LevelWarn, "backend server refused a connection over its limit", "Compare the group's ConnectionLimit with the server's setting."},
+	{RequestRetried, "RequestRetried", slog.LevelInfo, "request served after more than one attempt", "None unless frequent; the reason says what the earlier attempts met."},
 	{PeerUnreachable, "PeerUnreachable", slog.LevelWarn, "host unreachable", "Check the link between the hosts."},
 	{BackendServerLeaving, "BackendServerLeaving", slog.LevelInfo, "backend server is leaving", "None."},
+	{BackendServerGone, "BackendServerGone", slog.LevelInfo, "backend server dropped", "None."},
 	{ProtocolError, "ProtocolError", slog.LevelWarn, "caller violated the protocol", "Check the caller's driver or the source address."},
 	{AuthenticationFailure, "AuthenticationFailure", slog.LevelWarn, "authentication failed", "Check the caller's password; repeated failures may be an attack."},
 }
--- /dev/null
+++ b/core/proxy/choose.go
@@ -0,0 +1,119 @@
+package proxy
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"basilmill/core/catalog"
+	"basilmill/core/exchange"
+	"basilmill/core/group"
+)
+
+const (
+	// avoidTime is how long a server is avoided after a failed connection.
+	avoidTime = 300 * time.Millisecond
+	// busyTime is how long a server is avoided after a busy answer: about one
+	// statement's work.
+	busyTime = 20 * time.Millisecond
+	// behindTime is how long a server is taken to be behind after it said so:
+	// a fraction of the pause between two writes of a session.
+	behindTime = 40 * time.Millisecond
+	// remoteCost is what a read in another data centre must gain in time. It
+	// stands for the price of bytes between data centres.
+	remoteCost = 25 * time.Millisecond
+	// primaryCost keeps reads away from the server that all writes need.
+	primaryCost = 10 * time.Millisecond
+	// startLatency is the assumed time of a read on a server not yet used.
+	startLatency = 10 * time.Millisecond
+	// penalty orders the servers that should be avoided behind all others.
+	penalty = 10 * time.Second
+	// smoothing is the weight of a new sample of the latency, in parts.
+	smoothing = 8
+)
+
+// reader returns the server on which a read that needs the position is
+// expected to be answered first, among those not yet tried.
+func (r *request) reader(tried map[group.ServerID]bool) (catalog.Server, bool) {
+	p := r.session.proxy
+	snapshot := r.monitor.Snapshot()
+	var best catalog.Server
+	bestCost := time.Duration(-1)
+	for _, s := range p.config.Book.View().Members(r.route.Group) {
+		if s.Leaving || tried[s.ID] {
+			continue
+		}
+		cost := p.cost(s, r.position)
+		if snapshot.Known && s.ID == snapshot.Leader.ID {
+			cost += primaryCost
+		}
+		if bestCost < 0 || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best, bestCost >= 0
+}
+
+// cost estimates how long a read on the server takes.
+func (p *Proxy) cost(s catalog.Server, needed group.Position) time.Duration {
+	h := p.health.of(s.ID)
+	load := time.Duration(p.config.Pool(s).Load())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	latency := h.latency
+	if latency == 0 {
+		latency = startLatency
+	}
+	cost := latency + latency*load/2
+	if s.DataCentre != p.config.DataCentre {
+		cost += remoteCost
+	}
+	now := time.Now()
+	if now.Before(h.avoidUntil) {
+		cost += penalty
+	}
+	if now.Sub(h.behindAt) < behindTime && h.position.Compare(needed) < 0 {
+		cost += penalty
+	}
+	return cost
+}
+
+// learned updates what is known about a server from its answer to a read.
+func (p *Proxy) learned(id group.ServerID, answer exchange.Answer, elapsed time.Duration) {
+	h := p.health.of(id)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	if !answer.Position.IsZero() {
+		h.position, h.positionAt = answer.Position, now
+	}
+	if answer.Failure == nil {
+		if h.latency == 0 {
+			h.latency = elapsed
+		}
+		h.latency += (elapsed - h.latency) / smoothing
+		return
+	}
+	switch answer.Failure.Code {
+	case exchange.Busy:
+		h.avoidUntil = now.Add(busyTime)
+	case exchange.Behind:
+		h.behindAt = now
+	default:
+	}
+}
+
+// avoid notes that no answer could be had from a server.
+func (p *Proxy) avoid(id group.ServerID) {
+	h := p.health.of(id)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.avoidUntil = time.Now().Add(avoidTime)
+}
+
+// sharedName returns the name under which connections know a prepared
+// statement. Sessions that prepare the same thing share it.
+func sharedName(prepared exchange.Prepared) string {
+	return fmt.Sprintf("p%x", xxhash.Sum64String(fmt.Sprint(prepared.Writes, prepared.Shape)))
+}
--- /dev/null
+++ b/core/proxy/read.go
@@ -0,0 +1,295 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"basilmill/core/catalog"
+	"basilmill/core/exchange"
+	"basilmill/core/group"
+	"basilmill/core/lead"
+	"basilmill/core/link"
+)
+
+const (
+	// ageMargin is taken off the age that a route allows, for the time between
+	// a commit's acknowledgement and the caller's receipt of it.
+	ageMargin = 50 * time.Millisecond
+	// roundPause is the pause before servers that were all tried are tried
+	// again: about one replication delay.
+	roundPause = 15 * time.Millisecond
+	// unprovenTime is how old the last proof of the leader may be for work
+	// that only the leader can do. It exceeds the time after which a change
+	// of primary is considered.
+	unprovenTime = 650 * time.Millisecond
+	// hedgeShare is the part of the latency objective after which an
+	// unanswered read is sent to another server too.
+	hedgeShare = 3
+)
+
+// readAged serves a read that may miss recent commits on any server whose log
+// contains a position that is recent enough.
+func (r *request) readAged(ctx context.Context) exchange.Answer {
+	if !r.findPosition(ctx) {
+		r.reason = "no position recent enough"
+		return exchange.Fail(exchange.Behind, r.reason+", retry later", exchange.Idle)
+	}
+	tried := map[group.ServerID]bool{}
+	for {
+		server, ok := r.reader(tried)
+		if !ok {
+			clear(tried)
+			if !sleep(ctx, roundPause) {
+				return r.refuseRead()
+			}
+			// The position may belong to a term that has been replaced.
+			r.findPosition(ctx)
+			continue
+		}
+		tried[server.ID] = true
+		answer, verdict := r.readOn(ctx, server, tried)
+		switch verdict {
+		case answered:
+			return answer
+		case ended:
+			return r.refuseRead()
+		case elsewhere:
+		}
+	}
+}
+
+// refuseRead answers a read that found no server in its time. Nothing that it
+// did is kept.
+func (r *request) refuseRead() exchange.Answer {
+	if r.reason == "" {
+		r.reason = "no server"
+	}
+	return exchange.Fail(exchange.Busy, r.reason+", retry later", exchange.Idle)
+}
+
+// findPosition sets the lowest position that the read may be served at.
+func (r *request) findPosition(ctx context.Context) bool {
+	at := r.arrived - r.route.MaxAge + ageMargin
+	for {
+		snapshot := r.monitor.Snapshot()
+		if position, ok := snapshot.Covering(at); ok {
+			r.position = position
+			if r.route.Class == catalog.OwnWrites && r.session.written.Compare(position) > 0 {
+				r.position = r.session.written
+			}
+			return true
+		}
+		r.monitor.Ask()
+		if !waitChange(ctx, snapshot) {
+			return false
+		}
+	}
+}
+
+// verdict says how to go on after an attempt.
+type verdict int
+
+const (
+	answered verdict = iota
+	elsewhere
+	ended
+)
+
+// readOn sends the read to a server, and to another one when the answer takes
+// long.
+func (r *request) readOn(ctx context.Context, server catalog.Server, tried map[group.ServerID]bool) (exchange.Answer, verdict) {
+	results := make(chan readResult, 2)
+	wanted, statement := r.session.wanted(r.statement)
+	statement.After = r.position
+	r.attempts++
+	go r.readOnce(ctx, server, wanted, statement, results)
+	hedge := time.NewTimer(r.route.Target / hedgeShare)
+	defer hedge.Stop()
+	pending := 1
+	for {
+		select {
+		case result := <-results:
+			pending--
+			if result.verdict == answered || pending == 0 {
+				r.server = result.server
+				if result.reason != "" {
+					r.reason = result.reason
+				}
+				return result.answer, result.verdict
+			}
+		case <-hedge.C:
+			other, ok := r.reader(tried)
+			if !ok {
+				continue
+			}
+			tried[other.ID] = true
+			pending++
+			r.attempts++
+			go r.readOnce(ctx, other, wanted, statement, results)
+		case <-ctx.Done():
+			r.reason = "no answer in time"
+			return exchange.Fail(exchange.TimedOut, r.reason, exchange.Idle), answered
+		}
+	}
+}
+
+type readResult struct {
+	server  group.ServerID
+	answer  exchange.Answer
+	verdict verdict
+	reason  string
+}
+
+// readOnce makes one attempt on one server.
+func (r *request) readOnce(ctx context.Context, server catalog.Server, wanted *link.Settings, statement exchange.Statement, results chan<- readResult) {
+	p := r.session.proxy
+	result := readResult{server: server.ID, verdict: elsewhere}
+	defer func() { results <- result }()
+	lease, err := p.config.Pool(server).Shared(ctx, wanted, r.route.Priority)
+	if err != nil {
+		p.avoid(server.ID)
+		result.reason = err.Error()
+		return
+	}
+	started := time.Now()
+	call := lease.Submit(wanted, statement)
+	select {
+	case <-call.Done:
+		lease.Release()
+	case <-ctx.Done():
+		go func() { <-call.Done; lease.Release() }()
+		result.verdict = ended
+		return
+	}
+	answers, err := call.Answers()
+	if err != nil {
+		p.avoid(server.ID)
+		result.reason = err.Error()
+		return
+	}
+	p.learned(server.ID, answers[0], time.Since(started))
+	result.answer, result.verdict = answers[0], judge(answers[0])
+	if answers[0].Failure != nil {
+		result.reason = answers[0].Failure.Error()
+	}
+}
+
+// judge says whether an answer to a read is the caller's.
+func judge(answer exchange.Answer) verdict {
+	if answer.Failure != nil {
+		switch answer.Failure.Code {
+		case exchange.Errored, exchange.TimedOut, exchange.Malformed, exchange.TooLarge:
+			return answered
+		default:
+			return elsewhere
+		}
+	}
+	if answer.Digest == "" {
+		return elsewhere
+	}
+	return answered
+}
+
+// readCurrent serves a read that must see every commit acknowledged before it
+// arrived. It runs in a transaction of its own on the leader, which the leader
+// accepts only while it leads.
+func (r *request) readCurrent(ctx context.Context) exchange.Answer {
+	p := r.session.proxy
+	for {
+		server, ok := r.awaitLeader(ctx)
+		if !ok {
+			return r.refuseRead()
+		}
+		wanted, statement := r.session.wanted(r.statement)
+		lease, err := p.config.Pool(server).Shared(ctx, wanted, r.route.Priority)
+		if err != nil {
+			r.reason = err.Error()
+			if !sleep(ctx, roundPause) {
+				return r.refuseRead()
+			}
+			continue
+		}
+		r.attempts++
+		r.server = server.ID
+		answer, verdict := r.currentOn(ctx, lease, wanted, statement)
+		if verdict == answered {
+			return answer
+		}
+		if verdict == ended || !sleep(ctx, roundPause) {
+			return r.refuseRead()
+		}
+	}
+}
+
+func (r *request) currentOn(ctx context.Context, lease *link.Lease, wanted *link.Settings, statement exchange.Statement) (exchange.Answer, verdict) {
+	call := lease.Submit(wanted, exchange.Statement{Operation: exchange.Begin}, statement, exchange.Statement{Operation: exchange.Rollback})
+	select {
+	case <-call.Done:
+		lease.Release()
+	case <-ctx.Done():
+		go func() { <-call.Done; lease.Release() }()
+		r.reason = "no answer in time"
+		return exchange.Fail(exchange.TimedOut, r.reason, exchange.Idle), answered
+	}
+	answers, err := call.Answers()
+	if err != nil {
+		r.reason = err.Error()
+		return exchange.Answer{}, elsewhere
+	}
+	if answers[0].Failure != nil {
+		// The read ran outside a transaction, so its answer may be old.
+		r.refused(answers[0].Failure)
+		return exchange.Answer{}, elsewhere
+	}
+	if answers[1].Failure != nil {
+		r.refused(answers[1].Failure)
+	}
+	return answers[1], judge(answers[1])
+}
+
+// refused notes a server's refusal.
+func (r *request) refused(f *exchange.Failure) {
+	r.reason = f.Error()
+	if f.Code == exchange.ReadOnly {
+		r.monitor.NotLeading(r.server)
+	}
+}
+
+// awaitLeader waits for a leader whose last proof is recent.
+func (r *request) awaitLeader(ctx context.Context) (catalog.Server, bool) {
+	for {
+		snapshot := r.monitor.Snapshot()
+		if snapshot.Known && r.provenRecently(snapshot) {
+			return snapshot.Leader, true
+		}
+		r.reason = "no primary"
+		if !waitChange(ctx, snapshot) {
+			return catalog.Server{}, false
+		}
+	}
+}
+
+func (r *request) provenRecently(snapshot *lead.Snapshot) bool {
+	n := len(snapshot.Samples)
+	return n > 0 && r.session.proxy.config.Clock()-snapshot.Samples[n-1].At < unprovenTime
+}
+
+func waitChange(ctx context.Context, snapshot *lead.Snapshot) bool {
+	select {
+	case <-snapshot.Changed():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/core/takeover/takeover.go
@@ -0,0 +1,372 @@
+// Package takeover changes the primary of a group whose servers confirm commits
+// among themselves. It owns the order of the steps that keeps every
+// acknowledged commit: prove that the primary is lost or has stopped, account
+// for every server that may have confirmed a commit, and name the one that is
+// furthest.
+//
+// A commit is acknowledged once one replica has received it. With the primary
+// out of reach, all replicas therefore stop receiving before their positions
+// are compared, and a replica that does not answer blocks the change. With the
+// primary in reach, it is demoted first and its own position says which
+// replica is complete.
+//
+// Each attempt has a number from a conditional update of the group's record in
+// the platform's store. The platform refuses orders with lower numbers than it
+// has seen, so that an order that is carried out late changes nothing.
+package takeover
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"basilmill/core/catalog"
+	"basilmill/core/exchange"
+	"basilmill/core/group"
+	"basilmill/core/host"
+)
+
+// Epoch is the number of an attempt. It rises with each attempt of a group.
+type Epoch int64
+
+// Record is the last attempt for a group, as the store holds it.
+type Record struct {
+	Epoch  Epoch
+	Holder host.ID
+	// Attempt identifies the update, so that its author recognises it when the
+	// reply was lost.
+	Attempt string
+	// Revision is the store's revision of the record; zero if there is none.
+	Revision int64
+}
+
+// Databases sends commands to the servers of a group.
+type Databases interface {
+	// Command runs Status, Suspend, Resume or Demote.
+	Command(ctx context.Context, server catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error)
+	// Leads reports whether the server proves that it leads.
+	Leads(ctx context.Context, server catalog.Server) bool
+}
+
+// Ledger holds the records in the platform's store.
+type Ledger interface {
+	// Load returns the record, zero if there is none.
+	Load(ctx context.Context, id group.ID) (Record, error)
+	// Store replaces the record of the given revision. It returns ErrConflict
+	// when the record has changed.
+	Store(ctx context.Context, id group.ID, r Record) (Record, error)
+}
+
+// Orders orders promotions from the platform.
+type Orders interface {
+	// Promote returns nil when the order was accepted and ErrRefused when it
+	// was refused; any other error leaves its execution open.
+	Promote(ctx context.Context, id group.ID, server group.ServerID, holder host.ID, epoch Epoch) error
+}
+
+// Errors that end an attempt without a change of primary.
+var (
+	ErrConflict = errors.New("the record was changed by another host")
+	ErrRefused  = errors.New("the platform refused the order")
+	ErrLeads    = errors.New("the primary still leads")
+	ErrSilent   = errors.New("a server that may hold acknowledged commits does not answer")
+	ErrLease    = errors.New("another host's attempt is too recent")
+	ErrNobody   = errors.New("no server can take over")
+)
+
+const (
+	// Lease is the time in which no other host may follow a host's attempt:
+	// the platform's 3 s between two holders and the drift of timers.
+	Lease = 3200 * time.Millisecond
+	// commandTimeout bounds one command: several round trips between regions.
+	commandTimeout = 400 * time.Millisecond
+	// progressTime is how long the replicas are watched for progress. Each
+	// service of today commits some twenty writes a second.
+	progressTime = 300 * time.Millisecond
+	// catchUpTime bounds the wait for a replica to reach a demoted primary's
+	// position: several times the replication delay of today's deployments.
+	catchUpTime = 1200 * time.Millisecond
+	// catchUpPoll is the pause between two looks at the replicas.
+	catchUpPoll = 50 * time.Millisecond
+	// leadTime bounds the wait for a promoted server to lead: several times
+	// the 300 to 1,000 ms that a promotion takes.
+	leadTime = 4 * time.Second
+	leadPoll = 40 * time.Millisecond
+	// orderTries bounds the repetitions of an order without an answer.
+	orderTries = 4
+	// callTimeout bounds one call of the ledger or of the orders.
+	callTimeout = 700 * time.Millisecond
+)
+
+// Cause says why a change of primary is attempted.
+type Cause int
+
+// Causes of attempts.
+const (
+	// Lost: the primary does not answer.
+	Lost Cause = iota
+	// Gone: the primary refuses connections or no server says that it leads,
+	// so that no progress can be expected.
+	Gone
+	// Leaving: the primary is about to stop.
+	Leaving
+	// Stalled: the primary answers but commits are not confirmed.
+	Stalled
+)
+
+// String returns the name of the cause in logs.
+func (c Cause) String() string {
+	return [...]string{"lost", "gone", "leaving", "stalled"}[c]
+}
+
+// Situation is what a host knows when it attempts a change.
+type Situation struct {
+	Group group.ID
+	Cause Cause
+	// Primary is the primary to be replaced. Its ID is empty if unknown.
+	Primary catalog.Server
+	// Members are all servers of the group, the primary among them.
+	Members []catalog.Server
+}
+
+// Step is a step of an attempt, for the log.
+type Step struct {
+	Name   string
+	Server group.ServerID
+	Epoch  Epoch
+	Status exchange.ServerStatus
+	Err    error
+}
+
+// Runner makes attempts on behalf of a host.
+type Runner struct {
+	Self      host.ID
+	Databases Databases
+	Ledger    Ledger
+	Orders    Orders
+	// NewAttempt returns a new id for a record's Attempt.
+	NewAttempt func() string
+	// Observe, if set, receives each step.
+	Observe func(group.ID, Step)
+
+	// The fields below are used by one attempt at a time.
+	seen   Record
+	seenAt time.Time
+}
+
+// attempt is one attempt under way.
+type attempt struct {
+	*Runner
+	Situation
+	record    Record
+	suspended []catalog.Server
+}
+
+// Run makes one attempt and returns the new primary.
+func (r *Runner) Run(ctx context.Context, s Situation) (primary group.ServerID, err error) {
+	defer func() { err = eris.Wrapf(err, "change the primary of %s (%s)", s.Group, s.Cause) }()
+	a := &attempt{Runner: r, Situation: s}
+	if s.Cause == Leaving || s.Cause == Stalled {
+		return a.replaceReachable(ctx)
+	}
+	return a.replaceLost(ctx)
+}
+
+// Note takes a record that the host saw, so that the lease of its holder
+// counts from then.
+func (r *Runner) Note(record Record) {
+	if record.Revision > r.seen.Revision {
+		r.seen, r.seenAt = record, time.Now()
+	}
+}
+
+// replaceLost replaces a primary that is out of reach.
+func (a *attempt) replaceLost(ctx context.Context) (group.ServerID, error) {
+	others := a.others()
+	if len(others) == 0 {
+		return "", ErrNobody
+	}
+	before, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
+	if err != nil {
+		return "", err
+	}
+	if server, ok := leader(before); ok {
+		return server, ErrLeads
+	}
+	if a.Cause == Lost {
+		if err := a.checkProgress(ctx, others, before); err != nil {
+			return "", err
+		}
+	}
+	if err := a.claim(ctx); err != nil {
+		return "", err
+	}
+	final, err := a.suspend(ctx, others, highestTerm(before)+1)
+	if err != nil {
+		a.resume(ctx)
+		return "", err
+	}
+	return a.promote(ctx, furthest(final))
+}
+
+// replaceReachable replaces a primary that answers: it is demoted first, and a
+// replica that holds its whole log follows.
+func (a *attempt) replaceReachable(ctx context.Context) (group.ServerID, error) {
+	others := a.others()
+	if !slices.ContainsFunc(others, func(s catalog.Server) bool { return !s.Leaving }) {
+		return "", ErrNobody
+	}
+	status, err := a.command(ctx, a.Primary, exchange.Statement{Operation: exchange.Status})
+	if err != nil {
+		return "", err
+	}
+	if err := a.claim(ctx); err != nil {
+		return "", err
+	}
+	demoted, err := a.command(ctx, a.Primary, exchange.Statement{Operation: exchange.Demote, Term: status.Term + 1})
+	if err != nil {
+		return "", err
+	}
+	return a.promote(ctx, a.complete(ctx, others, demoted.Received))
+}
+
+// complete returns the server to follow a demoted primary: a replica that
+// holds its whole log, else for a stalled primary the furthest replica if all
+// answer, else the primary itself.
+func (a *attempt) complete(ctx context.Context, others []catalog.Server, end group.Position) catalog.Server {
+	deadline := time.Now().Add(catchUpTime)
+	for {
+		answers, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
+		for _, answer := range answers {
+			if !answer.server.Leaving && answer.status.Received.Compare(end) >= 0 {
+				return answer.server
+			}
+		}
+		if !time.Now().Before(deadline) {
+			if err == nil && a.Cause == Stalled {
+				return furthest(answers)
+			}
+			return a.Primary
+		}
+		if sleep(ctx, catchUpPoll) != nil {
+			return a.Primary
+		}
+	}
+}
+
+// checkProgress fails with ErrLeads when a replica received something: then a
+// primary leads, and only this host does not reach it.
+func (a *attempt) checkProgress(ctx context.Context, others []catalog.Server, before []answer) error {
+	if err := sleep(ctx, progressTime); err != nil {
+		return err
+	}
+	after, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
+	if err != nil {
+		return err
+	}
+	for i := range after {
+		if after[i].status.Received.Compare(before[i].status.Received) > 0 {
+			return ErrLeads
+		}
+	}
+	return nil
+}
+
+// claim takes the next number.
+func (a *attempt) claim(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	current, err := a.Ledger.Load(ctx, a.Group)
+	if err != nil {
+		return err
+	}
+	a.Note(current)
+	if current.Holder != "" && current.Holder != a.Self && time.Since(a.seenAt) < Lease {
+		return ErrLease
+	}
+	next := Record{Epoch: current.Epoch + 1, Holder: a.Self, Attempt: a.NewAttempt(), Revision: current.Revision}
+	stored, err := a.Ledger.Store(ctx, a.Group, next)
+	if err != nil && !errors.Is(err, ErrConflict) {
+		// The update may have taken effect.
+		stored, err = a.Ledger.Load(ctx, a.Group)
+		if err == nil && stored.Attempt != next.Attempt {
+			err = ErrConflict
+		}
+	}
+	if err != nil {
+		return err
+	}
+	a.Note(stored)
+	a.record = stored
+	a.report(Step{Name: "claimed", Epoch: stored.Epoch})
+	return nil
+}
+
+// suspend stops the servers from receiving and returns their final positions.
+func (a *attempt) suspend(ctx context.Context, servers []catalog.Server, term group.Term) ([]answer, error) {
+	a.suspended = servers
+	return a.commandAll(ctx, servers, exchange.Statement{Operation: exchange.Suspend, Term: term})
+}
+
+// resume lets suspended servers receive again after an attempt was given up.
+func (a *attempt) resume(ctx context.Context) {
+	_, err := a.commandAll(ctx, a.suspended, exchange.Statement{Operation: exchange.Resume})
+	a.report(Step{Name: "resumed", Epoch: a.record.Epoch, Err: err})
+}
+
+// promote orders the promotion and waits until the server leads.
+func (a *attempt) promote(ctx context.Context, server catalog.Server) (group.ServerID, error) {
+	err := a.order(ctx, server)
+	if err != nil {
+		a.resume(ctx)
+		return "", err
+	}
+	ctx, cancel := context.WithTimeout(ctx, leadTime)
+	defer cancel()
+	for !a.Databases.Leads(ctx, server) {
+		if err := sleep(ctx, leadPoll); err != nil {
+			return "", eris.Wrapf(err, "wait for %s to lead", server.ID)
+		}
+	}
+	a.report(Step{Name: "leads", Server: server.ID, Epoch: a.record.Epoch})
+	return server.ID, nil
+}
+
+// order repeats the order until it is answered, because an order without an
+// answer may be carried out later.
+func (a *attempt) order(ctx context.Context, server catalog.Server) (err error) {
+	for range orderTries {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		err = a.Orders.Promote(callCtx, a.Group, server.ID, a.Self, a.record.Epoch)
+		cancel()
+		a.report(Step{Name: "ordered", Server: server.ID, Epoch: a.record.Epoch, Err: err})
+		if err == nil || errors.Is(err, ErrRefused) || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func (a *attempt) others() []catalog.Server {
+	return slices.DeleteFunc(slices.Clone(a.Members), func(s catalog.Server) bool { return s.ID == a.Primary.ID })
+}
+
+func (a *attempt) report(s Step) {
+	if a.Observe != nil {
+		a.Observe(a.Group, s)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/scripts/tools.sh
+++ b/scripts/tools.sh
@@ -20,4 +20,4 @@
 }
 
 # Modules of the workspace, in dependency order.
-MODULES="core io cmd standin e2e"
+MODULES="core io platform cmd standin e2e"
