proxy: send a transaction's first statement after the answer to BEGIN

Change: the first statement waits for the answer to BEGIN. Ruled out: AFTER on the statement too; the log may catch up between the two.

--- a/core/proxy/transaction.go
+++ b/core/proxy/transaction.go
@@ -179,12 +179,12 @@
 	return r.reader(tried)
 }
 
-// startOn begins the transaction on a server and runs its first statement. A
-// read or COMMIT follows in the same flush; a write waits for the answer to
-// BEGIN, because it would take effect by itself if BEGIN was refused.
+// startOn begins the transaction on a server and runs its first statement. The
+// statement waits for the answer to BEGIN, because it would run outside the
+// transaction if BEGIN was refused.
 func (t *transaction) startOn(ctx context.Context, r *request, server catalog.Server) (exchange.Answer, verdict) {
 	p := r.session.proxy
-	wanted, statement := r.session.wanted(r.statement)
+	wanted, _ := r.session.wanted(r.statement)
 	lease, err := p.config.Pool(server).Exclusive(ctx, wanted, t.route.Priority)
 	if err != nil {
 		r.reason = err.Error()
@@ -201,41 +201,30 @@
 	if t.readOnly && t.route.Class != catalog.Current {
 		begin = exchange.Statement{Operation: exchange.BeginRead, After: r.position}
 	}
-	batch := []exchange.Statement{begin}
-	if !r.writes {
-		batch = append(batch, statement)
-	}
 	started := time.Now()
-	answers, err := lease.Run(ctx, wanted, batch...)
+	answers, err := lease.Run(ctx, wanted, begin)
 	if err != nil {
-		// Nothing of the transaction can be kept without a COMMIT after a
-		// statement; a COMMIT sent here commits nothing.
 		t.drop()
 		r.reason = err.Error()
-		return exchange.Fail(exchange.Aborted, r.reason, exchange.Failed), answered
+		p.avoid(server.ID)
+		if ctx.Err() != nil {
+			return exchange.Answer{}, ended
+		}
+		return exchange.Answer{}, elsewhere
 	}
 	if answers[0].Failure != nil {
 		p.learned(server.ID, answers[0], time.Since(started))
 		r.refused(answers[0].Failure)
-		t.drop()
+		t.release()
 		return exchange.Answer{}, elsewhere
 	}
-	if r.writes {
-		return t.execute(ctx, r), answered
-	}
-	answer := answers[1]
-	if answer.Failure != nil {
-		r.refused(answer.Failure)
-		if answer.Failure.Code.NotRun() {
-			t.drop()
-			return exchange.Answer{}, elsewhere
-		}
-	} else if answer.Digest == "" {
-		t.drop()
-		r.reason = "answer without a digest"
-		return exchange.Fail(exchange.Aborted, r.reason, exchange.Failed), answered
-	}
-	return answer, answered
+	return t.execute(ctx, r), answered
+}
+
+// release hands back a connection on which no transaction is open.
+func (t *transaction) release() {
+	t.lease.Release()
+	t.lease = nil
 }
 
 // finish hands the connection back after COMMIT, or ends it when its state is
@@ -248,8 +237,7 @@
 		t.end()
 		return
 	}
-	t.lease.Release()
-	t.lease = nil
+	t.release()
 }
 
 // end rolls back: the connection is handed back once the server has confirmed
