link: hold fewer connections at a server

Change: single writes share a connection, a transaction may take the only one, spares close after 300 ms. Ruled out: slots (no queue at the servers), processor time.

--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -22,10 +22,10 @@
 	fullPause = 60 * time.Millisecond
 	// failPause is the pause after an opening failed in another way.
 	failPause = 100 * time.Millisecond
-	// spareTime is how long an idle connection beyond the first is kept. At a
-	// price of a connection of about a hundredth of a request it is short, so
-	// that the hosts can share the server's limit.
-	spareTime = 700 * time.Millisecond
+	// spareTime is how long an idle connection beyond the first is kept. It is
+	// short, so that the hosts can share the server's limit and that connections
+	// of lost hosts, which servers keep for seconds, leave room for new ones.
+	spareTime = 300 * time.Millisecond
 	// idleTime is how long the last idle connection is kept.
 	idleTime = 10 * time.Second
 	// crowd is the number of sessions on a shared connection beyond which
@@ -196,17 +196,13 @@
 	w.ready <- leased{lease: &Lease{Conn: c, pool: p, exclusive: w.exclusive}}
 }
 
-// choose returns the connection for a waiter, or nil. One connection stays
-// free of exclusive use where more than one is allowed, so that a transaction
-// does not keep reads waiting.
+// choose returns the connection for a waiter, or nil.
 func (p *Pool) choose(w *waiter) *Conn {
 	var best *Conn
-	free := 0
 	for _, c := range p.conns {
 		if c.exclusive || c.Ended() || stuck(c) {
 			continue
 		}
-		free++
 		if w.exclusive && c.shares > 0 {
 			continue
 		}
@@ -214,9 +210,6 @@
 			best = c
 		}
 	}
-	if w.exclusive && free < 2 && p.limit > 1 {
-		return nil
-	}
 	return best
 }
 
--- a/core/proxy/write.go
+++ b/core/proxy/write.go
@@ -22,7 +22,7 @@
 			return r.refuse(exchange.Idle)
 		}
 		wanted, statement := r.session.wanted(r.statement)
-		lease, err := p.config.Pool(server).Exclusive(ctx, wanted, r.route.Priority)
+		lease, err := p.config.Pool(server).Shared(ctx, wanted, r.route.Priority)
 		if err != nil {
 			r.reason = err.Error()
 			if !sleep(ctx, roundPause) {
