lead: prove leadership by traffic; check stalls at the replicas

Change: accepted transactions, current reads and writes count as proofs; a stalled primary is replaced only when it holds commits that no replica receives; a host waits 2.5 s for servers to register; 1.5 s pause after an attempt that found the primary leading.

--- a/core/lead/input.go
+++ b/core/lead/input.go
@@ -42,7 +42,7 @@
 		m.probing = false
 	}
 	if i.err == nil {
-		i.succeeded(m)
+		m.prove(i.server, i.sent, i.position)
 		return
 	}
 	if !m.known || i.server.ID != m.leader.ID {
@@ -57,21 +57,33 @@
 	}
 }
 
-// succeeded takes a proof that a server leads. A proof of a lower term than a
-// known one was overtaken while it was on its way.
-func (i probeInput) succeeded(m *Monitor) {
-	if n := len(m.samples); n > 0 && i.position.Term < m.samples[n-1].Position.Term {
+// provenInput is a proof from traffic.
+type provenInput struct {
+	server   catalog.Server
+	at       time.Duration
+	position group.Position
+}
+
+func (i provenInput) apply(m *Monitor) { m.prove(i.server, i.at, i.position) }
+
+// prove takes a proof that a server led after the given time. A proof of a
+// lower term than a known one was overtaken while it was on its way.
+func (m *Monitor) prove(server catalog.Server, at time.Duration, position group.Position) {
+	if n := len(m.samples); n > 0 && position.Term < m.samples[n-1].Position.Term {
+		return
+	}
+	if m.known && m.leader.ID != server.ID && at < m.proven {
 		return
 	}
-	if !m.known || m.leader.ID != i.server.ID {
-		m.log(logevent.PrimaryFound, slog.String("server", string(i.server.ID)), slog.Int64("term", int64(i.position.Term)),
-			slog.Duration("gap", m.config.Clock()-m.proven))
-		m.leader, m.known, m.gone = i.server, true, false
-		m.lost = i.sent
-		m.nextProbe = i.sent + probeInterval
+	if !m.known || m.leader.ID != server.ID {
+		m.log(logevent.PrimaryFound, slog.String("server", string(server.ID)), slog.Int64("term", int64(position.Term)),
+			slog.Duration("gap", m.config.Clock()-m.lost))
+		m.leader, m.known, m.gone = server, true, false
+		m.lost = at
 	}
-	m.proven = max(m.proven, i.sent)
-	m.keep(Sample{At: i.sent, Position: i.position})
+	m.proven = max(m.proven, at)
+	m.nextProbe = max(m.nextProbe, at+probeInterval)
+	m.keep(Sample{At: at, Position: position})
 	m.publish()
 }
 
@@ -105,6 +117,10 @@
 	m.attempt = false
 	now := m.config.Clock()
 	m.nextTry = now + retryTime
+	if errors.Is(i.err, takeover.ErrLeads) {
+		m.nextTry = now + aliveTime
+		m.stalls.Store(0)
+	}
 	if i.err != nil {
 		m.log(logevent.ChangeRefused, slog.String("cause", i.situation.Cause.String()), errAttr(i.err))
 		return
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -34,8 +34,8 @@
 	// searchInterval is the time between two searches for a leader.
 	searchInterval = 60 * time.Millisecond
 	// suspectTime is how long the leader may go unproven before a change is
-	// considered: two probes and their time limit.
-	suspectTime = 500 * time.Millisecond
+	// considered: two probes with their time limits.
+	suspectTime = 700 * time.Millisecond
 	// goneTime is the same for a leader that refuses connections; it covers
 	// the restart of its process.
 	goneTime = 150 * time.Millisecond
@@ -44,6 +44,16 @@
 	sampleTime = 4 * time.Second
 	// retryTime is the pause after an attempt that changed nothing.
 	retryTime = 250 * time.Millisecond
+	// aliveTime is the pause after an attempt that found that the primary
+	// leads, so that an overloaded group is not asked for its status all the
+	// time.
+	aliveTime = 1500 * time.Millisecond
+	// settleTime is how long after its start a host waits for servers to
+	// register before it takes a group without a primary for one that lost it:
+	// entries that lapsed are back within two seconds of the store's return.
+	settleTime = 2500 * time.Millisecond
+	// proofSpacing is the time between two samples taken from traffic.
+	proofSpacing = 50 * time.Millisecond
 	// auditInterval is the time between two looks for replicas that an
 	// unfinished attempt left suspended.
 	auditInterval = 2 * time.Second
@@ -160,6 +170,16 @@
 // does not lead.
 func (m *Monitor) NotLeading(id group.ServerID) { m.send(refusedInput{id}) }
 
+// Proven reports that traffic proved that a server led after the given time,
+// and the end of its log then.
+func (m *Monitor) Proven(server catalog.Server, at time.Duration, position group.Position) {
+	snapshot := m.Snapshot()
+	if n := len(snapshot.Samples); n > 0 && at-snapshot.Samples[n-1].At < proofSpacing && snapshot.Leader.ID == server.ID {
+		return
+	}
+	m.send(provenInput{server: server, at: at, position: position})
+}
+
 // Stalled reports that a commit has been waiting for a confirmation for longer
 // than replication takes.
 func (m *Monitor) Stalled() { m.stalls.Add(1) }
@@ -283,7 +303,7 @@
 	s := takeover.Situation{Group: m.config.Group, Primary: m.leader, Members: members}
 	if !m.known {
 		// Servers register within the first second of a deployment.
-		if len(members) < 2 || now-m.lost < goneTime || m.leader.ID == "" && now-m.lost < suspectTime*2 {
+		if len(members) < 2 || now-m.lost < goneTime || m.leader.ID == "" && now-m.lost < settleTime {
 			return s, false
 		}
 		s.Cause = takeover.Gone
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -91,6 +91,8 @@
 	started  time.Time
 	attempts int
 	server   group.ServerID
+	// leader is the leader that the last attempt was sent to.
+	leader   catalog.Server
 	position group.Position
 	// reason is why the last attempt did not succeed.
 	reason string
--- a/core/proxy/read.go
+++ b/core/proxy/read.go
@@ -210,7 +210,7 @@
 			continue
 		}
 		r.attempts++
-		r.server = server.ID
+		r.server, r.leader = server.ID, server
 		answer, verdict := r.currentOn(ctx, lease, wanted, statement)
 		if verdict == answered {
 			return answer
@@ -222,6 +222,7 @@
 }
 
 func (r *request) currentOn(ctx context.Context, lease *link.Lease, wanted *link.Settings, statement exchange.Statement) (exchange.Answer, verdict) {
+	sent := r.session.proxy.config.Clock()
 	call := lease.Submit(wanted, exchange.Statement{Operation: exchange.Begin}, statement, exchange.Statement{Operation: exchange.Rollback})
 	select {
 	case <-call.Done:
@@ -241,12 +242,21 @@
 		r.refused(answers[0].Failure)
 		return exchange.Answer{}, elsewhere
 	}
+	r.proven(sent, answers[0])
 	if answers[1].Failure != nil {
 		r.refused(answers[1].Failure)
 	}
 	return answers[1], judge(answers[1])
 }
 
+// proven passes on that the leader accepted work that only a leader accepts,
+// sent at the given reading of the clock.
+func (r *request) proven(sent time.Duration, answer exchange.Answer) {
+	if !answer.Position.IsZero() {
+		r.monitor.Proven(r.leader, sent, answer.Position)
+	}
+}
+
 // refused notes a server's refusal.
 func (r *request) refused(f *exchange.Failure) {
 	r.reason = f.Error()
--- a/core/proxy/transaction.go
+++ b/core/proxy/transaction.go
@@ -201,7 +201,7 @@
 	if t.readOnly && t.route.Class != catalog.Current {
 		begin = exchange.Statement{Operation: exchange.BeginRead, After: r.position}
 	}
-	started := time.Now()
+	started, sent := time.Now(), p.config.Clock()
 	answers, err := lease.Run(ctx, wanted, begin)
 	if err != nil {
 		t.drop()
@@ -218,6 +218,10 @@
 		t.release()
 		return exchange.Answer{}, elsewhere
 	}
+	if begin.Operation == exchange.Begin {
+		r.leader = server
+		r.proven(sent, answers[0])
+	}
 	return t.execute(ctx, r), answered
 }
 
--- a/core/proxy/write.go
+++ b/core/proxy/write.go
@@ -31,7 +31,8 @@
 			continue
 		}
 		r.attempts++
-		r.server = server.ID
+		r.server, r.leader = server.ID, server
+		sentAt := p.config.Clock()
 		answer, sent := r.runOn(ctx, lease, wanted, statement)
 		if answer.Failure == nil || !answer.Failure.Code.NotRun() {
 			if sent {
@@ -41,6 +42,7 @@
 			}
 			if answer.Failure == nil {
 				r.session.written = answer.Position
+				r.proven(sentAt, answer)
 			}
 			return answer
 		}
@@ -60,7 +62,7 @@
 	return exchange.Fail(exchange.Busy, r.reason+", retry later", state)
 }
 
-// runOn sends one statement on an exclusive connection and returns its answer.
+// runOn sends one statement and returns its answer.
 // The answer is InDoubt and complete is false when the connection or the time
 // ended first.
 func (r *request) runOn(ctx context.Context, lease *link.Lease, wanted *link.Settings, statement exchange.Statement) (answer exchange.Answer, complete bool) {
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -223,6 +223,11 @@
 	if err != nil {
 		return "", err
 	}
+	if a.Cause == Stalled {
+		if err := a.checkStalled(ctx, others, status.Received); err != nil {
+			return "", err
+		}
+	}
 	if err := a.claim(ctx); err != nil {
 		return "", err
 	}
@@ -275,6 +280,24 @@
 	return nil
 }
 
+// checkStalled fails with ErrLeads unless the primary holds commits that no
+// replica receives.
+func (a *attempt) checkStalled(ctx context.Context, others []catalog.Server, end group.Position) error {
+	before, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
+	if err != nil {
+		return err
+	}
+	if err := a.checkProgress(ctx, others, before); err != nil {
+		return err
+	}
+	for _, b := range before {
+		if b.status.Received.Compare(end) >= 0 {
+			return ErrLeads
+		}
+	}
+	return nil
+}
+
 // claim takes the next number.
 func (a *attempt) claim(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
