--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"basilmill/core/lead"
 	"basilmill/core/link"
 	"basilmill/core/logevent"
+	"basilmill/core/retry"
 )
 
 // Config sets up a Proxy.
@@ -52,6 +53,9 @@
 type Proxy struct {
 	config Config
 	health healths
+	// hedges bounds the reads that are sent twice, so that they do not add to
+	// an overload.
+	hedges retry.Budget
 }
 
 // New returns a Proxy.
--- a/core/proxy/read.go
+++ b/core/proxy/read.go
@@ -23,7 +23,7 @@
 	// of primary is considered.
 	unprovenTime = 650 * time.Millisecond
 	// hedgeShare is the part of the latency objective after which an
-	// unanswered read is sent to another server too.
+	// unanswered read is sent to another server too, within a budget.
 	hedgeShare = 3
 )
 
@@ -112,6 +112,9 @@
 			pending--
 			if result.verdict == answered || pending == 0 {
 				r.server = result.server
+				if result.verdict == answered {
+					r.session.proxy.hedges.Succeeded()
+				}
 				if result.reason != "" {
 					r.reason = result.reason
 				}
@@ -119,7 +122,7 @@
 			}
 		case <-hedge.C:
 			other, ok := r.reader(tried)
-			if !ok {
+			if !ok || !r.session.proxy.hedges.Allow() {
 				continue
 			}
 			tried[other.ID] = true
