catalog, lead: fewer calls of the store and fewer audits

Change: watches of servers wait 4 s and of the configuration 1.8 s; audits look mostly at the own data centre's replicas.

--- a/core/catalog/follow.go
+++ b/core/catalog/follow.go
@@ -38,10 +38,14 @@
 }
 
 const (
-	// watchWait is how long a watch waits for a change. With watchSlack it
-	// bounds the age of the view on a connection that has gone silent, which
-	// must stay within the 3 s in which a configuration takes hold.
-	watchWait = 1500 * time.Millisecond
+	// configWait is how long a watch of the configuration waits for a change.
+	// With watchSlack it bounds the age of the view on a connection that has
+	// gone silent, which must stay within the 3 s in which a configuration
+	// takes hold. Each watch is a priced call.
+	configWait = 1800 * time.Millisecond
+	// serversWait is the same for the servers' entries; a leaving server must
+	// get no new work after 7 s.
+	serversWait = 4 * time.Second
 	// watchSlack is the time that the answer to a watch may take beyond the
 	// wait.
 	watchSlack = 700 * time.Millisecond
@@ -62,7 +66,7 @@
 
 // FollowServers follows the servers' entries until ctx ends.
 func (f *Feed) FollowServers(ctx context.Context) error {
-	return f.follow(ctx, "servers",
+	return f.follow(ctx, "servers", serversWait,
 		func(ctx context.Context) (Revision, error) {
 			servers, at, err := f.Source.ListServers(ctx)
 			if err == nil {
@@ -71,7 +75,7 @@
 			return at, err
 		},
 		func(ctx context.Context, from Revision) (Revision, error) {
-			changes, at, err := f.Source.WatchServers(ctx, from, watchWait)
+			changes, at, err := f.Source.WatchServers(ctx, from, serversWait)
 			if err != nil {
 				return 0, err
 			}
@@ -88,7 +92,7 @@
 
 // FollowConfig follows the configuration until ctx ends.
 func (f *Feed) FollowConfig(ctx context.Context) error {
-	return f.follow(ctx, "configuration",
+	return f.follow(ctx, "configuration", configWait,
 		func(ctx context.Context) (Revision, error) {
 			config, at, err := f.Source.ListConfig(ctx)
 			if err == nil && config != nil {
@@ -97,7 +101,7 @@
 			return at, err
 		},
 		func(ctx context.Context, from Revision) (Revision, error) {
-			config, at, err := f.Source.WatchConfig(ctx, from, watchWait)
+			config, at, err := f.Source.WatchConfig(ctx, from, configWait)
 			if err == nil && config != nil {
 				f.Book.SetConfig(config)
 			}
@@ -108,11 +112,11 @@
 // follow reads a list and watches from its revision. After a failed watch it
 // watches again from the same revision; when that history is gone it reads the
 // list again.
-func (f *Feed) follow(ctx context.Context, part string, list func(context.Context) (Revision, error), watch func(context.Context, Revision) (Revision, error)) error {
+func (f *Feed) follow(ctx context.Context, part string, wait time.Duration, list func(context.Context) (Revision, error), watch func(context.Context, Revision) (Revision, error)) error {
 	pause := retry.Backoff{Max: maxFeedPause}
 	var at Revision
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, at, list, watch)
+		next, err := f.step(ctx, at, wait, list, watch)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -135,14 +139,14 @@
 	return nil
 }
 
-func (f *Feed) step(ctx context.Context, at Revision, list func(context.Context) (Revision, error), watch func(context.Context, Revision) (Revision, error)) (next Revision, err error) {
+func (f *Feed) step(ctx context.Context, at Revision, wait time.Duration, list func(context.Context) (Revision, error), watch func(context.Context, Revision) (Revision, error)) (next Revision, err error) {
 	if at == 0 {
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		next, err = list(ctx)
 		return next, eris.Wrap(err, "list")
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
 	next, err = watch(ctx, at)
 	return max(next, at), eris.Wrap(err, "watch")
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -21,6 +21,7 @@
 	"basilmill/core/catalog"
 	"basilmill/core/exchange"
 	"basilmill/core/group"
+	"basilmill/core/host"
 	"basilmill/core/logevent"
 	"basilmill/core/takeover"
 )
@@ -54,9 +55,13 @@
 	settleTime = 2500 * time.Millisecond
 	// proofSpacing is the time between two samples taken from traffic.
 	proofSpacing = 50 * time.Millisecond
-	// auditInterval is the time between two looks for replicas that an
-	// unfinished attempt left suspended.
-	auditInterval = 2 * time.Second
+	// auditInterval is the least time between two looks for replicas that an
+	// unfinished attempt left suspended. Each look is a priced request and
+	// takes a slot.
+	auditInterval = 3 * time.Second
+	// remoteAudits is the number of audits of the own data centre's replicas
+	// for each audit of all.
+	remoteAudits = 4
 )
 
 // Databases proves leadership and sends commands.
@@ -119,6 +124,8 @@
 	Book      *catalog.Book
 	Databases Databases
 	Attempter Attempter
+	// DataCentre is the host's own, whose replicas it audits most often.
+	DataCentre host.DataCentre
 	// Clock is a clock that goes on while the machine is suspended.
 	Clock func() time.Duration
 	Log   *logevent.Logger
@@ -146,6 +153,7 @@
 	nextTry   time.Duration
 	nextAudit time.Duration
 	auditing  bool
+	audits    int
 	audited   map[group.ServerID]bool
 	samples   []Sample
 }
@@ -351,12 +359,13 @@
 func (m *Monitor) startAudit(ctx context.Context, members []catalog.Server, now time.Duration) {
 	m.auditing = true
 	m.nextAudit = now + auditInterval + rand.N(auditInterval)
-	leader := m.leader.ID
-	suspects := m.audited
+	m.audits++
+	all := m.audits%remoteAudits == 0 || len(m.audited) > 0
+	leader, suspects := m.leader.ID, m.audited
 	go func() {
 		found := map[group.ServerID]bool{}
 		for _, s := range members {
-			if s.ID != leader {
+			if s.ID != leader && (all || s.DataCentre == m.config.DataCentre) {
 				m.audit(ctx, s, suspects, found)
 			}
 		}
