--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -51,7 +51,7 @@
 
 	book     *catalog.Book
 	groups   *groups
-	servers  *servers
+	servers  *link.Registry
 	proxy    *proxy.Proxy
 	callers  *callers
 	stopping atomic.Bool
@@ -60,10 +60,10 @@
 // New assembles a host. Nothing is served until Run.
 func New(s settings.Entry, p Platform, log *slog.Logger) *Host {
 	h := &Host{settings: s, platform: p, log: &logevent.Logger{Log: log}, metrics: newMetrics(), book: &catalog.Book{}}
-	h.servers = newServers(h.book, p.Dialer)
+	h.servers = link.NewRegistry(h.book, p.Dialer)
 	h.groups = newGroups(h)
 	h.proxy = proxy.New(proxy.Config{
-		Book: h.book, Monitor: h.groups.monitor, Pool: h.servers.pool, DataCentre: s.DataCentre,
+		Book: h.book, Monitor: h.groups.monitor, Pool: h.servers.Pool, DataCentre: s.DataCentre,
 		Clock: p.Clock, Log: h.log, Observe: h.metrics.observe,
 	})
 	h.callers = newCallers(h)
@@ -176,7 +176,7 @@
 			for _, id := range h.book.Expire() {
 				h.log.Write(ctx, logevent.BackendServerGone, slog.String("server", string(id)), slog.String("why", "no entry"))
 			}
-			h.servers.tidy()
+			h.servers.Tidy()
 			h.proxy.Forget(h.book.View())
 		}
 	}
--- a/cmd/entry/metrics.go
+++ b/cmd/entry/metrics.go
@@ -58,7 +58,7 @@
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
 	pooled := func(value func(link.Stats) float64) func() float64 {
-		return func() float64 { return value(h.servers.stats()) }
+		return func() float64 { return value(h.servers.Stats()) }
 	}
 	gauge("basilmill_callers", "Callers connected.", func() float64 { return float64(h.callers.count()) })
 	gauge("basilmill_connections_open", "Connections to backend servers.", pooled(func(s link.Stats) float64 { return float64(s.Open) }))
--- a/cmd/entry/servers.go
+++ b/core/link/registry.go
@@ -1,4 +1,4 @@
-package entry
+package link
 
 import (
 	"context"
@@ -8,16 +8,16 @@
 	"basilmill/core/catalog"
 	"basilmill/core/exchange"
 	"basilmill/core/group"
-	"basilmill/core/link"
 )
 
-// servers holds the pool of each backend server and the commands over them.
-type servers struct {
+// Registry holds the pool of each backend server and sends probes and commands
+// over them.
+type Registry struct {
 	book   *catalog.Book
-	dialer link.Dialer
+	dialer Dialer
 
 	mu    sync.Mutex
-	pools map[poolKey]*link.Pool
+	pools map[poolKey]*Pool
 }
 
 // poolKey identifies one process of a server: a restarted or moved server gets
@@ -28,8 +28,9 @@
 	address string
 }
 
-func newServers(book *catalog.Book, dialer link.Dialer) *servers {
-	return &servers{book: book, dialer: dialer, pools: map[poolKey]*link.Pool{}}
+// NewRegistry returns a registry for the servers of the book.
+func NewRegistry(book *catalog.Book, dialer Dialer) *Registry {
+	return &Registry{book: book, dialer: dialer, pools: map[poolKey]*Pool{}}
 }
 
 func keyOf(s catalog.Server) poolKey { return poolKey{s.ID, s.Boot, s.Address.String()} }
@@ -39,40 +40,40 @@
 // in all.
 const hostShare = 2
 
-// pool returns the pool of a server.
-func (s *servers) pool(server catalog.Server) *link.Pool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// Pool returns the pool of a server.
+func (r *Registry) Pool(server catalog.Server) *Pool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	key := keyOf(server)
-	if p, ok := s.pools[key]; ok {
+	if p, ok := r.pools[key]; ok {
 		return p
 	}
 	limit := 2
-	if config := s.book.View().Config; config != nil {
+	if config := r.book.View().Config; config != nil {
 		limit = max(limit, config.Groups[server.Group].ConnectionLimit/hostShare)
 	}
-	p := link.NewPool(server, s.dialer, limit)
-	s.pools[key] = p
+	p := NewPool(server, r.dialer, limit)
+	r.pools[key] = p
 	return p
 }
 
-// tidy closes idle connections, and the pools of servers that are gone.
-func (s *servers) tidy() {
+// Tidy closes idle connections, and the pools of servers that are gone.
+func (r *Registry) Tidy() {
 	present := map[poolKey]bool{}
-	for _, server := range s.book.View().Servers {
+	for _, server := range r.book.View().Servers {
 		present[keyOf(server)] = true
 	}
-	s.mu.Lock()
-	var keep, gone []*link.Pool
-	for key, p := range s.pools {
+	r.mu.Lock()
+	var keep, gone []*Pool
+	for key, p := range r.pools {
 		if present[key] {
 			keep = append(keep, p)
 			continue
 		}
 		gone = append(gone, p)
-		delete(s.pools, key)
+		delete(r.pools, key)
 	}
-	s.mu.Unlock()
+	r.mu.Unlock()
 	for _, p := range keep {
 		p.Tidy()
 	}
@@ -81,11 +82,11 @@
 	}
 }
 
-// stats adds up the statistics of all pools.
-func (s *servers) stats() (total link.Stats) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, p := range s.pools {
+// Stats adds up the statistics of all pools.
+func (r *Registry) Stats() (total Stats) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.pools {
 		stats := p.Stats()
 		total.Open += stats.Open
 		total.Exclusive += stats.Exclusive
@@ -104,8 +105,8 @@
 
 // Probe implements lead.Databases. A server accepts a transaction for writing
 // only while it leads.
-func (s *servers) Probe(ctx context.Context, server catalog.Server) (group.Position, error) {
-	answers, err := s.run(ctx, server, exchange.Statement{Operation: exchange.Begin}, exchange.Statement{Operation: exchange.Rollback})
+func (r *Registry) Probe(ctx context.Context, server catalog.Server) (group.Position, error) {
+	answers, err := r.run(ctx, server, exchange.Statement{Operation: exchange.Begin}, exchange.Statement{Operation: exchange.Rollback})
 	if err != nil {
 		return group.Position{}, err
 	}
@@ -116,14 +117,14 @@
 }
 
 // Leads implements takeover.Databases.
-func (s *servers) Leads(ctx context.Context, server catalog.Server) bool {
-	_, err := s.Probe(ctx, server)
+func (r *Registry) Leads(ctx context.Context, server catalog.Server) bool {
+	_, err := r.Probe(ctx, server)
 	return err == nil
 }
 
 // Command implements lead.Databases and takeover.Databases.
-func (s *servers) Command(ctx context.Context, server catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
-	answers, err := s.run(ctx, server, statement)
+func (r *Registry) Command(ctx context.Context, server catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
+	answers, err := r.run(ctx, server, statement)
 	if err != nil {
 		return exchange.ServerStatus{}, err
 	}
@@ -136,8 +137,8 @@
 	return *answers[0].Status, nil
 }
 
-func (s *servers) run(ctx context.Context, server catalog.Server, statements ...exchange.Statement) ([]exchange.Answer, error) {
-	lease, err := s.pool(server).Shared(ctx, nil, controlPriority)
+func (r *Registry) run(ctx context.Context, server catalog.Server, statements ...exchange.Statement) ([]exchange.Answer, error) {
+	lease, err := r.Pool(server).Shared(ctx, nil, controlPriority)
 	if err != nil {
 		return nil, err
 	}
@@ -151,3 +152,14 @@
 		return nil, ctx.Err()
 	}
 }
+
+// CloseAll closes the connections to all servers.
+func (r *Registry) CloseAll() {
+	r.mu.Lock()
+	pools := r.pools
+	r.pools = map[poolKey]*Pool{}
+	r.mu.Unlock()
+	for _, p := range pools {
+		p.Close()
+	}
+}
--- /dev/null
+++ b/e2e/replicated/host_test.go
@@ -0,0 +1,181 @@
+package replicated_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"testing"
+	"time"
+
+	"basilmill/core/catalog"
+	"basilmill/core/exchange"
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/core/lead"
+	"basilmill/core/link"
+	"basilmill/core/logevent"
+	"basilmill/core/proxy"
+	"basilmill/core/takeover"
+	"basilmill/standin/replicated"
+)
+
+// Databases of the test configuration, one for each class of routes.
+const (
+	currentDB = "current"
+	agedDB    = "aged"
+	ownDB     = "own"
+)
+
+// maxAge is the age that the aged and own routes allow.
+const maxAge = 1500 * time.Millisecond
+
+// entryHost is one entry host without listeners.
+type entryHost struct {
+	id       host.ID
+	world    *replicated.World
+	book     *catalog.Book
+	registry *link.Registry
+	monitor  *lead.Monitor
+	proxy    *proxy.Proxy
+	cancel   context.CancelFunc
+}
+
+// parts replaces parts of a host, for mutants.
+type parts struct {
+	databases func(takeover.Databases) takeover.Databases
+	ledger    func(takeover.Ledger) takeover.Ledger
+}
+
+func testConfig() *catalog.Config {
+	route := func(name string, class catalog.Class) catalog.Route {
+		return catalog.Route{
+			Name: name, Database: name, Group: replicated.Group, Class: class, MaxAge: maxAge,
+			StatementTimeout: 800 * time.Millisecond, Target: 300 * time.Millisecond,
+		}
+	}
+	return &catalog.Config{
+		Version: 1,
+		Routes: map[string]catalog.Route{
+			currentDB: route(currentDB, catalog.Current), agedDB: route(agedDB, catalog.BoundedAge), ownDB: route(ownDB, catalog.OwnWrites),
+		},
+		Groups:            map[group.ID]catalog.Group{replicated.Group: {ID: replicated.Group, ConnectionLimit: 16, SyncReplicas: 1}},
+		IdleInTransaction: 3 * time.Second,
+	}
+}
+
+// startHost starts a host. Stop it with its cancel function.
+func startHost(world *replicated.World, id host.ID, p parts) *entryHost {
+	started := time.Now()
+	clock := func() time.Duration { return time.Since(started) }
+	log := &logevent.Logger{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	h := &entryHost{id: id, world: world, book: &catalog.Book{}}
+	h.book.SetConfig(testConfig())
+	h.book.ReplaceServers(world.Members())
+	h.registry = link.NewRegistry(h.book, world)
+	var databases takeover.Databases = h.registry
+	if p.databases != nil {
+		databases = p.databases(databases)
+	}
+	var ledger takeover.Ledger = world
+	if p.ledger != nil {
+		ledger = p.ledger(ledger)
+	}
+	attempts := 0
+	runner := &takeover.Runner{
+		Self: id, Databases: databases, Ledger: ledger, Orders: world,
+		NewAttempt: func() string { attempts++; return fmt.Sprint(id, "-", attempts) },
+	}
+	h.monitor = lead.New(lead.Config{
+		Group: replicated.Group, Book: h.book, Databases: h.registry, Attempter: runner, Clock: clock, Log: log, DataCentre: "dc-b",
+	})
+	h.proxy = proxy.New(proxy.Config{
+		Book: h.book, Monitor: func(group.ID) *lead.Monitor { return h.monitor }, Pool: h.registry.Pool,
+		DataCentre: "dc-b", Clock: clock, Log: log,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	go func() { _ = h.monitor.Run(ctx) }()
+	go h.follow(ctx)
+	return h
+}
+
+// follow keeps the book up to date and closes connections, as a host does.
+func (h *entryHost) follow(ctx context.Context) {
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			h.book.ReplaceServers(nil)
+			h.registry.CloseAll()
+			return
+		case <-ticker.C:
+			h.book.ReplaceServers(h.world.Members())
+			h.registry.Tidy()
+		}
+	}
+}
+
+// settled waits until the host knows the leader.
+func (h *entryHost) settled(t *testing.T) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for !h.monitor.Snapshot().Known {
+		if time.Now().After(deadline) {
+			t.Fatalf("host %s knows no leader", h.id)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (h *entryHost) open(t interface {
+	Helper()
+	Fatalf(string, ...any)
+}, database string,
+) *proxy.Session {
+	t.Helper()
+	s, failure := h.proxy.Open(database)
+	if failure != nil {
+		t.Fatalf("open %s: %v", database, failure)
+	}
+	return s
+}
+
+// Statements of the tests.
+func read(id string) exchange.Statement {
+	return exchange.Statement{ID: exchange.StatementID(id), Operation: exchange.Read, Arguments: "item"}
+}
+
+func write(id string) exchange.Statement {
+	return exchange.Statement{ID: exchange.StatementID(id), Operation: exchange.Write, Arguments: "item data"}
+}
+
+func operation(o exchange.Operation, id string) exchange.Statement {
+	return exchange.Statement{ID: exchange.StatementID(id), Operation: o}
+}
+
+func set(name, value string) exchange.Statement {
+	return exchange.Statement{ID: "s", Operation: exchange.Set, Name: name, Value: value}
+}
+
+// runOf returns the run that a digest proves.
+func runOf(world *replicated.World, digest string) (replicated.Run, bool) {
+	runs := world.Runs()
+	i := slices.IndexFunc(runs, func(r replicated.Run) bool { return r.Digest == digest })
+	if i < 0 {
+		return replicated.Run{}, false
+	}
+	return runs[i], true
+}
+
+// stop ends the hosts and the world, and waits until nothing is under way.
+func stop(world *replicated.World, hosts ...*entryHost) {
+	for _, h := range hosts {
+		h.cancel()
+	}
+	time.Sleep(10 * time.Second)
+	world.Stop()
+	time.Sleep(10 * time.Second)
+}
