--- /dev/null
+++ b/core/link/link_test.go
@@ -0,0 +1,321 @@
+package link_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/catalog"
+	"basilmill/core/exchange"
+	"basilmill/core/link"
+)
+
+// fakeStream answers each statement after a delay, with its arguments as the
+// digest.
+type fakeStream struct {
+	delay   time.Duration
+	mu      sync.Mutex
+	sent    []exchange.Statement
+	pending chan due
+	done    chan struct{}
+	once    sync.Once
+	answer  func(exchange.Statement) (exchange.Answer, bool)
+}
+
+// due is an answer and the time at which it arrives.
+type due struct {
+	at     time.Time
+	answer exchange.Answer
+}
+
+func newStream(delay time.Duration) *fakeStream {
+	return &fakeStream{delay: delay, pending: make(chan due, 100), done: make(chan struct{})}
+}
+
+func (s *fakeStream) Send(batch []exchange.Statement) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent = append(s.sent, batch...)
+	for _, statement := range batch {
+		a := exchange.Answer{Digest: statement.Arguments}
+		if s.answer != nil {
+			var ok bool
+			if a, ok = s.answer(statement); !ok {
+				continue
+			}
+		}
+		s.pending <- due{time.Now().Add(s.delay), a}
+	}
+	return nil
+}
+
+func (s *fakeStream) Receive() (exchange.Answer, error) {
+	select {
+	case next := <-s.pending:
+		time.Sleep(time.Until(next.at))
+		return next.answer, nil
+	case <-s.done:
+		return exchange.Answer{}, io.EOF
+	}
+}
+
+func (s *fakeStream) Close() error {
+	s.once.Do(func() { close(s.done) })
+	return nil
+}
+
+func (s *fakeStream) operations() (operations []exchange.Operation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, statement := range s.sent {
+		operations = append(operations, statement.Operation)
+	}
+	return operations
+}
+
+// fakeDialer opens fake streams up to a limit.
+type fakeDialer struct {
+	mu      sync.Mutex
+	limit   int
+	open    int
+	dialled int
+	refuse  error
+}
+
+func (d *fakeDialer) Dial(context.Context, catalog.Server) (link.Stream, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dialled++
+	if d.refuse != nil {
+		return nil, d.refuse
+	}
+	if d.open >= d.limit {
+		return nil, &exchange.Failure{Code: exchange.TooManyConnections}
+	}
+	d.open++
+	return newStream(10 * time.Millisecond), nil
+}
+
+func readOf(item string) exchange.Statement {
+	return exchange.Statement{ID: "1", Operation: exchange.Read, Arguments: item}
+}
+
+// Statements of several sessions in flight on one connection must each get
+// their own answer.
+func TestAnswersKeepTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := link.NewConn(newStream(time.Millisecond), nil)
+		defer c.Close()
+		first, second := c.Submit(nil, readOf("a"), readOf("b")), c.Submit(nil, readOf("c"))
+		<-first.Done
+		<-second.Done
+		answers, err := first.Answers()
+		assert.NilError(t, err)
+		assert.Equal(t, answers[0].Digest+answers[1].Digest, "ab")
+		answers, err = second.Answers()
+		assert.NilError(t, err)
+		assert.Equal(t, answers[0].Digest, "c")
+	})
+}
+
+// A connection gets the values of the session that uses it, with as few
+// statements as possible, and none of another session's.
+func TestSessionStateIsSetUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stream := newStream(0)
+		stream.answer = func(s exchange.Statement) (exchange.Answer, bool) {
+			return exchange.Answer{Digest: s.Arguments}, true
+		}
+		c := link.NewConn(stream, nil)
+		defer c.Close()
+		ctx := context.Background()
+		run := func(values map[string]string) {
+			t.Helper()
+			_, err := c.Run(ctx, &link.Settings{Values: values}, readOf("x"))
+			assert.NilError(t, err)
+		}
+		run(map[string]string{"a": "1"})
+		run(map[string]string{"a": "1"})
+		run(map[string]string{"a": "2", "b": "1"})
+		run(map[string]string{"b": "1"})
+		assert.DeepEqual(t, stream.operations(), []exchange.Operation{
+			exchange.Set, exchange.Read,
+			exchange.Read,
+			exchange.Set, exchange.Set, exchange.Read,
+			exchange.Reset, exchange.Set, exchange.Read,
+		})
+	})
+}
+
+// A lost answer would shift the later ones to other sessions.
+func TestShiftedAnswersEndTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stream := newStream(0)
+		stream.answer = func(s exchange.Statement) (exchange.Answer, bool) {
+			return exchange.Answer{Digest: s.Arguments}, s.Operation != exchange.Set
+		}
+		c := link.NewConn(stream, nil)
+		_, err := c.Run(context.Background(), &link.Settings{Values: map[string]string{"a": "1"}}, readOf("x"))
+		assert.Assert(t, errors.Is(err, link.ErrLost))
+		assert.Assert(t, c.Ended())
+	})
+}
+
+func newPool(d *fakeDialer, limit int) *link.Pool {
+	return link.NewPool(catalog.Server{ID: "a"}, d, limit)
+}
+
+// A transaction's connection must not serve anybody else until it is released.
+func TestExclusiveConnectionIsNotShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &fakeDialer{limit: 1}
+		p := newPool(d, 4)
+		defer p.Close()
+		lease, err := p.Exclusive(context.Background(), nil, 0)
+		assert.NilError(t, err)
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		_, err = p.Shared(ctx, nil, 0)
+		assert.Assert(t, errors.Is(err, link.ErrNoConnection))
+		lease.Release()
+		other, err := p.Shared(context.Background(), nil, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, other.Conn, lease.Conn)
+		other.Release()
+	})
+}
+
+// Waiting requests are served by priority, whatever their order.
+func TestWaitersAreServedByPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(&fakeDialer{limit: 1}, 4)
+		defer p.Close()
+		held, err := p.Exclusive(context.Background(), nil, 0)
+		assert.NilError(t, err)
+		var mu sync.Mutex
+		var order []int
+		for _, priority := range []int{2, 1} {
+			go func() {
+				lease, err := p.Exclusive(context.Background(), nil, priority)
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				order = append(order, priority)
+				mu.Unlock()
+				lease.Release()
+			}()
+			synctest.Wait()
+		}
+		held.Release()
+		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		assert.DeepEqual(t, order, []int{1, 2})
+	})
+}
+
+// A server at its limit must not be dialled in a loop.
+func TestFullServerIsDialledWithPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &fakeDialer{limit: 0}
+		p := newPool(d, 4)
+		defer p.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := p.Shared(ctx, nil, 0)
+		assert.Assert(t, errors.Is(err, link.ErrNoConnection))
+		assert.Assert(t, d.dialled <= 20, "dialled %d times in a second", d.dialled)
+	})
+}
+
+// A request must not wait for a server whose process is gone.
+func TestRefusedConnectionFailsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(&fakeDialer{refuse: syscall.ECONNREFUSED}, 4)
+		defer p.Close()
+		started := time.Now()
+		_, err := p.Shared(context.Background(), nil, 0)
+		assert.Assert(t, errors.Is(err, link.ErrNoConnection))
+		assert.Equal(t, time.Since(started), time.Duration(0))
+	})
+}
+
+// Spare connections are closed so that other hosts can have them; the last one
+// is kept.
+func TestSpareConnectionsAreClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(&fakeDialer{limit: 3}, 4)
+		defer p.Close()
+		var leases []*link.Lease
+		for range 3 {
+			lease, err := p.Exclusive(context.Background(), nil, 0)
+			assert.NilError(t, err)
+			leases = append(leases, lease)
+		}
+		for _, lease := range leases {
+			lease.Release()
+		}
+		time.Sleep(time.Second)
+		p.Tidy()
+		assert.Equal(t, p.Stats().Open, 1)
+	})
+}
+
+// A request that gives up at the moment it is served must hand the connection
+// back.
+func TestAbandonedRequestLeaksNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(&fakeDialer{limit: 1}, 4)
+		defer p.Close()
+		for range 50 {
+			held, err := p.Exclusive(context.Background(), nil, 0)
+			assert.NilError(t, err)
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				if lease, err := p.Exclusive(ctx, nil, 0); err == nil {
+					lease.Release()
+				}
+			}()
+			synctest.Wait()
+			go cancel()
+			held.Release()
+			<-done
+		}
+		assert.Equal(t, p.Stats().Exclusive, 0)
+	})
+}
+
+// A server that leaves a statement unanswered for good must not keep one of the
+// few connections.
+func TestSilentConnectionIsEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stream := newStream(0)
+		stream.answer = func(exchange.Statement) (exchange.Answer, bool) { return exchange.Answer{}, false }
+		p := link.NewPool(catalog.Server{ID: "a"}, dialerFunc(func() (link.Stream, error) { return stream, nil }), 4)
+		defer p.Close()
+		lease, err := p.Shared(context.Background(), nil, 0)
+		assert.NilError(t, err)
+		call := lease.Submit(nil, readOf("x"))
+		time.Sleep(10 * time.Second)
+		p.Tidy()
+		<-call.Done
+		_, err = call.Answers()
+		assert.Assert(t, errors.Is(err, link.ErrLost))
+		lease.Release()
+		assert.Equal(t, p.Stats().Open, 0)
+	})
+}
+
+type dialerFunc func() (link.Stream, error)
+
+func (f dialerFunc) Dial(context.Context, catalog.Server) (link.Stream, error) { return f() }
--- /dev/null
+++ b/core/takeover/takeover_test.go
@@ -0,0 +1,203 @@
+package takeover_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/catalog"
+	"basilmill/core/exchange"
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/core/takeover"
+)
+
+// fakes plays the group, the store and the platform.
+type fakes struct {
+	mu       sync.Mutex
+	statuses map[group.ServerID]exchange.ServerStatus
+	silent   map[group.ServerID]bool
+	record   takeover.Record
+	lose     bool
+	orders   []takeover.Epoch
+	refuse   int
+	fail     int
+	resumed  []group.ServerID
+}
+
+func (f *fakes) Command(ctx context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
+	if f.silent[s.ID] {
+		<-ctx.Done()
+		return exchange.ServerStatus{}, ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if statement.Operation == exchange.Resume {
+		f.resumed = append(f.resumed, s.ID)
+	}
+	return f.statuses[s.ID], nil
+}
+
+func (f *fakes) Leads(context.Context, catalog.Server) bool { return true }
+
+func (f *fakes) Load(context.Context, group.ID) (takeover.Record, error) { return f.record, nil }
+
+func (f *fakes) Store(_ context.Context, _ group.ID, r takeover.Record) (takeover.Record, error) {
+	r.Revision++
+	f.record = r
+	if f.lose {
+		return takeover.Record{}, errors.New("no answer")
+	}
+	return r, nil
+}
+
+func (f *fakes) Promote(_ context.Context, _ group.ID, _ group.ServerID, _ host.ID, epoch takeover.Epoch) error {
+	f.orders = append(f.orders, epoch)
+	if f.fail > 0 {
+		f.fail--
+		return errors.New("no answer")
+	}
+	if f.refuse > 0 {
+		f.refuse--
+		return takeover.ErrRefused
+	}
+	return nil
+}
+
+func at(term group.Term, offset group.Offset) exchange.ServerStatus {
+	return exchange.ServerStatus{Role: exchange.Replica, Term: term, Received: group.Position{Term: term, Offset: offset}}
+}
+
+func members() []catalog.Server {
+	return []catalog.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}
+}
+
+func newFakes() *fakes {
+	return &fakes{
+		statuses: map[group.ServerID]exchange.ServerStatus{"a": at(1, 10), "b": at(1, 8), "c": at(1, 9)},
+		silent:   map[group.ServerID]bool{},
+	}
+}
+
+// attempt makes one attempt for a lost primary "a" with the clock paused.
+func attempt(t *testing.T, f *fakes, cause takeover.Cause, prepare func(*takeover.Runner)) (server group.ServerID, err error) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		r := &takeover.Runner{Self: "h1", Databases: f, Ledger: f, Orders: f, NewAttempt: func() string { return "h1-1" }}
+		if prepare != nil {
+			prepare(r)
+		}
+		server, err = r.Run(context.Background(), takeover.Situation{
+			Group: "g", Cause: cause, Primary: catalog.Server{ID: "a"}, Members: members(),
+		})
+	})
+	return server, err
+}
+
+// The replica with the longest log holds every acknowledged commit.
+func TestFurthestReplicaIsPromoted(t *testing.T) {
+	f := newFakes()
+	server, err := attempt(t, f, takeover.Gone, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, server, group.ServerID("c"))
+}
+
+// A silent replica may hold acknowledged commits. The others must receive
+// again after the attempt is given up.
+func TestSilentReplicaEndsTheAttempt(t *testing.T) {
+	f := newFakes()
+	f.silent["b"] = true
+	_, err := attempt(t, f, takeover.Gone, nil)
+	assert.Assert(t, errors.Is(err, takeover.ErrSilent))
+	assert.Equal(t, len(f.orders), 0)
+}
+
+// A host that alone lost its path to the primary must not replace it.
+func TestProgressEndsTheAttempt(t *testing.T) {
+	f := newFakes()
+	var err error
+	synctest.Test(t, func(*testing.T) {
+		r := &takeover.Runner{Self: "h1", Databases: f, Ledger: f, Orders: f, NewAttempt: func() string { return "x" }}
+		time.AfterFunc(100*time.Millisecond, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.statuses["b"] = at(1, 11)
+		})
+		_, err = r.Run(context.Background(), takeover.Situation{Group: "g", Cause: takeover.Lost, Primary: catalog.Server{ID: "a"}, Members: members()})
+	})
+	assert.Assert(t, errors.Is(err, takeover.ErrLeads))
+	assert.Equal(t, f.record.Epoch, takeover.Epoch(0))
+}
+
+// Writes that wait in a queue are no reason to replace the primary.
+func TestWaitingWritesAreNoStall(t *testing.T) {
+	f := newFakes()
+	f.statuses["c"] = at(1, 10)
+	_, err := attempt(t, f, takeover.Stalled, nil)
+	assert.Assert(t, errors.Is(err, takeover.ErrLeads))
+}
+
+// Two holders within the lease break the platform's rule on turns.
+func TestLeaseOfAnotherHolderIsKept(t *testing.T) {
+	f := newFakes()
+	f.record = takeover.Record{Epoch: 4, Holder: "h2", Revision: 4}
+	_, err := attempt(t, f, takeover.Gone, nil)
+	assert.Assert(t, errors.Is(err, takeover.ErrLease))
+	_, err = attempt(t, f, takeover.Gone, func(r *takeover.Runner) {
+		r.Note(f.record)
+		time.Sleep(takeover.Lease)
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, f.orders, []takeover.Epoch{5})
+}
+
+// An update whose answer was lost is recognised by its attempt.
+func TestLostAnswerOfTheStoreIsSettled(t *testing.T) {
+	f := newFakes()
+	f.lose = true
+	_, err := attempt(t, f, takeover.Gone, nil)
+	assert.NilError(t, err)
+}
+
+// An order without an answer may be carried out later, so it is repeated until
+// it is answered.
+func TestOrderIsRepeatedUntilAnswered(t *testing.T) {
+	f := newFakes()
+	f.fail = 2
+	_, err := attempt(t, f, takeover.Gone, nil)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, f.orders, []takeover.Epoch{1, 1, 1})
+}
+
+// A refused number must not be used again, and the replicas must receive again.
+func TestRefusedOrderEndsTheAttempt(t *testing.T) {
+	f := newFakes()
+	f.refuse = 1
+	_, err := attempt(t, f, takeover.Gone, nil)
+	assert.Assert(t, errors.Is(err, takeover.ErrRefused))
+	assert.Equal(t, len(f.orders), 1)
+	assert.Equal(t, len(f.resumed), 2)
+}
+
+// A leaving primary is followed by a replica that holds its whole log.
+func TestLeavingPrimaryIsFollowedByACompleteReplica(t *testing.T) {
+	f := newFakes()
+	f.statuses["b"] = at(1, 10)
+	server, err := attempt(t, f, takeover.Leaving, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, server, group.ServerID("b"))
+}
+
+// Without a complete replica the demoted primary leads again: no other server
+// holds all of its log.
+func TestDemotedPrimaryLeadsAgainWithoutACompleteReplica(t *testing.T) {
+	f := newFakes()
+	server, err := attempt(t, f, takeover.Leaving, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, server, group.ServerID("a"))
+}
