--- a/cmd/internal/command/check.go
+++ b/cmd/internal/command/check.go
@@ -9,21 +9,23 @@
 	"github.com/urfave/cli/v3"
 
 	"basilmill/core/account"
+	"basilmill/core/validate"
 	"basilmill/io/jsonc"
+	"basilmill/platform"
 )
 
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "check",
-		Usage:       "check settings or the template of a client account",
+		Usage:       "check settings, the platform's settings or the template of a client account",
 		ArgsUsage:   "FILE",
 		Description: "Lists all faults of the file with line and column. The kind of the file is found from its keys unless --kind states it.",
 		Flags: []cli.Flag{
 			&cli.StringFlag{
-				Name: "kind", Usage: "`KIND` of the file: settings or template",
+				Name: "kind", Usage: "`KIND` of the file: settings, platform or template",
 				Validator: func(kind string) error {
-					if kind != "settings" && kind != "template" {
-						return fmt.Errorf("%q is neither settings nor template", kind)
+					if kind != "settings" && kind != "platform" && kind != "template" {
+						return fmt.Errorf("%q is neither settings nor platform nor template", kind)
 					}
 					return nil
 				},
@@ -55,6 +57,9 @@
 		return err
 	}
 	result := checked{File: path, Kind: c.String("kind"), Faults: []checkedFault{}}
+	if result.Kind == "platform" {
+		return checkPlatform(c, data, result)
+	}
 	if result.Kind == "" {
 		result.Kind = "template"
 		if jsonc.Detect(data) == jsonc.SettingsDocument {
@@ -83,6 +88,25 @@
 	return inFile(path, err)
 }
 
+// checkPlatform checks a settings file of the platform, whose lines have no
+// columns to report.
+func checkPlatform(c *cli.Command, data []byte, result checked) error {
+	_, err := platform.ParseSettings(data)
+	var faults *validate.Error
+	if errors.As(err, &faults) {
+		for _, fault := range faults.Faults {
+			result.Faults = append(result.Faults, checkedFault{Path: string(fault.Path), Problem: fault.Problem.String()})
+		}
+	}
+	if c.String("output") == outputJSON || err == nil {
+		valid := table{rows: [][]string{{fmt.Sprintf("%s: valid platform settings", result.File)}}}
+		if writeErr := write(c, valid, result); writeErr != nil {
+			return writeErr
+		}
+	}
+	return err
+}
+
 // fileError prefixes each fault of a file with its name.
 type fileError struct {
 	path  string
--- a/cmd/internal/command/root.go
+++ b/cmd/internal/command/root.go
@@ -17,7 +17,7 @@
 
 // Root returns the program with its commands.
 func Root() *cli.Command {
-	commands := []*cli.Command{serveCommand(), entryCommand(), checkCommand(), accountCommand(), groupCommand(), hostCommand(), versionCommand()}
+	commands := []*cli.Command{serveCommand(), entryCommand(), checkCommand(), explainCommand(), accountCommand(), groupCommand(), hostCommand(), versionCommand()}
 	root := &cli.Command{
 		Name:            "basilmill",
 		Usage:           "database proxy with session consistency",
