link: bound the statements in work at a server; repeat commands while it is busy

Change: a window of shared uses for each server, cut when the server is busy; commands that change a server are repeated for 1.5 s; a read that was never sent is refused as not run.

--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -31,6 +31,14 @@
 	// crowd is the number of sessions on a shared connection beyond which
 	// another one is opened.
 	crowd = 2
+	// maxWindow bounds the statements of this host in work at the server. With
+	// today's two or three slots a server, a few hosts keep all of them busy.
+	maxWindow = 8
+	// windowPause is the time between two reductions of the window: about the
+	// time in which a server's queue is worked off.
+	windowPause = 50 * time.Millisecond
+	// windowCut is the factor of a reduction.
+	windowCut = 0.7
 	// stuckTime is how long the oldest statement on a connection may be
 	// unanswered before the connection serves no further session.
 	stuckTime = 250 * time.Millisecond
@@ -58,8 +66,12 @@
 	pausedUntil time.Time
 	pause       *time.Timer
 	full        bool
-	closed      bool
-	stats       Stats
+	// window bounds the shared uses at a time. It falls when the server is
+	// busy and rises with each answer.
+	window    float64
+	windowCut time.Time
+	closed    bool
+	stats     Stats
 }
 
 // Stats describes a pool at one moment.
@@ -91,7 +103,7 @@
 
 // NewPool returns a pool without connections that opens up to limit of them.
 func NewPool(server catalog.Server, dialer Dialer, limit int) *Pool {
-	return &Pool{server: server, dialer: dialer, limit: limit}
+	return &Pool{server: server, dialer: dialer, limit: limit, window: maxWindow}
 }
 
 // SetLimit changes the bound of this host's connections.
@@ -168,17 +180,48 @@
 	})
 }
 
+// Answered reports that the server answered a statement of the lease, and
+// whether it refused it for lack of a slot.
+func (l *Lease) Answered(busy bool) {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !busy {
+		p.window = min(p.window+1/p.window, maxWindow)
+		return
+	}
+	if now := time.Now(); now.Sub(p.windowCut) > windowPause {
+		p.windowCut = now
+		p.window = max(p.window*windowCut, 1)
+	}
+}
+
+// shares returns the shared uses of all connections.
+func (p *Pool) shares() (n int) {
+	for _, c := range p.conns {
+		n += c.shares
+	}
+	return n
+}
+
 // dispatch serves the waiters that can be served and starts the openings that
 // the others need. The caller holds the lock.
 func (p *Pool) dispatch() {
 	unserved := 0
+	inUse := p.shares()
 	p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter) bool {
+		if !w.exclusive && w.priority >= 0 && inUse >= int(p.window) {
+			return false
+		}
 		c := p.choose(w)
 		if c == nil {
 			unserved++
 			return false
 		}
 		p.grant(w, c)
+		if !w.exclusive {
+			inUse++
+		}
 		return true
 	})
 	if unserved == 0 && p.crowded() {
--- a/core/proxy/read.go
+++ b/core/proxy/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"basilmill/core/catalog"
@@ -99,10 +100,11 @@
 // long.
 func (r *request) readOn(ctx context.Context, server catalog.Server, tried map[group.ServerID]bool) (exchange.Answer, verdict) {
 	results := make(chan readResult, 2)
+	var sent atomic.Bool
 	wanted, statement := r.session.wanted(r.statement)
 	statement.After = r.position
 	r.attempts++
-	go r.readOnce(ctx, server, wanted, statement, results)
+	go r.readOnce(ctx, server, wanted, statement, &sent, results)
 	hedge := time.NewTimer(r.route.Target / hedgeShare)
 	defer hedge.Stop()
 	pending := 1
@@ -128,9 +130,13 @@
 			tried[other.ID] = true
 			pending++
 			r.attempts++
-			go r.readOnce(ctx, other, wanted, statement, results)
+			go r.readOnce(ctx, other, wanted, statement, &sent, results)
 		case <-ctx.Done():
-			r.reason = "no answer in time"
+			if !sent.Load() {
+				r.reason = "no free connection to " + string(server.ID)
+				return exchange.Answer{}, ended
+			}
+			r.reason = "no answer in time from " + string(server.ID)
 			return exchange.Fail(exchange.TimedOut, r.reason, exchange.Idle), answered
 		}
 	}
@@ -144,7 +150,7 @@
 }
 
 // readOnce makes one attempt on one server.
-func (r *request) readOnce(ctx context.Context, server catalog.Server, wanted *link.Settings, statement exchange.Statement, results chan<- readResult) {
+func (r *request) readOnce(ctx context.Context, server catalog.Server, wanted *link.Settings, statement exchange.Statement, sent *atomic.Bool, results chan<- readResult) {
 	p := r.session.proxy
 	result := readResult{server: server.ID, verdict: elsewhere}
 	defer func() { results <- result }()
@@ -155,6 +161,7 @@
 		return
 	}
 	started := time.Now()
+	sent.Store(true)
 	call := lease.Submit(wanted, statement)
 	select {
 	case <-call.Done:
@@ -170,6 +177,7 @@
 		result.reason = err.Error()
 		return
 	}
+	lease.Answered(isBusy(answers[0]))
 	p.learned(server.ID, answers[0], time.Since(started))
 	result.answer, result.verdict = answers[0], judge(answers[0])
 	if answers[0].Failure != nil {
@@ -177,6 +185,8 @@
 	}
 }
 
+func isBusy(a exchange.Answer) bool { return a.Failure != nil && a.Failure.Code == exchange.Busy }
+
 // judge says whether an answer to a read is the caller's.
 func judge(answer exchange.Answer) verdict {
 	if answer.Failure != nil {
@@ -245,6 +255,7 @@
 		r.refused(answers[0].Failure)
 		return exchange.Answer{}, elsewhere
 	}
+	lease.Answered(isBusy(answers[1]))
 	r.proven(sent, answers[0])
 	if answers[1].Failure != nil {
 		r.refused(answers[1].Failure)
--- a/core/proxy/write.go
+++ b/core/proxy/write.go
@@ -78,6 +78,7 @@
 				return exchange.Fail(exchange.InDoubt, r.reason, exchange.Idle), false
 			}
 			answer = answers[0]
+			lease.Answered(isBusy(answer))
 			if answer.Failure == nil && answer.Digest == "" {
 				r.reason = "answer without a digest"
 				return exchange.Fail(exchange.InDoubt, r.reason, exchange.Idle), false
--- a/core/takeover/command.go
+++ b/core/takeover/command.go
@@ -44,14 +44,20 @@
 	return answered, silent
 }
 
-// command sends one command and repeats it once, because the answer may have
-// been lost and all commands may run twice.
+// command sends one command and repeats it while the server is busy or does
+// not answer, because the answer may have been lost and all commands may run
+// twice. Once servers have been suspended or demoted, giving up costs more
+// than waiting.
 func (a *attempt) command(ctx context.Context, server catalog.Server, statement exchange.Statement) (status exchange.ServerStatus, err error) {
-	for range 2 {
-		callCtx, cancel := context.WithTimeout(ctx, commandTimeout)
-		status, err = a.Databases.Command(callCtx, server, statement)
-		cancel()
-		if err == nil || ctx.Err() != nil {
+	limit := statusTime
+	if statement.Operation != exchange.Status {
+		limit = changeTime
+	}
+	limited, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		status, err = a.once(limited, server, statement)
+		if err == nil || sleep(limited, busyPause) != nil {
 			break
 		}
 	}
@@ -61,6 +67,12 @@
 	return status, err
 }
 
+func (a *attempt) once(ctx context.Context, server catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	return a.Databases.Command(ctx, server, statement)
+}
+
 var commandNames = map[exchange.Operation]string{
 	exchange.Suspend: "suspended",
 	exchange.Resume:  "resumed",
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -83,6 +83,13 @@
 	Lease = 3200 * time.Millisecond
 	// commandTimeout bounds one command: several round trips between regions.
 	commandTimeout = 400 * time.Millisecond
+	// statusTime and changeTime bound the repetitions of a status query and of
+	// a command that changes a server.
+	statusTime = 600 * time.Millisecond
+	changeTime = 1500 * time.Millisecond
+	// busyPause is the pause before a command is repeated: about one
+	// statement's work.
+	busyPause = 20 * time.Millisecond
 	// progressTime is how long the replicas are watched for progress. Each
 	// service of today commits some twenty writes a second.
 	progressTime = 300 * time.Millisecond
