proxy: refuse early what no connection is free for

Change: a request waits a quarter of the route's objective for a connection and is then refused as not run; a host without any connection to the server goes on waiting, because servers drop the connections of lost hosts within seconds.

--- a/core/proxy/read.go
+++ b/core/proxy/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,10 @@
 	// hedgeShare is the part of the latency objective after which an
 	// unanswered read is sent to another server too, within a budget.
 	hedgeShare = 3
+	// queueShare is the part of the latency objective for which a request may
+	// wait for a connection. The users count a refusal after a quarter of the
+	// objective as late.
+	queueShare = 4
 )
 
 // readAged serves a read that may miss recent commits on any server whose log
@@ -142,6 +147,31 @@
 	}
 }
 
+// errQueued is the error of a request that waited too long for a connection.
+var errQueued = errors.New("no free connection in time")
+
+// lease takes a connection of a server's pool. A request that can't be served
+// soon is refused early, so that its caller can come back while it has time
+// left. While the host has no connection to the server at all, a new one is
+// worth waiting for: servers drop the connections of lost hosts within seconds.
+func (r *request) lease(ctx context.Context, server catalog.Server, exclusive bool, wanted *link.Settings) (*link.Lease, error) {
+	pool := r.session.proxy.config.Pool(server)
+	if pool.Stats().Open > 0 {
+		limited, cancel := context.WithTimeout(ctx, r.route.Target/queueShare)
+		defer cancel()
+		ctx = limited
+	}
+	take := pool.Shared
+	if exclusive {
+		take = pool.Exclusive
+	}
+	lease, err := take(ctx, wanted, r.route.Priority)
+	if err != nil && ctx.Err() != nil {
+		return nil, errQueued
+	}
+	return lease, err
+}
+
 type readResult struct {
 	server  group.ServerID
 	answer  exchange.Answer
@@ -154,7 +184,11 @@
 	p := r.session.proxy
 	result := readResult{server: server.ID, verdict: elsewhere}
 	defer func() { results <- result }()
-	lease, err := p.config.Pool(server).Shared(ctx, wanted, r.route.Priority)
+	lease, err := r.lease(ctx, server, false, wanted)
+	if errors.Is(err, errQueued) {
+		result.verdict, result.reason = ended, err.Error()
+		return
+	}
 	if err != nil {
 		p.avoid(server.ID)
 		result.reason = err.Error()
@@ -207,17 +241,16 @@
 // arrived. It runs in a transaction of its own on the leader, which the leader
 // accepts only while it leads.
 func (r *request) readCurrent(ctx context.Context) exchange.Answer {
-	p := r.session.proxy
 	for {
 		server, ok := r.awaitLeader(ctx)
 		if !ok {
 			return r.refuseRead()
 		}
 		wanted, statement := r.session.wanted(r.statement)
-		lease, err := p.config.Pool(server).Shared(ctx, wanted, r.route.Priority)
+		lease, err := r.lease(ctx, server, false, wanted)
 		if err != nil {
 			r.reason = err.Error()
-			if !pauseRound(ctx) {
+			if errors.Is(err, errQueued) || !pauseRound(ctx) {
 				return r.refuseRead()
 			}
 			continue
--- a/core/proxy/transaction.go
+++ b/core/proxy/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"basilmill/core/catalog"
@@ -185,13 +186,13 @@
 func (t *transaction) startOn(ctx context.Context, r *request, server catalog.Server) (exchange.Answer, verdict) {
 	p := r.session.proxy
 	wanted, _ := r.session.wanted(r.statement)
-	lease, err := p.config.Pool(server).Exclusive(ctx, wanted, t.route.Priority)
+	lease, err := r.lease(ctx, server, true, wanted)
 	if err != nil {
 		r.reason = err.Error()
-		p.avoid(server.ID)
-		if ctx.Err() != nil {
+		if errors.Is(err, errQueued) {
 			return exchange.Answer{}, ended
 		}
+		p.avoid(server.ID)
 		return exchange.Answer{}, elsewhere
 	}
 	t.lease, t.server = lease, server.ID
--- a/core/proxy/write.go
+++ b/core/proxy/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"basilmill/core/exchange"
@@ -22,10 +23,10 @@
 			return r.refuse(exchange.Idle)
 		}
 		wanted, statement := r.session.wanted(r.statement)
-		lease, err := p.config.Pool(server).Shared(ctx, wanted, r.route.Priority)
+		lease, err := r.lease(ctx, server, false, wanted)
 		if err != nil {
 			r.reason = err.Error()
-			if !pauseRound(ctx) {
+			if errors.Is(err, errQueued) || !pauseRound(ctx) {
 				return r.refuse(exchange.Idle)
 			}
 			continue
