lead: share proven positions between hosts; fewer searches; keep servers without an entry longer

Change: hosts register in the store and ask four others for their newest position and its age while they have no proof of their own; a group that another host reaches is not taken for lost; servers without an entry are kept for 4.5 s; a pause between searches; a transaction's BEGIN counts as an attempt only when it is refused.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -24,6 +24,7 @@
 	"basilmill/core/proxy"
 	"basilmill/core/settings"
 	"basilmill/core/takeover"
+	"basilmill/io/peer"
 )
 
 // Platform is what the host needs of the platform.
@@ -31,6 +32,7 @@
 	Source catalog.Source
 	Ledger takeover.Ledger
 	Orders takeover.Orders
+	Hosts  Hosts
 	Dialer link.Dialer
 	// Codec returns the codec of a caller's connection.
 	Codec func(net.Conn) Codec
@@ -51,6 +53,7 @@
 
 	book     *catalog.Book
 	groups   *groups
+	peers    *peers
 	servers  *link.Registry
 	proxy    *proxy.Proxy
 	callers  *callers
@@ -61,6 +64,7 @@
 func New(s settings.Entry, p Platform, log *slog.Logger) *Host {
 	h := &Host{settings: s, platform: p, log: &logevent.Logger{Log: log}, metrics: newMetrics(), book: &catalog.Book{}}
 	h.servers = link.NewRegistry(h.book, p.Dialer)
+	h.peers = newPeers(h)
 	h.groups = newGroups(h)
 	h.proxy = proxy.New(proxy.Config{
 		Book: h.book, Monitor: h.groups.monitor, Pool: h.servers.Pool, DataCentre: s.DataCentre,
@@ -109,6 +113,7 @@
 	add(feed.FollowServers)
 	add(feed.FollowConfig)
 	add(h.groups.run)
+	add(h.peers.register)
 	add(func(ctx context.Context) error { return h.tidy(ctx) })
 	add(func(ctx context.Context) error { return h.reload(ctx, reload) })
 }
@@ -125,7 +130,10 @@
 	if !h.settings.Operators.IsValid() {
 		return nil
 	}
-	return h.addHTTP(ctx, g, h.settings.Operators, promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{}))
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{}))
+	mux.Handle(peer.BeliefHandler(h.peers.belief))
+	return h.addHTTP(ctx, g, h.settings.Operators, mux)
 }
 
 func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
--- a/cmd/entry/entry_test.go
+++ b/cmd/entry/entry_test.go
@@ -18,6 +18,7 @@
 	"basilmill/cmd/entry"
 	"basilmill/core/catalog"
 	"basilmill/core/group"
+	corehost "basilmill/core/host"
 	"basilmill/core/settings"
 	"basilmill/platform"
 	"basilmill/standin/replicated"
@@ -49,6 +50,13 @@
 	return nil, from, hold(ctx, wait)
 }
 
+// noHosts is a list without other hosts.
+type noHosts struct{}
+
+func (noHosts) RegisterHost(context.Context, corehost.Info) error { return nil }
+
+func (noHosts) ListHosts(context.Context) ([]corehost.Info, error) { return nil, nil }
+
 func hold(ctx context.Context, wait time.Duration) error {
 	select {
 	case <-ctx.Done():
@@ -86,7 +94,7 @@
 	}.WithDefaults()}
 	started := time.Now()
 	e := entry.New(h.settings, entry.Platform{
-		Source: source{world}, Ledger: world, Orders: world, Dialer: world,
+		Source: source{world}, Ledger: world, Hosts: noHosts{}, Orders: world, Dialer: world,
 		Codec:     func(c net.Conn) entry.Codec { return platform.NewCaller(c) },
 		Readiness: platform.ReadinessHandler,
 		Reload:    func(settings.Entry) {},
--- a/cmd/entry/groups.go
+++ b/cmd/entry/groups.go
@@ -72,7 +72,7 @@
 	}
 	return lead.New(lead.Config{
 		Group: id, Book: h.book, Databases: h.servers, Attempter: runner, Clock: h.platform.Clock, Log: h.log,
-		DataCentre: h.settings.DataCentre,
+		DataCentre: h.settings.DataCentre, Peers: h.peers,
 	})
 }
 
--- a/cmd/entry/metrics.go
+++ b/cmd/entry/metrics.go
@@ -16,6 +16,7 @@
 	durations   *prometheus.HistogramVec
 	retried     prometheus.Counter
 	lostCallers prometheus.Counter
+	peerCalls   *prometheus.CounterVec
 }
 
 // durationBuckets cover a read in the own data centre up to the longest
@@ -33,8 +34,11 @@
 		}, []string{"class"}),
 		retried:     prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_statement_retries_total", Help: "Attempts beyond the first."}),
 		lostCallers: prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_callers_lost_total", Help: "Callers' connections that broke."}),
+		peerCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "basilmill_peer_questions_total", Help: "Questions to other hosts for a proven position, by answer.",
+		}, []string{"answer"}),
 	}
-	m.registry.MustRegister(m.statements, m.durations, m.retried, m.lostCallers)
+	m.registry.MustRegister(m.statements, m.durations, m.retried, m.lostCallers, m.peerCalls)
 	return m
 }
 
--- a/cmd/internal/command/entry.go
+++ b/cmd/internal/command/entry.go
@@ -45,7 +45,7 @@
 	defer func() { _ = lines.Close() }()
 	log := newLogger(lines, settings.Log{Format: settings.JSON})
 	host := entry.New(s, entry.Platform{
-		Source: store, Ledger: store, Orders: orders, Dialer: platform.Dialer{},
+		Source: store, Ledger: store, Hosts: store, Orders: orders, Dialer: platform.Dialer{},
 		Codec:     func(conn net.Conn) entry.Codec { return platform.NewCaller(conn) },
 		Readiness: platform.ReadinessHandler,
 		Reload: func(s settings.Entry) {
--- a/core/catalog/book.go
+++ b/core/catalog/book.go
@@ -9,9 +9,10 @@
 )
 
 // DefaultAbsence is how long a server without an entry is kept. Entries that
-// lapsed while the store was unavailable return within two seconds (users'
-// letter); the rest covers the delivery of the event.
-const DefaultAbsence = 2500 * time.Millisecond
+// lapsed while the store was unavailable are back within two seconds of its
+// return (users' letter), and a server that is gone must get no new work after
+// 7 s; a server that lost only its path to the store goes on serving meanwhile.
+const DefaultAbsence = 4500 * time.Millisecond
 
 // Book holds the current view. Its zero value is empty and ready for use. It is
 // safe for concurrent use.
--- a/core/lead/input.go
+++ b/core/lead/input.go
@@ -87,6 +87,20 @@
 	m.publish()
 }
 
+// peersInput holds what other hosts have proven.
+type peersInput struct{ samples []Sample }
+
+func (i peersInput) apply(m *Monitor) {
+	m.asking = false
+	for _, s := range i.samples {
+		if s.At <= m.newest() || len(m.samples) > 0 && s.Position.Term < m.samples[len(m.samples)-1].Position.Term {
+			continue
+		}
+		m.keep(s)
+		m.publish()
+	}
+}
+
 // keep adds a sample. Samples of earlier terms are dropped: their positions
 // may lie beyond the start of the new term and never be reached.
 func (m *Monitor) keep(s Sample) {
@@ -129,7 +143,7 @@
 	if m.known && m.leader.ID != i.server {
 		m.lose("replaced by this host")
 	}
-	m.nextProbe = now
+	m.nextProbe, m.nextSearch = now, now
 	m.nextAudit = now
 }
 
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -53,6 +53,12 @@
 	// register before it takes a group without a primary for one that lost it:
 	// entries that lapsed are back within two seconds of the store's return.
 	settleTime = 2500 * time.Millisecond
+	// lonelyTime is how long a host goes without a proof before it asks others:
+	// longer than the time between two probes. While it has no connection to
+	// the primary, their proofs let it serve reads that allow some age.
+	lonelyTime = 300 * time.Millisecond
+	// askInterval is the time between two rounds of asking others.
+	askInterval = 150 * time.Millisecond
 	// proofSpacing is the time between two samples taken from traffic.
 	proofSpacing = 50 * time.Millisecond
 	// auditInterval is the least time between two looks for replicas that an
@@ -77,6 +83,13 @@
 	Run(ctx context.Context, s takeover.Situation) (group.ServerID, error)
 }
 
+// Peers asks other hosts what they have proven.
+type Peers interface {
+	// Positions returns proofs of some other hosts. At of each is a reading of
+	// this host's clock that is not later than the proof.
+	Positions(ctx context.Context, id group.ID) []Sample
+}
+
 // Sample is a position of the leader.
 type Sample struct {
 	// At is the clock's reading when the probe was sent.
@@ -91,6 +104,8 @@
 	Known  bool
 	// Since is the clock's reading at which the leader was lost or found.
 	Since time.Duration
+	// Proven is the clock's reading at the last proof that this host made.
+	Proven time.Duration
 	// Samples are in order of time.
 	Samples []Sample
 	changed chan struct{}
@@ -124,6 +139,8 @@
 	Book      *catalog.Book
 	Databases Databases
 	Attempter Attempter
+	// Peers, if set, are asked for their proofs while this host has none.
+	Peers Peers
 	// DataCentre is the host's own, whose replicas it audits most often.
 	DataCentre host.DataCentre
 	// Clock is a clock that goes on while the machine is suspended.
@@ -147,14 +164,18 @@
 	probing   bool
 	asked     bool // a probe is wanted as soon as the current one ends
 	nextProbe time.Duration
-	searching int
-	attempt   bool
-	nextTry   time.Duration
-	nextAudit time.Duration
-	auditing  bool
-	audits    int
-	audited   map[group.ServerID]bool
-	samples   []Sample
+	// searching counts the probes of the current search.
+	searching  int
+	nextSearch time.Duration
+	attempt    bool
+	nextTry    time.Duration
+	nextAudit  time.Duration
+	auditing   bool
+	asking     bool
+	nextAsk    time.Duration
+	audits     int
+	audited    map[group.ServerID]bool
+	samples    []Sample
 }
 
 // input is what the goroutine of a Monitor receives.
@@ -181,7 +202,7 @@
 // and the end of its log then.
 func (m *Monitor) Proven(server catalog.Server, at time.Duration, position group.Position) {
 	snapshot := m.Snapshot()
-	if n := len(snapshot.Samples); n > 0 && at-snapshot.Samples[n-1].At < proofSpacing && snapshot.Leader.ID == server.ID {
+	if snapshot.Known && at-snapshot.Proven < proofSpacing && snapshot.Leader.ID == server.ID {
 		return
 	}
 	m.send(provenInput{server: server, at: at, position: position})
@@ -232,6 +253,9 @@
 			m.startAttempt(ctx, s)
 		}
 	}
+	if m.config.Peers != nil && !m.asking && now >= m.nextAsk && now-m.proven > lonelyTime {
+		m.askPeers(ctx, now)
+	}
 	if m.known && !m.auditing && !m.attempt && now >= m.nextAudit {
 		m.startAudit(ctx, members, now)
 	}
@@ -260,11 +284,11 @@
 // searchDue reports whether other servers should be probed: no leader is
 // known, it is unproven for too long, or another server says that it leads.
 func (m *Monitor) searchDue(members []catalog.Server, now time.Duration) bool {
-	if m.searching > 0 || now < m.nextProbe && m.known {
+	if m.searching > 0 || now < m.nextSearch {
 		return false
 	}
 	if !m.known || now-m.proven > suspectTime {
-		return now >= m.nextProbe
+		return true
 	}
 	for _, s := range members {
 		if s.Primary && s.ID != m.leader.ID {
@@ -281,8 +305,9 @@
 }
 
 func (m *Monitor) startSearch(ctx context.Context, members []catalog.Server, now time.Duration) {
-	if !m.known {
-		m.nextProbe = now + searchInterval
+	m.nextSearch = now + searchInterval
+	if m.known {
+		m.nextSearch = now + probeInterval
 	}
 	for _, s := range members {
 		if m.known && s.ID == m.leader.ID {
@@ -305,6 +330,27 @@
 	}()
 }
 
+// askPeers asks other hosts for their proofs.
+func (m *Monitor) askPeers(ctx context.Context, now time.Duration) {
+	m.asking = true
+	m.nextAsk = now + askInterval
+	go func() {
+		samples := m.config.Peers.Positions(ctx, m.config.Group)
+		select {
+		case m.inputs <- peersInput{samples}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// newest returns the time of the newest proof of any host.
+func (m *Monitor) newest() time.Duration {
+	if n := len(m.samples); n > 0 {
+		return max(m.proven, m.samples[n-1].At)
+	}
+	return m.proven
+}
+
 // situation returns the change that the belief calls for.
 func (m *Monitor) situation(members []catalog.Server, now time.Duration) (takeover.Situation, bool) {
 	s := takeover.Situation{Group: m.config.Group, Primary: m.leader, Members: members}
@@ -314,9 +360,10 @@
 			return s, false
 		}
 		s.Cause = takeover.Gone
-		return s, true
+		// Another host reached a primary since.
+		return s, m.newest() < m.lost
 	}
-	if now-m.proven > suspectTime {
+	if now-m.newest() > suspectTime {
 		s.Cause = takeover.Lost
 		return s, true
 	}
@@ -392,7 +439,7 @@
 func (m *Monitor) publish() {
 	old := m.snapshot.Load()
 	m.snapshot.Store(&Snapshot{
-		Leader: m.leader, Known: m.known, Since: m.lost,
+		Leader: m.leader, Known: m.known, Since: m.lost, Proven: m.proven,
 		Samples: append([]Sample(nil), m.samples...), changed: make(chan struct{}),
 	})
 	close(old.changed)
@@ -405,7 +452,7 @@
 	}
 	m.known = false
 	m.lost = m.config.Clock()
-	m.nextProbe = m.lost
+	m.nextProbe, m.nextSearch = m.lost, m.lost
 	m.log(logevent.PrimaryLost, slog.String("server", string(m.leader.ID)), slog.String("why", why), slog.Duration("proven_before", m.lost-m.proven))
 	m.publish()
 }
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -265,10 +265,7 @@
 // ages, and the outcome.
 func (r *request) log(number logevent.Number, outcome string, elapsed time.Duration) {
 	snapshot := r.monitor.Snapshot()
-	proven := time.Duration(-1)
-	if n := len(snapshot.Samples); n > 0 {
-		proven = r.session.proxy.config.Clock() - snapshot.Samples[n-1].At
-	}
+	proven := r.session.proxy.config.Clock() - snapshot.Proven
 	r.session.proxy.config.Log.Write(context.Background(), number,
 		slog.String("request", string(r.statement.ID)), slog.String("route", r.route.Name), slog.String("class", r.route.Class.String()),
 		slog.Int64("config", int64(r.session.proxy.config.Book.View().ConfigVersion())), slog.Bool("writes", r.writes), slog.String("group", string(r.route.Group)), slog.String("server", string(r.server)),
--- a/core/proxy/read.go
+++ b/core/proxy/read.go
@@ -327,8 +327,7 @@
 }
 
 func (r *request) provenRecently(snapshot *lead.Snapshot) bool {
-	n := len(snapshot.Samples)
-	return n > 0 && r.session.proxy.config.Clock()-snapshot.Samples[n-1].At < unprovenTime
+	return r.session.proxy.config.Clock()-snapshot.Proven < unprovenTime
 }
 
 func waitChange(ctx context.Context, snapshot *lead.Snapshot) bool {
--- a/core/proxy/transaction.go
+++ b/core/proxy/transaction.go
@@ -197,7 +197,6 @@
 	}
 	t.lease, t.server = lease, server.ID
 	r.server = server.ID
-	r.attempts++
 	begin := exchange.Statement{Operation: exchange.Begin}
 	if t.readOnly && t.route.Class != catalog.Current {
 		begin = exchange.Statement{Operation: exchange.BeginRead, After: r.position}
@@ -206,6 +205,7 @@
 	answers, err := lease.Run(ctx, wanted, begin)
 	if err != nil {
 		t.drop()
+		r.attempts++
 		r.reason = err.Error()
 		p.avoid(server.ID)
 		if ctx.Err() != nil {
@@ -214,6 +214,7 @@
 		return exchange.Answer{}, elsewhere
 	}
 	if answers[0].Failure != nil {
+		r.attempts++
 		p.learned(server.ID, answers[0], time.Since(started))
 		r.refused(answers[0].Failure)
 		t.release()
--- a/io/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/peer/peerpb/peerpbconnect/peer.connect.go
@@ -24,6 +24,8 @@
 const (
 	// PeerServiceName is the fully-qualified name of the PeerService service.
 	PeerServiceName = "basilmill.peer.v1.PeerService"
+	// BeliefsName is the fully-qualified name of the Beliefs service.
+	BeliefsName = "basilmill.peer.v1.Beliefs"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -48,6 +50,8 @@
 	PeerServiceConfirmProcedure = "/basilmill.peer.v1.PeerService/Confirm"
 	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
 	PeerServiceForwardProcedure = "/basilmill.peer.v1.PeerService/Forward"
+	// BeliefsPositionProcedure is the fully-qualified name of the Beliefs's Position RPC.
+	BeliefsPositionProcedure = "/basilmill.peer.v1.Beliefs/Position"
 )
 
 // PeerServiceClient is a client for the basilmill.peer.v1.PeerService service.
@@ -293,3 +297,75 @@
 func (UnimplementedPeerServiceHandler) Forward(context.Context, *connect.BidiStream[peerpb.ForwardRequest, peerpb.ForwardResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("basilmill.peer.v1.PeerService.Forward is not implemented"))
 }
+
+// BeliefsClient is a client for the basilmill.peer.v1.Beliefs service.
+type BeliefsClient interface {
+	// Position returns the newest position that the host has proven.
+	Position(context.Context, *connect.Request[peerpb.BeliefRequest]) (*connect.Response[peerpb.BeliefResponse], error)
+}
+
+// NewBeliefsClient constructs a client for the basilmill.peer.v1.Beliefs service. By default, it
+// uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewBeliefsClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) BeliefsClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	beliefsMethods := peerpb.File_peer_proto.Services().ByName("Beliefs").Methods()
+	return &beliefsClient{
+		position: connect.NewClient[peerpb.BeliefRequest, peerpb.BeliefResponse](
+			httpClient,
+			baseURL+BeliefsPositionProcedure,
+			connect.WithSchema(beliefsMethods.ByName("Position")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// beliefsClient implements BeliefsClient.
+type beliefsClient struct {
+	position *connect.Client[peerpb.BeliefRequest, peerpb.BeliefResponse]
+}
+
+// Position calls basilmill.peer.v1.Beliefs.Position.
+func (c *beliefsClient) Position(ctx context.Context, req *connect.Request[peerpb.BeliefRequest]) (*connect.Response[peerpb.BeliefResponse], error) {
+	return c.position.CallUnary(ctx, req)
+}
+
+// BeliefsHandler is an implementation of the basilmill.peer.v1.Beliefs service.
+type BeliefsHandler interface {
+	// Position returns the newest position that the host has proven.
+	Position(context.Context, *connect.Request[peerpb.BeliefRequest]) (*connect.Response[peerpb.BeliefResponse], error)
+}
+
+// NewBeliefsHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewBeliefsHandler(svc BeliefsHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	beliefsMethods := peerpb.File_peer_proto.Services().ByName("Beliefs").Methods()
+	beliefsPositionHandler := connect.NewUnaryHandler(
+		BeliefsPositionProcedure,
+		svc.Position,
+		connect.WithSchema(beliefsMethods.ByName("Position")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/basilmill.peer.v1.Beliefs/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case BeliefsPositionProcedure:
+			beliefsPositionHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedBeliefsHandler returns CodeUnimplemented from all methods.
+type UnimplementedBeliefsHandler struct{}
+
+func (UnimplementedBeliefsHandler) Position(context.Context, *connect.Request[peerpb.BeliefRequest]) (*connect.Response[peerpb.BeliefResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("basilmill.peer.v1.Beliefs.Position is not implemented"))
+}
