--- a/core/proxy/transaction.go
+++ b/core/proxy/transaction.go
@@ -118,8 +118,8 @@
 	wanted, statement := r.session.wanted(r.statement)
 	for {
 		r.attempts++
-		answer, complete := r.runOn(ctx, t.lease, wanted, statement)
-		if !complete {
+		answer, pending := r.runOn(ctx, t.lease, wanted, statement)
+		if pending != nil {
 			t.drop()
 			if r.statement.Operation == exchange.Commit {
 				return answer
--- a/core/proxy/write.go
+++ b/core/proxy/write.go
@@ -34,13 +34,14 @@
 		r.attempts++
 		r.server, r.leader = server.ID, server
 		sentAt := p.config.Clock()
-		answer, sent := r.runOn(ctx, lease, wanted, statement)
+		answer, pending := r.runOn(ctx, lease, wanted, statement)
+		if pending != nil {
+			// Other sessions have statements on the connection.
+			go func() { <-pending; lease.Release() }()
+			return answer
+		}
 		if answer.Failure == nil || !answer.Failure.Code.NotRun() {
-			if sent {
-				lease.Release()
-			} else {
-				lease.Close()
-			}
+			lease.Release()
 			if answer.Failure == nil {
 				r.session.written = answer.Position
 				r.proven(sentAt, answer)
@@ -63,35 +64,35 @@
 	return exchange.Fail(exchange.Busy, r.reason+", retry later", state)
 }
 
-// runOn sends one statement and returns its answer.
-// The answer is InDoubt and complete is false when the connection or the time
-// ended first.
-func (r *request) runOn(ctx context.Context, lease *link.Lease, wanted *link.Settings, statement exchange.Statement) (answer exchange.Answer, complete bool) {
+// runOn sends one statement and returns its answer. The answer is InDoubt when
+// the connection or the time ended first; pending is then closed when nothing
+// more can arrive.
+func (r *request) runOn(ctx context.Context, lease *link.Lease, wanted *link.Settings, statement exchange.Statement) (answer exchange.Answer, pending <-chan struct{}) {
 	call := lease.Submit(wanted, statement)
 	stall := time.NewTimer(stallTime)
 	defer stall.Stop()
+	inDoubt := func(reason string) (exchange.Answer, <-chan struct{}) {
+		r.reason = reason
+		return exchange.Fail(exchange.InDoubt, reason, exchange.Idle), call.Done
+	}
 	for {
 		select {
 		case <-call.Done:
 			answers, err := call.Answers()
 			if err != nil {
-				r.reason = err.Error()
-				return exchange.Fail(exchange.InDoubt, r.reason, exchange.Idle), false
+				return inDoubt(err.Error())
 			}
-			answer = answers[0]
-			lease.Answered(isBusy(answer))
-			if answer.Failure == nil && answer.Digest == "" {
-				r.reason = "answer without a digest"
-				return exchange.Fail(exchange.InDoubt, r.reason, exchange.Idle), false
+			lease.Answered(isBusy(answers[0]))
+			if answers[0].Failure == nil && answers[0].Digest == "" {
+				return inDoubt("answer without a digest")
 			}
-			return answer, true
+			return answers[0], nil
 		case <-stall.C:
 			if r.writes {
 				r.monitor.Stalled()
 			}
 		case <-ctx.Done():
-			r.reason = "no answer in time"
-			return exchange.Fail(exchange.InDoubt, r.reason, exchange.Idle), false
+			return inDoubt("no answer in time")
 		}
 	}
 }
--- a/e2e/replicated/session_test.go
+++ b/e2e/replicated/session_test.go
@@ -192,3 +192,21 @@
 		assert.Equal(t, failure.Code, exchange.NoDatabase)
 	})
 }
+
+// A write that runs out of time shares its connection with others, whose
+// answers must still arrive.
+func TestTimedOutWriteDoesNotEndOthers(t *testing.T) {
+	inWorld(t, func(t *testing.T, world *replicated.World, h *entryHost) {
+		ctx := context.Background()
+		// No change of primary gets a number.
+		world.SetStore(true, false)
+		world.Server("a").SetStranded(true)
+		first := make(chan exchange.Answer, 1)
+		go func() { first <- h.open(t, currentDB).Execute(ctx, write("w1")) }()
+		time.AfterFunc(900*time.Millisecond, func() { world.Server("a").SetStranded(false) })
+		time.Sleep(200 * time.Millisecond)
+		second := h.open(t, currentDB).Execute(ctx, write("w2"))
+		assert.Assert(t, second.Failure == nil, "%v", second.Failure)
+		assert.Equal(t, (<-first).Failure.Code, exchange.InDoubt)
+	})
+}
