takeover: keep commits of earlier terms; fence orders that may be outstanding

At 12.4 s i-90977f74e8 is promoted with 1:193, all replicas accounted for; i-b7fe4f15b8 is still deaf at 1:104. The old primary is dropped at 13.0 s. The new primary has no replica that confirms, the attempt "stalled" demotes it and, as no replica holds its whole log, names the furthest replica, i-b7fe4f15b8 at 1:104, at 15.6 s. That commits of a term are on some replica of the term says nothing about commits of earlier terms, which the new primary itself may have confirmed.

Reading the same steps for other ways to lose a commit showed four more, each with a test that failed first: - a primary that crashes after a change, followed by a replica behind it; - a server that the host's view lacks (a silent watch, a late start); - a host that has just started and sees a list without lapsed entries; - an order without an answer that is carried out after the attempt resumed the replicas, and the same for a promoter that stops after its last check.

The group's record keeps the end of the log that the last primary started from; a server behind it is not named (ErrBehind). After the number is taken the servers are listed from the store and added to the view. A host replaces no primary that is out of reach in its first 2.5 s. The record says when an order may be outstanding; then servers stay suspended until an order with a higher number is answered: the next attempt's, or one that names the leading primary (cause "suspended"), which audits cause in place of a plain RESUME. A stalled primary's replicas are suspended before they are compared.

The mutant "no stop of receiving" now plays with the primary's entry missing, because a listed primary that leads ends an attempt at once.

--- a/cmd/entry/groups.go
+++ b/cmd/entry/groups.go
@@ -67,7 +67,7 @@
 func (g *groups) create(id group.ID) *lead.Monitor {
 	h := g.host
 	runner := &takeover.Runner{
-		Self: h.settings.HostID, Databases: h.servers, Ledger: h.platform.Ledger, Orders: h.platform.Orders,
+		Self: h.settings.HostID, Databases: h.servers, Ledger: h.platform.Ledger, Roster: catalog.Roster{Source: h.platform.Source}, Orders: h.platform.Orders,
 		NewAttempt: rand.Text, Observe: g.step,
 	}
 	return lead.New(lead.Config{
--- /dev/null
+++ b/core/catalog/roster.go
@@ -0,0 +1,26 @@
+package catalog
+
+import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
+	"basilmill/core/group"
+)
+
+// Roster lists the servers of single groups from a Source.
+type Roster struct{ Source Source }
+
+// Servers returns the servers of a group that have an entry now.
+func (r Roster) Servers(ctx context.Context, id group.ID) (servers []Server, err error) {
+	entries, _, err := r.Source.ListServers(ctx)
+	if err != nil {
+		return nil, eris.Wrapf(err, "list the servers of %s", id)
+	}
+	for _, e := range entries {
+		if e.Server != nil && e.Server.Group == id {
+			servers = append(servers, *e.Server)
+		}
+	}
+	return servers, nil
+}
--- a/core/lead/change.go
+++ b/core/lead/change.go
@@ -25,15 +25,14 @@
 func (m *Monitor) situation(members []catalog.Server, now time.Duration) (takeover.Situation, bool) {
 	s := takeover.Situation{Group: m.config.Group, Primary: m.leader, Members: members}
 	if !m.known {
-		// Servers register within the first second of a deployment.
-		if len(members) < 2 || now-m.lost < goneTime || m.leader.ID == "" && now-m.lost < settleTime {
+		if len(members) < 2 || now-m.lost < goneTime || now-m.started < settleTime {
 			return s, false
 		}
 		s.Cause = takeover.Gone
 		// Another host reached a primary since.
 		return s, m.newest() < m.lost
 	}
-	if now-m.newest() > suspectTime {
+	if now-m.newest() > suspectTime && now-m.started >= settleTime {
 		s.Cause = takeover.Lost
 		return s, true
 	}
@@ -41,6 +40,10 @@
 		s.Cause = takeover.Leaving
 		return s, true
 	}
+	if m.leftover {
+		s.Cause = takeover.Suspended
+		return s, true
+	}
 	if m.stalls.Swap(0) > 0 {
 		s.Cause = takeover.Stalled
 		return s, true
@@ -73,13 +76,13 @@
 	m.auditing = true
 	m.nextAudit = now + auditInterval + rand.N(auditInterval)
 	m.audits++
-	all := m.audits%remoteAudits == 0 || len(m.audited) > 0
-	leader, suspects := m.leader.ID, m.audited
+	all := m.audits%remoteAudits == 0 || len(m.audited) > 0 || m.unfinished
+	leader := m.leader.ID
 	go func() {
 		found := map[group.ServerID]bool{}
 		for _, s := range members {
-			if s.ID != leader && (all || s.DataCentre == m.config.DataCentre) {
-				m.audit(ctx, s, suspects, found)
+			if s.ID != leader && (all || s.DataCentre == m.config.DataCentre) && m.suspended(ctx, s) {
+				found[s.ID] = true
 			}
 		}
 		select {
@@ -89,19 +92,10 @@
 	}()
 }
 
-// audit resumes a replica that two audits in a row found suspended: no attempt
-// lasts that long.
-func (m *Monitor) audit(ctx context.Context, s catalog.Server, suspects, found map[group.ServerID]bool) {
-	commandCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+// suspended reports whether a server says that it is suspended.
+func (m *Monitor) suspended(ctx context.Context, s catalog.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	status, err := m.config.Databases.Command(commandCtx, s, exchange.Statement{Operation: exchange.Status})
-	if err != nil || status.Suspended == 0 {
-		return
-	}
-	found[s.ID] = true
-	if !suspects[s.ID] {
-		return
-	}
-	_, err = m.config.Databases.Command(commandCtx, s, exchange.Statement{Operation: exchange.Resume})
-	m.log(logevent.ReplicaResumed, slog.String("server", string(s.ID)), slog.Int64("suspended", int64(status.Suspended)), errAttr(err))
+	status, err := m.config.Databases.Command(ctx, s, exchange.Statement{Operation: exchange.Status})
+	return err == nil && status.Suspended != 0
 }
--- a/core/lead/input.go
+++ b/core/lead/input.go
@@ -131,15 +131,20 @@
 	m.attempt = false
 	now := m.config.Clock()
 	m.nextTry = now + retryTime
-	if errors.Is(i.err, takeover.ErrLeads) {
+	switch {
+	case errors.Is(i.err, takeover.ErrLeads):
 		m.nextTry = now + aliveTime
 		m.stalls.Store(0)
+	case errors.Is(i.err, takeover.ErrBehind), i.situation.Cause == takeover.Suspended:
+		m.nextTry = now + aliveTime
 	}
 	if i.err != nil {
 		m.log(logevent.ChangeRefused, slog.String("cause", i.situation.Cause.String()), errAttr(i.err))
+		m.unfinished = m.unfinished || errors.Is(i.err, takeover.ErrLeft)
 		return
 	}
 	m.log(logevent.ChangeCompleted, slog.String("cause", i.situation.Cause.String()), slog.String("server", string(i.server)))
+	m.leftover, m.unfinished = false, false
 	if m.known && m.leader.ID != i.server {
 		m.lose("replaced by this host")
 	}
@@ -150,7 +155,18 @@
 // auditInput is the result of an audit.
 type auditInput struct{ found map[group.ServerID]bool }
 
+// apply takes a replica that two audits in a row found suspended for one that
+// an unfinished attempt left: no attempt lasts that long. After an unfinished
+// attempt of this host one audit is enough.
 func (i auditInput) apply(m *Monitor) {
 	m.auditing = false
+	m.leftover = false
+	for server := range i.found {
+		if m.audited[server] || m.unfinished {
+			m.leftover = true
+			m.log(logevent.ReplicaSuspended, slog.String("server", string(server)))
+		}
+	}
+	m.unfinished = false
 	m.audited = i.found
 }
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -43,12 +43,12 @@
 	// retryTime is the pause after an attempt that changed nothing.
 	retryTime = 250 * time.Millisecond
 	// aliveTime is the pause after an attempt that found that the primary
-	// leads, so that an overloaded group is not asked for its status all the
-	// time.
+	// leads or that no server may replace it, so that an overloaded group is not
+	// asked for its status all the time.
 	aliveTime = 1500 * time.Millisecond
 	// settleTime is how long after its start a host waits for servers to
-	// register before it takes a group without a primary for one that lost it:
-	// entries that lapsed are back within two seconds of the store's return.
+	// register before it replaces a primary that is out of reach: entries that
+	// lapsed are back within two seconds of the store's return.
 	settleTime = 2500 * time.Millisecond
 	// lonelyTime is how long a host goes without a proof before it asks others:
 	// longer than the time between two probes. While it has no connection to
@@ -154,6 +154,7 @@
 
 	leader    catalog.Server
 	known     bool
+	started   time.Duration // when the first view was there
 	lost      time.Duration // when the leader was lost
 	proven    time.Duration // when the probe of the last proof was sent
 	probing   bool
@@ -170,6 +171,10 @@
 	nextAsk    time.Duration
 	audits     int
 	audited    map[group.ServerID]bool
+	// leftover is set while an audit found suspensions of an unfinished
+	// attempt, unfinished after an attempt of this host that may have left some.
+	leftover   bool
+	unfinished bool
 	samples    []Sample
 }
 
@@ -219,7 +224,8 @@
 func (m *Monitor) Run(ctx context.Context) error {
 	ticker := time.NewTicker(searchInterval / 2)
 	defer ticker.Stop()
-	m.lost = m.config.Clock()
+	m.started = m.config.Clock()
+	m.lost = m.started
 	for {
 		select {
 		case <-ctx.Done():
@@ -251,7 +257,7 @@
 	if m.config.Peers != nil && !m.asking && now >= m.nextAsk && now-m.proven > lonelyTime {
 		m.askPeers(ctx, now)
 	}
-	if m.known && !m.auditing && !m.attempt && now >= m.nextAudit {
+	if m.known && !m.auditing && !m.attempt && (now >= m.nextAudit || m.unfinished) {
 		m.startAudit(ctx, members, now)
 	}
 }
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -62,6 +62,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.attempts = append(f.attempts, s)
+	if s.Cause == takeover.Suspended {
+		f.suspended = nil
+		return s.Primary.ID, nil
+	}
 	return "", takeover.ErrSilent
 }
 
@@ -207,7 +211,8 @@
 	})
 }
 
-// Replicas that an unfinished attempt left suspended are told to receive again.
+// Suspensions that an unfinished attempt left are ended by an attempt, which
+// can tell whether an order is outstanding.
 func TestAuditEndsLeftoverSuspensions(t *testing.T) {
 	f := &fakes{leader: "a", position: at(1, 10), suspended: map[group.ServerID]group.Term{"b": 4}}
 	watch(t, f, func(t *testing.T, _ *lead.Monitor, _ *catalog.Book, _ func() time.Duration) {
@@ -215,5 +220,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		assert.Equal(t, len(f.suspended), 0)
+		assert.Equal(t, len(f.attempts), 1)
+		assert.Equal(t, f.attempts[0].Cause, takeover.Suspended)
 	})
 }
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -39,7 +39,7 @@
 	PrimaryLost           Number = 3009
 	PrimaryFound          Number = 3010
 	ChangeStep            Number = 3011
-	ReplicaResumed        Number = 3012
+	ReplicaSuspended      Number = 3012
 	CallerRefused         Number = 4001
 	OutcomeUnknown        Number = 4002
 	ConnectionLost        Number = 4003
@@ -92,7 +92,7 @@
 	{PrimaryLost, "PrimaryLost", slog.LevelWarn, "primary no longer believed to lead", "None; a search for another one follows."},
 	{PrimaryFound, "PrimaryFound", slog.LevelInfo, "primary proven to lead", "None."},
 	{ChangeStep, "ChangeStep", slog.LevelInfo, "step of a change of primary", "None."},
-	{ReplicaResumed, "ReplicaResumed", slog.LevelWarn, "replica left suspended by an unfinished change told to receive again", "None unless it repeats; then check which host's changes do not finish."},
+	{ReplicaSuspended, "ReplicaSuspended", slog.LevelWarn, "replica found suspended by an unfinished change", "None if ChangeCompleted with cause suspended follows; else check the store and the platform's orders."},
 	{CallerRefused, "CallerRefused", slog.LevelWarn, "caller refused", "Check the account's template if the caller is legitimate."},
 	{OutcomeUnknown, "OutcomeUnknown", slog.LevelWarn, "outcome of a write is unknown", "Callers retry with the same request key; check replication to the successor when frequent."},
 	{ConnectionLost, "ConnectionLost", slog.LevelWarn, "connection to a backend server lost", "None."},
--- a/core/takeover/command.go
+++ b/core/takeover/command.go
@@ -97,13 +97,12 @@
 	return highest
 }
 
-// furthest returns the server with the highest position, one that stays before
-// one that is leaving.
-func furthest(answers []answer) catalog.Server {
-	best := slices.MaxFunc(answers, func(a, b answer) int {
+// furthest returns the answer with the highest position, of a server that
+// stays before one that is leaving.
+func furthest(answers []answer) answer {
+	return slices.MaxFunc(answers, func(a, b answer) int {
 		return cmp.Or(a.status.Received.Compare(b.status.Received), -cmp.Compare(rank(a), rank(b)))
 	})
-	return best.server
 }
 
 func rank(a answer) int {
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -39,6 +39,12 @@
 	// Attempt identifies the update, so that its author recognises it when the
 	// reply was lost.
 	Attempt string
+	// Base is the end of the log of the last server that was named, when it
+	// was named. Only servers that hold it are named after that one.
+	Base group.Position
+	// Open is set while an order may be outstanding: it was or is about to be
+	// sent, and no answer to it is recorded.
+	Open bool
 	// Revision is the store's revision of the record; zero if there is none.
 	Revision int64
 }
@@ -51,6 +57,12 @@
 	Leads(ctx context.Context, server catalog.Server) bool
 }
 
+// Roster lists the servers of a group from the platform's store.
+type Roster interface {
+	// Servers returns the entries as of a time after the call.
+	Servers(ctx context.Context, id group.ID) ([]catalog.Server, error)
+}
+
 // Ledger holds the records in the platform's store.
 type Ledger interface {
 	// Load returns the record, zero if there is none.
@@ -75,6 +87,8 @@
 	ErrSilent   = errors.New("a server that may hold acknowledged commits does not answer")
 	ErrLease    = errors.New("another host's attempt is too recent")
 	ErrNobody   = errors.New("no server can take over")
+	ErrLeft     = errors.New("servers were left suspended")
+	ErrBehind   = errors.New("every server in reach may lack acknowledged commits")
 )
 
 const (
@@ -122,11 +136,14 @@
 	Leaving
 	// Stalled: the primary answers but commits are not confirmed.
 	Stalled
+	// Suspended: the primary leads, but replicas are suspended since an attempt
+	// that was not finished.
+	Suspended
 )
 
 // String returns the name of the cause in logs.
 func (c Cause) String() string {
-	return [...]string{"lost", "gone", "leaving", "stalled"}[c]
+	return [...]string{"lost", "gone", "leaving", "stalled", "suspended"}[c]
 }
 
 // Situation is what a host knows when it attempts a change.
@@ -153,6 +170,7 @@
 	Self      host.ID
 	Databases Databases
 	Ledger    Ledger
+	Roster    Roster
 	Orders    Orders
 	// NewAttempt returns a new id for a record's Attempt.
 	NewAttempt func() string
@@ -170,16 +188,33 @@
 	Situation
 	record    Record
 	suspended []catalog.Server
+	// outstanding is set while an order without an answer, of this attempt or
+	// an earlier one, may be carried out.
+	outstanding bool
+	// left is set if servers may be left suspended.
+	left bool
 }
 
-// Run makes one attempt and returns the new primary.
+// Run makes one attempt and returns the primary after it.
 func (r *Runner) Run(ctx context.Context, s Situation) (primary group.ServerID, err error) {
 	defer func() { err = eris.Wrapf(err, "change the primary of %s (%s)", s.Group, s.Cause) }()
 	a := &attempt{Runner: r, Situation: s}
-	if s.Cause == Leaving || s.Cause == Stalled {
+	primary, err = a.run(ctx)
+	if a.left {
+		err = errors.Join(err, ErrLeft)
+	}
+	return primary, err
+}
+
+func (a *attempt) run(ctx context.Context) (group.ServerID, error) {
+	switch a.Cause {
+	case Leaving, Stalled:
 		return a.replaceReachable(ctx)
+	case Suspended:
+		return a.release(ctx)
+	default:
+		return a.replaceLost(ctx)
 	}
-	return a.replaceLost(ctx)
 }
 
 // Note takes a record that the host saw, so that the lease of its holder
@@ -208,15 +243,21 @@
 			return "", err
 		}
 	}
-	if err := a.claim(ctx); err != nil {
+	if err := a.claim(ctx, furthest(before).status.Received); err != nil {
 		return "", err
 	}
-	final, err := a.suspend(ctx, others, highestTerm(before)+1)
+	missing, err := a.enlist(ctx)
+	if err != nil {
+		return "", err
+	}
+	if server, ok := leader(missing); ok {
+		return server, ErrLeads
+	}
+	next, err := a.stop(ctx, a.others(), highestTerm(append(before, missing...))+1)
 	if err != nil {
-		a.resume(ctx)
 		return "", err
 	}
-	return a.promote(ctx, furthest(final))
+	return a.promote(ctx, next)
 }
 
 // replaceReachable replaces a primary that answers: it is demoted first, and a
@@ -230,42 +271,48 @@
 	if err != nil {
 		return "", err
 	}
+	reached := status.Received
 	if a.Cause == Stalled {
-		if err := a.checkStalled(ctx, others, status.Received); err != nil {
+		if reached, err = a.checkStalled(ctx, others, status.Received); err != nil {
 			return "", err
 		}
 	}
-	if err := a.claim(ctx); err != nil {
+	if err := a.claim(ctx, reached); err != nil {
+		return "", err
+	}
+	if _, err := a.enlist(ctx); err != nil {
 		return "", err
 	}
 	demoted, err := a.command(ctx, a.Primary, exchange.Statement{Operation: exchange.Demote, Term: status.Term + 1})
 	if err != nil {
 		return "", err
 	}
-	return a.promote(ctx, a.complete(ctx, others, demoted.Received))
+	return a.promote(ctx, a.complete(ctx, demoted))
 }
 
 // complete returns the server to follow a demoted primary: a replica that
 // holds its whole log, else for a stalled primary the furthest replica if all
-// answer, else the primary itself.
-func (a *attempt) complete(ctx context.Context, others []catalog.Server, end group.Position) catalog.Server {
+// of them stop, else the primary itself.
+func (a *attempt) complete(ctx context.Context, demoted exchange.ServerStatus) answer {
+	others := a.others()
 	deadline := time.Now().Add(catchUpTime)
 	for {
 		answers, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
 		for _, answer := range answers {
-			if !answer.server.Leaving && answer.status.Received.Compare(end) >= 0 {
-				return answer.server
+			if !answer.server.Leaving && answer.status.Received.Compare(demoted.Received) >= 0 {
+				return answer
 			}
 		}
-		if !time.Now().Before(deadline) {
-			if err == nil && a.Cause == Stalled {
-				return furthest(answers)
-			}
-			return a.Primary
+		if time.Now().Before(deadline) && sleep(ctx, catchUpPoll) == nil {
+			continue
 		}
-		if sleep(ctx, catchUpPoll) != nil {
-			return a.Primary
+		if err == nil && a.Cause == Stalled {
+			next, err := a.stop(ctx, others, max(demoted.Term, highestTerm(answers))+1)
+			if err == nil {
+				return next
+			}
 		}
+		return answer{a.Primary, demoted}
 	}
 }
 
@@ -288,21 +335,20 @@
 }
 
 // checkStalled fails with ErrLeads unless the primary holds commits that no
-// replica receives.
-func (a *attempt) checkStalled(ctx context.Context, others []catalog.Server, end group.Position) error {
+// replica receives. It returns the furthest replica's position.
+func (a *attempt) checkStalled(ctx context.Context, others []catalog.Server, end group.Position) (reached group.Position, err error) {
 	before, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
 	if err != nil {
-		return err
+		return reached, err
 	}
 	if err := a.checkProgress(ctx, others, before); err != nil {
-		return err
+		return reached, err
 	}
-	for _, b := range before {
-		if b.status.Received.Compare(end) >= 0 {
-			return ErrLeads
-		}
+	reached = furthest(before).status.Received
+	if reached.Compare(end) >= 0 {
+		return reached, ErrLeads
 	}
-	return nil
+	return reached, nil
 }
 
 func (a *attempt) others() []catalog.Server {
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -28,6 +28,8 @@
 	refuse   int
 	fail     int
 	resumed  []group.ServerID
+	listed   []catalog.Server
+	leader   group.ServerID
 }
 
 func (f *fakes) Command(ctx context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
@@ -43,10 +45,12 @@
 	return f.statuses[s.ID], nil
 }
 
-func (f *fakes) Leads(context.Context, catalog.Server) bool { return true }
+func (f *fakes) Leads(_ context.Context, s catalog.Server) bool { return f.leader == s.ID }
 
 func (f *fakes) Load(context.Context, group.ID) (takeover.Record, error) { return f.record, nil }
 
+func (f *fakes) Servers(context.Context, group.ID) ([]catalog.Server, error) { return f.listed, nil }
+
 func (f *fakes) Store(_ context.Context, _ group.ID, r takeover.Record) (takeover.Record, error) {
 	r.Revision++
 	f.record = r
@@ -56,7 +60,7 @@
 	return r, nil
 }
 
-func (f *fakes) Promote(_ context.Context, _ group.ID, _ group.ServerID, _ host.ID, epoch takeover.Epoch) error {
+func (f *fakes) Promote(_ context.Context, _ group.ID, server group.ServerID, _ host.ID, epoch takeover.Epoch) error {
 	f.orders = append(f.orders, epoch)
 	if f.fail > 0 {
 		f.fail--
@@ -66,6 +70,7 @@
 		f.refuse--
 		return takeover.ErrRefused
 	}
+	f.leader = server
 	return nil
 }
 
@@ -89,7 +94,7 @@
 func attempt(t *testing.T, f *fakes, cause takeover.Cause, prepare func(*takeover.Runner)) (server group.ServerID, err error) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		r := &takeover.Runner{Self: "h1", Databases: f, Ledger: f, Orders: f, NewAttempt: func() string { return "h1-1" }}
+		r := &takeover.Runner{Self: "h1", Databases: f, Ledger: f, Roster: f, Orders: f, NewAttempt: func() string { return "h1-1" }}
 		if prepare != nil {
 			prepare(r)
 		}
@@ -123,7 +128,7 @@
 	f := newFakes()
 	var err error
 	synctest.Test(t, func(*testing.T) {
-		r := &takeover.Runner{Self: "h1", Databases: f, Ledger: f, Orders: f, NewAttempt: func() string { return "x" }}
+		r := &takeover.Runner{Self: "h1", Databases: f, Ledger: f, Roster: f, Orders: f, NewAttempt: func() string { return "x" }}
 		time.AfterFunc(100*time.Millisecond, func() {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -143,6 +148,44 @@
 	assert.Assert(t, errors.Is(err, takeover.ErrLeads))
 }
 
+// A replica that lacks part of the log that the last primary started from may
+// lack commits acknowledged before: it must not lead, whatever the cause.
+func TestReplicaBehindTheLastChangeIsNotNamed(t *testing.T) {
+	for _, cause := range []takeover.Cause{takeover.Gone, takeover.Lost, takeover.Stalled} {
+		f := newFakes()
+		f.record = takeover.Record{Epoch: 4, Holder: "h1", Base: group.Position{Term: 1, Offset: 10}, Revision: 4}
+		_, err := attempt(t, f, cause, nil)
+		assert.Assert(t, errors.Is(err, takeover.ErrBehind), "%v: %v", cause, err)
+		assert.Equal(t, len(f.orders), 0)
+		assert.Equal(t, f.record.Epoch, takeover.Epoch(4))
+	}
+}
+
+// The log that the new primary starts from is recorded before the order.
+func TestEndOfLogIsRecorded(t *testing.T) {
+	f := newFakes()
+	f.fail = 100
+	_, err := attempt(t, f, takeover.Gone, nil)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, f.record.Base, group.Position{Term: 1, Offset: 9})
+}
+
+// A server that the host's view lacks may hold acknowledged commits.
+func TestListedServerIsAccountedFor(t *testing.T) {
+	f := newFakes()
+	f.listed = []catalog.Server{{ID: "d"}}
+	f.statuses["d"] = at(10)
+	server, err := attempt(t, f, takeover.Gone, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, server, group.ServerID("d"))
+	f = newFakes()
+	f.listed = []catalog.Server{{ID: "d"}}
+	f.silent["d"] = true
+	_, err = attempt(t, f, takeover.Gone, nil)
+	assert.Assert(t, errors.Is(err, takeover.ErrSilent))
+	assert.Equal(t, len(f.orders), 0)
+}
+
 // Two holders within the lease break the platform's rule on turns.
 func TestLeaseOfAnotherHolderIsKept(t *testing.T) {
 	f := newFakes()
@@ -185,6 +228,36 @@
 	assert.Equal(t, len(f.resumed), 2)
 }
 
+// While an order without an answer may be carried out, no server may receive
+// commits that the named one would lack; the suspensions end with an order
+// that has a higher number and names the primary.
+func TestOutstandingOrderKeepsServersSuspended(t *testing.T) {
+	f := newFakes()
+	f.fail = 4
+	_, err := attempt(t, f, takeover.Gone, nil)
+	assert.Assert(t, errors.Is(err, takeover.ErrLeft))
+	assert.Equal(t, len(f.resumed), 0)
+	assert.Assert(t, f.record.Open)
+
+	f.statuses["a"] = exchange.ServerStatus{Role: exchange.Primary, Term: 1, Received: group.Position{Term: 1, Offset: 10}}
+	server, err := attempt(t, f, takeover.Suspended, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, server, group.ServerID("a"))
+	assert.DeepEqual(t, f.orders, []takeover.Epoch{1, 1, 1, 1, 2})
+	assert.Equal(t, len(f.resumed), 2)
+	assert.Assert(t, !f.record.Open)
+}
+
+// The same for an order of another host, which has not recorded an answer.
+func TestOrderOfAnotherHostKeepsServersSuspended(t *testing.T) {
+	f := newFakes()
+	f.record = takeover.Record{Epoch: 4, Holder: "h1", Open: true, Revision: 4}
+	f.refuse = 1
+	_, err := attempt(t, f, takeover.Gone, nil)
+	assert.Assert(t, errors.Is(err, takeover.ErrLeft))
+	assert.Equal(t, len(f.resumed), 0)
+}
+
 // A leaving primary is followed by a replica that holds its whole log.
 func TestLeavingPrimaryIsFollowedByACompleteReplica(t *testing.T) {
 	f := newFakes()
--- a/e2e/replicated/history_test.go
+++ b/e2e/replicated/history_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -406,10 +405,9 @@
 		}
 		time.Sleep(time.Second)
 		databases := deafened{wrap(h.registry), world}
-		runner := &takeover.Runner{Self: "h2", Databases: databases, Ledger: world, Orders: world, NewAttempt: func() string { return "x" }}
-		members := world.Members()
-		members = slices.DeleteFunc(members, func(s catalog.Server) bool { return s.ID == "a" })
-		_, err := runner.Run(context.Background(), takeover.Situation{Group: replicated.Group, Cause: takeover.Gone, Members: members})
+		runner := &takeover.Runner{Self: "h2", Databases: databases, Ledger: world, Roster: world, Orders: world, NewAttempt: func() string { return "x" }}
+		world.Server("a").SetUnlisted(true)
+		_, err := runner.Run(context.Background(), takeover.Situation{Group: replicated.Group, Cause: takeover.Gone, Members: world.Members()})
 		wait.Wait()
 		broken = world.Violations()
 		if err != nil && len(broken) == 0 {
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -40,12 +40,15 @@
 	monitor  *lead.Monitor
 	proxy    *proxy.Proxy
 	cancel   context.CancelFunc
+	view     func([]catalog.Server) []catalog.Server
 }
 
 // parts replaces parts of a host, for mutants.
 type parts struct {
 	databases func(takeover.Databases) takeover.Databases
 	ledger    func(takeover.Ledger) takeover.Ledger
+	// view changes the list of servers that the host follows.
+	view func([]catalog.Server) []catalog.Server
 }
 
 func testConfig() *catalog.Config {
@@ -72,7 +75,11 @@
 	log := &logevent.Logger{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	h := &entryHost{id: id, world: world, book: &catalog.Book{}}
 	h.book.SetConfig(testConfig())
-	h.book.ReplaceServers(world.Members())
+	h.view = p.view
+	if h.view == nil {
+		h.view = func(servers []catalog.Server) []catalog.Server { return servers }
+	}
+	h.book.ReplaceServers(h.view(world.Members()))
 	h.registry = link.NewRegistry(h.book, world)
 	var databases takeover.Databases = h.registry
 	if p.databases != nil {
@@ -84,7 +91,7 @@
 	}
 	attempts := 0
 	runner := &takeover.Runner{
-		Self: id, Databases: databases, Ledger: ledger, Orders: world,
+		Self: id, Databases: databases, Ledger: ledger, Roster: world, Orders: world,
 		NewAttempt: func() string { attempts++; return fmt.Sprint(id, "-", attempts) },
 	}
 	h.monitor = lead.New(lead.Config{
@@ -112,13 +119,18 @@
 			h.registry.CloseAll()
 			return
 		case <-ticker.C:
-			h.book.ReplaceServers(h.world.Members())
+			h.book.ReplaceServers(h.view(h.world.Members()))
+			h.book.Expire()
 			h.registry.Tidy()
 		}
 	}
 }
 
-// settled waits until the host knows the leader.
+// settleTime is longer than a host that has just started waits for servers to
+// register before it replaces a primary.
+const settleTime = 3 * time.Second
+
+// settled waits until the host knows the leader and acts on its loss.
 func (h *entryHost) settled(t *testing.T) {
 	t.Helper()
 	deadline := time.Now().Add(10 * time.Second)
@@ -128,6 +140,7 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
+	time.Sleep(settleTime)
 }
 
 func (h *entryHost) open(t interface {
--- a/e2e/replicated/primary_test.go
+++ b/e2e/replicated/primary_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"basilmill/core/catalog"
 	"basilmill/core/exchange"
 	"basilmill/core/group"
 	"basilmill/standin/replicated"
@@ -140,3 +145,120 @@
 		awaitWrite(t, h, 4*time.Second)
 	})
 }
+
+// promoteB leaves "b" as the primary of a group whose only other server, "c",
+// lacks commits that were acknowledged under the first primary.
+func promoteB(t *testing.T, world *replicated.World, h *entryHost) {
+	t.Helper()
+	world.Server("c").SetDeaf(true)
+	awaitWrite(t, h, time.Second)
+	awaitWrite(t, h, time.Second)
+	world.Server("a").Crash()
+	world.Server("a").SetUnlisted(true)
+	deadline := time.Now().Add(failoverTarget)
+	for world.Primary() != "b" {
+		if time.Now().After(deadline) {
+			t.Fatal("b was not promoted")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(2 * catalog.DefaultAbsence)
+}
+
+// A primary that no replica follows is not replaced by a replica that lacks
+// commits acknowledged under an earlier primary.
+func TestStalledPrimaryKeepsCommitsOfEarlierTerms(t *testing.T) {
+	inWorld(t, func(t *testing.T, world *replicated.World, h *entryHost) {
+		promoteB(t, world, h)
+		s := h.open(t, currentDB)
+		for i := range 10 {
+			_ = s.Execute(context.Background(), write(fmt.Sprint("stalled-", i)))
+		}
+		assert.Equal(t, string(world.Primary()), "b")
+		world.Server("c").SetDeaf(false)
+		awaitWrite(t, h, 5*time.Second)
+	})
+}
+
+// The same for a primary that crashes: its commits come back with it.
+func TestCrashedPrimaryKeepsCommitsOfEarlierTerms(t *testing.T) {
+	inWorld(t, func(t *testing.T, world *replicated.World, h *entryHost) {
+		promoteB(t, world, h)
+		world.Server("b").Crash()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, world.Promotions(), 1)
+		world.Server("c").SetDeaf(false)
+		world.Server("b").Start()
+		awaitWrite(t, h, 5*time.Second)
+	})
+}
+
+// A host whose view lacks a replica that the store lists must not choose
+// without it.
+func TestServerMissingFromTheViewIsAccountedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := replicated.NewWorld()
+		var current atomic.Bool
+		h := startHost(world, "h1", parts{view: func(servers []catalog.Server) []catalog.Server {
+			if current.Load() {
+				return servers
+			}
+			return slices.DeleteFunc(servers, func(s catalog.Server) bool { return s.ID == "c" })
+		}})
+		defer stop(world, h)
+		h.settled(t)
+		world.Server("b").SetDeaf(true)
+		awaitWrite(t, h, time.Second)
+		world.Server("a").Crash()
+		time.Sleep(failoverTarget)
+		assert.Equal(t, string(world.Primary()), "c")
+		current.Store(true)
+		world.Server("b").SetDeaf(false)
+		awaitWrite(t, h, time.Second)
+		assert.DeepEqual(t, world.Violations(), []string(nil))
+	})
+}
+
+// An order whose answer is lost is carried out after the primary is back and
+// has acknowledged more commits, which the named server lacks.
+func TestLateOrderLosesNoCommit(t *testing.T) {
+	inWorld(t, func(t *testing.T, world *replicated.World, h *entryHost) {
+		awaitWrite(t, h, time.Second)
+		world.LoseOrders(12 * time.Second)
+		world.Server("a").Crash()
+		time.Sleep(2 * time.Second)
+		world.Server("b").SetDeaf(true)
+		world.Server("a").Start()
+		time.Sleep(4 * time.Second)
+		world.LoseOrders(0)
+		awaitWrite(t, h, 8*time.Second)
+		time.Sleep(20 * time.Second)
+		world.Server("b").SetDeaf(false)
+		awaitWrite(t, h, time.Second)
+	})
+}
+
+// A host that has just started may see a list that lacks servers, whose entries
+// are back within two seconds; one of them may hold acknowledged commits.
+func TestHostThatHasJustStartedWaitsForEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := replicated.NewWorld()
+		first := startHost(world, "h1", parts{})
+		first.settled(t)
+		world.Server("b").SetDeaf(true)
+		awaitWrite(t, first, time.Second)
+		first.cancel()
+		world.Server("c").SetUnlisted(true)
+		h := startHost(world, "h2", parts{})
+		defer stop(world, first, h)
+		time.Sleep(500 * time.Millisecond)
+		world.Server("a").Crash()
+		time.Sleep(1400 * time.Millisecond)
+		world.Server("c").SetUnlisted(false)
+		time.Sleep(failoverTarget)
+		world.Server("b").SetDeaf(false)
+		awaitWrite(t, h, 5*time.Second)
+		assert.DeepEqual(t, world.Violations(), []string(nil))
+		assert.Equal(t, string(world.Primary()), "c")
+	})
+}
--- a/standin/replicated/server.go
+++ b/standin/replicated/server.go
@@ -28,6 +28,7 @@
 	dark      bool
 	deaf      bool
 	stranded  bool
+	unlisted  bool
 	lag       time.Duration
 	suspended group.Term
 	log       []entry
@@ -77,6 +78,13 @@
 	s.stranded = stranded
 }
 
+// SetUnlisted removes the server's entry from the store, or puts it back.
+func (s *Server) SetUnlisted(unlisted bool) {
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	s.unlisted = unlisted
+}
+
 // SetLag delays the reading of what a replica has received.
 func (s *Server) SetLag(lag time.Duration) {
 	s.world.mu.Lock()
--- a/standin/replicated/world.go
+++ b/standin/replicated/world.go
@@ -119,13 +119,16 @@
 // Server returns a server for changing its state.
 func (w *World) Server(id group.ServerID) *Server { return w.servers[id] }
 
-// Members returns the entries of all servers, as they register themselves.
+// Members returns the entries of the servers, as they register themselves.
 func (w *World) Members() []catalog.Server {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var members []catalog.Server
 	for _, id := range []group.ServerID{"a", "b", "c"} {
 		s := w.servers[id]
+		if s.unlisted {
+			continue
+		}
 		e := s.entry
 		e.Primary = s.primary
 		members = append(members, e)
@@ -133,6 +136,20 @@
 	return members
 }
 
+// Servers implements takeover.Roster.
+func (w *World) Servers(ctx context.Context, _ group.ID) ([]catalog.Server, error) {
+	if err := pause(ctx, NetDelay); err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	down := w.storeDown
+	w.mu.Unlock()
+	if down {
+		return nil, errNoAnswer
+	}
+	return w.Members(), nil
+}
+
 // Primary returns the server that leads, empty if none does.
 func (w *World) Primary() group.ServerID {
 	w.mu.Lock()
