catalog: longer watches in calm, lists asked again in outages; proxy: no denial without a configuration

A session waits 70 ms for the first configuration and is then told to come back. An unanswered list is asked for again every 300 ms; the first answer counts. Watches wait longer after each answer, up to what the settings' bounds allow, and 1.5 s after a failure.

--- a/cmd/entry/callers.go
+++ b/cmd/entry/callers.go
@@ -204,7 +204,7 @@
 		return false
 	}
 	_ = s.conn.SetReadDeadline(time.Time{})
-	opened, failure := s.callers.host.proxy.Open(database)
+	opened, failure := s.callers.host.proxy.Open(context.Background(), database)
 	if failure != nil {
 		s.refuse(failure)
 		return false
--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -112,7 +112,10 @@
 
 func (h *Host) addBackground(g *run.Group, ctx context.Context, stop func(), reload <-chan settings.Entry) {
 	report := newFeedReport(h)
-	feed := &catalog.Feed{Book: h.book, Source: h.platform.Source, Report: report.report, Changed: report.changed}
+	feed := &catalog.Feed{
+		Book: h.book, Source: h.platform.Source, Report: report.report, Changed: report.changed,
+		ConfigBound: h.settings.ConfigBound(), ServersBound: h.settings.ServersBound(),
+	}
 	add := func(f func(context.Context) error) {
 		g.Add(func() error { return f(ctx) }, func(error) { stop() })
 	}
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,19 +55,31 @@
 
 // script is a source that plays recorded answers of the store.
 type script struct {
+	mu      sync.Mutex
 	lists   int
 	watches []func() ([]catalog.Change, catalog.Revision, error)
-	from    []catalog.Revision
+	waits   []time.Duration
+	// lost is the number of lists that are never answered.
+	lost int
+	from []catalog.Revision
 }
 
-func (s *script) ListServers(context.Context) ([]catalog.Change, catalog.Revision, error) {
+func (s *script) ListServers(ctx context.Context) ([]catalog.Change, catalog.Revision, error) {
+	s.mu.Lock()
 	s.lists++
+	n := s.lists
+	s.mu.Unlock()
+	if n <= s.lost {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
 	a := server("a", false)
-	return []catalog.Change{{ID: "a", Server: &a}}, catalog.Revision(100 * s.lists), nil
+	return []catalog.Change{{ID: "a", Server: &a}}, catalog.Revision(100 * n), nil
 }
 
-func (s *script) WatchServers(ctx context.Context, from catalog.Revision, _ time.Duration) ([]catalog.Change, catalog.Revision, error) {
+func (s *script) WatchServers(ctx context.Context, from catalog.Revision, wait time.Duration) ([]catalog.Change, catalog.Revision, error) {
 	s.from = append(s.from, from)
+	s.waits = append(s.waits, wait)
 	if len(s.watches) == 0 {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
@@ -124,6 +138,40 @@
 	})
 }
 
+// Calls sent during an outage are never answered. The view must be there soon
+// after its end, not when these calls time out.
+func TestListIsReadSoonAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{lost: 2}
+		b := follow(t, s, time.Second)
+		assert.Equal(t, len(b.View().Servers), 1)
+	})
+}
+
+// A watch whose answer never comes leaves the view old. Its wait must stay
+// within the bound, and the waits after a failure must be short.
+func TestWaitsStayWithinTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answer := func() ([]catalog.Change, catalog.Revision, error) { return nil, 100, nil }
+		s := &script{watches: []func() ([]catalog.Change, catalog.Revision, error){
+			answer, answer, answer, answer,
+			func() ([]catalog.Change, catalog.Revision, error) { return nil, 0, errors.New("reset") },
+			answer,
+		}}
+		const bound = 6 * time.Second
+		var b catalog.Book
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		f := catalog.Feed{Book: &b, Source: s, ServersBound: bound}
+		assert.NilError(t, f.FollowServers(ctx))
+		assert.Equal(t, len(s.waits), 7)
+		longest := slices.Max(s.waits)
+		assert.Assert(t, longest > bound/2 && longest < bound-time.Second, "%v", longest)
+		assert.Equal(t, s.waits[5], s.waits[0])
+		assert.Assert(t, s.waits[0] < longest)
+	})
+}
+
 // An entry that another writer made unreadable names no server.
 func TestUnreadableEntryRemovesTheServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/catalog/follow.go
+++ b/core/catalog/follow.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -40,19 +41,26 @@
 }
 
 const (
-	// configWait is how long a watch of the configuration waits for a change.
-	// With watchSlack it bounds the age of the view on a connection that has
-	// gone silent, which must stay within the 3 s in which a configuration
-	// takes hold. Each watch is a priced call.
-	configWait = 1800 * time.Millisecond
-	// serversWait is the same for the servers' entries; a leaving server must
-	// get no new work after 7 s.
-	serversWait = 4 * time.Second
+	// defaultConfigBound and defaultServersBound are the ages of the view that
+	// the users' deployments bear while nothing else is disturbed.
+	defaultConfigBound  = 3 * time.Second
+	defaultServersBound = 7 * time.Second
+	// shortWait is how long the first watch, and the first one after a failure,
+	// waits for a change. Longer waits follow: each watch is a priced call.
+	shortWait = 1500 * time.Millisecond
+	// longestWait bounds all waits.
+	longestWait = 8 * time.Second
+	// nextCall is kept free for the call after a watch that was not answered.
+	nextCall = 300 * time.Millisecond
 	// watchSlack is the time that the answer to a watch may take beyond the
 	// wait.
 	watchSlack = 700 * time.Millisecond
 	// listTimeout bounds the reading of a list.
 	listTimeout = 1500 * time.Millisecond
+	// listSpacing is the time after which an unanswered list is asked for again
+	// on another connection: several round trips between regions. An outage
+	// leaves calls without an answer that were sent before its end.
+	listSpacing = 300 * time.Millisecond
 	// maxFeedPause bounds the pause after a failed call, as part of the time
 	// in which the view is back after an outage of the store.
 	maxFeedPause = 500 * time.Millisecond
@@ -62,6 +70,9 @@
 type Feed struct {
 	Book   *Book
 	Source Source
+	// ConfigBound and ServersBound bound the age of the view while an answer of
+	// the source does not come; zero selects a default.
+	ConfigBound, ServersBound time.Duration
 	// Report, if set, receives the result of each call of the source.
 	Report func(part string, at Revision, err error)
 	// Changed, if set, receives each change of a server's entry that a watch
@@ -71,16 +82,13 @@
 
 // FollowServers follows the servers' entries until ctx ends.
 func (f *Feed) FollowServers(ctx context.Context) error {
-	return f.follow(ctx, "servers", serversWait,
-		func(ctx context.Context) (Revision, error) {
+	return f.follow(ctx, "servers", cmp.Or(f.ServersBound, defaultServersBound),
+		func(ctx context.Context) (list, error) {
 			entries, at, err := f.Source.ListServers(ctx)
-			if err == nil {
-				f.replace(entries, at)
-			}
-			return at, err
+			return list{at: at, apply: func() { f.replace(entries, at) }}, err
 		},
-		func(ctx context.Context, from Revision) (Revision, error) {
-			changes, at, err := f.Source.WatchServers(ctx, from, serversWait)
+		func(ctx context.Context, from Revision, wait time.Duration) (Revision, error) {
+			changes, at, err := f.Source.WatchServers(ctx, from, wait)
 			if err != nil {
 				return 0, err
 			}
@@ -117,41 +125,76 @@
 
 // FollowConfig follows the configuration until ctx ends.
 func (f *Feed) FollowConfig(ctx context.Context) error {
-	return f.follow(ctx, "configuration", configWait,
-		func(ctx context.Context) (Revision, error) {
+	return f.follow(ctx, "configuration", cmp.Or(f.ConfigBound, defaultConfigBound),
+		func(ctx context.Context) (list, error) {
 			config, at, err := f.Source.ListConfig(ctx)
-			if err == nil && config != nil {
-				f.Book.SetConfig(config)
-			}
-			return at, err
+			return list{at: at, apply: func() { f.setConfig(config) }}, err
 		},
-		func(ctx context.Context, from Revision) (Revision, error) {
-			config, at, err := f.Source.WatchConfig(ctx, from, configWait)
-			if err == nil && config != nil {
-				f.Book.SetConfig(config)
+		func(ctx context.Context, from Revision, wait time.Duration) (Revision, error) {
+			config, at, err := f.Source.WatchConfig(ctx, from, wait)
+			if err == nil {
+				f.setConfig(config)
 			}
 			return at, err
 		})
 }
 
+// waits chooses how long the next watch waits for a change.
+type waits struct {
+	longest, next time.Duration
+}
+
+// newWaits returns waits that keep the view's age within the bound when a
+// watch is not answered.
+func newWaits(bound time.Duration) *waits {
+	longest := min(max(bound-watchSlack-maxFeedPause-nextCall, shortWait), longestWait)
+	return &waits{longest: longest, next: shortWait}
+}
+
+func (w *waits) answered() { w.next = min(2*w.next, w.longest) }
+func (w *waits) failed()   { w.next = shortWait }
+
+// list is an answer that takes effect when it is applied.
+type list struct {
+	at    Revision
+	apply func()
+}
+
+type (
+	lister  func(ctx context.Context) (list, error)
+	watcher func(ctx context.Context, from Revision, wait time.Duration) (Revision, error)
+)
+
+// setConfig installs a configuration, if there is one.
+func (f *Feed) setConfig(config *Config) {
+	if config != nil {
+		f.Book.SetConfig(config)
+	}
+}
+
 // follow reads a list and watches from its revision. After a failed watch it
 // watches again from the same revision; when that history is gone it reads the
 // list again.
-func (f *Feed) follow(ctx context.Context, part string, wait time.Duration, list func(context.Context) (Revision, error), watch func(context.Context, Revision) (Revision, error)) error {
+func (f *Feed) follow(ctx context.Context, part string, bound time.Duration, read lister, watch watcher) error {
 	pause := retry.Backoff{Max: maxFeedPause}
+	wait := newWaits(bound)
 	var at Revision
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, at, wait, list, watch)
+		next, err := step(ctx, at, wait.next, read, watch)
 		if f.Report != nil && ctx.Err() == nil {
 			f.Report(part, next, err)
 		}
 		switch {
 		case err == nil:
+			if at != 0 {
+				wait.answered()
+			}
 			at = next
 			pause.Reset()
 		case errors.Is(err, ErrHistoryGone):
 			at = 0
 		default:
+			wait.failed()
 			// A wait that ends early is noticed by the loop.
 			_ = pause.Wait(ctx)
 		}
@@ -159,15 +202,46 @@
 	return nil
 }
 
-func (f *Feed) step(ctx context.Context, at Revision, wait time.Duration, list func(context.Context) (Revision, error), watch func(context.Context, Revision) (Revision, error)) (next Revision, err error) {
+func step(ctx context.Context, at Revision, wait time.Duration, read lister, watch watcher) (next Revision, err error) {
 	if at == 0 {
-		ctx, cancel := context.WithTimeout(ctx, listTimeout)
-		defer cancel()
-		next, err = list(ctx)
-		return next, eris.Wrap(err, "list")
+		first, err := firstList(ctx, read)
+		if err != nil {
+			return 0, eris.Wrap(err, "list")
+		}
+		first.apply()
+		return first.at, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	next, err = watch(ctx, at)
+	next, err = watch(ctx, at, wait)
 	return max(next, at), eris.Wrap(err, "watch")
 }
+
+// firstList asks for a list, and again each time that no answer has come for
+// listSpacing. It returns what the first call that ends returns.
+func firstList(ctx context.Context, read lister) (list, error) {
+	type result struct {
+		list list
+		err  error
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	results := make(chan result, listTimeout/listSpacing+1)
+	call := func() {
+		answer, err := read(ctx)
+		results <- result{answer, err}
+	}
+	go call()
+	again := time.NewTicker(listSpacing)
+	defer again.Stop()
+	for {
+		select {
+		case r := <-results:
+			return r.list, r.err
+		case <-again.C:
+			go call()
+		case <-ctx.Done():
+			return list{}, ctx.Err()
+		}
+	}
+}
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -61,14 +61,43 @@
 // New returns a Proxy.
 func New(config Config) *Proxy { return &Proxy{config: config} }
 
-// Open starts a session on a database.
-func (p *Proxy) Open(database string) (*Session, *exchange.Error) {
-	if _, ok := p.config.Book.View().Route(database); !ok {
+// firstConfigTime is how long a session waits for the host's first
+// configuration, which a host usually reads within 60 ms of its start. It stays
+// under a quarter of the shortest latency objective (300 ms), after which the
+// users count a refusal as late.
+const firstConfigTime = 70 * time.Millisecond
+
+// Open starts a session on a database. Without any configuration it cannot be
+// said whether the database exists, so the caller is told to come back.
+func (p *Proxy) Open(ctx context.Context, database string) (*Session, *exchange.Error) {
+	view := p.firstView(ctx)
+	if view.Config == nil {
+		return nil, &exchange.Error{Code: exchange.Busy, Text: "no configuration yet, retry later"}
+	}
+	if _, ok := view.Route(database); !ok {
 		return nil, &exchange.Error{Code: exchange.NoDatabase, Text: "no route for this database"}
 	}
 	return &Session{proxy: p, database: database}, nil
 }
 
+// firstView returns the view, after a wait for its first configuration.
+func (p *Proxy) firstView(ctx context.Context) *catalog.View {
+	ctx, cancel := context.WithTimeout(ctx, firstConfigTime)
+	defer cancel()
+	for {
+		changed := p.config.Book.Changed()
+		view := p.config.Book.View()
+		if view.Config != nil {
+			return view
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return view
+		}
+	}
+}
+
 // Session is a caller's session. One goroutine uses it at a time.
 type Session struct {
 	proxy    *Proxy
@@ -215,7 +244,8 @@
 	}
 	monitor := s.proxy.config.Monitor(route.Group)
 	if monitor == nil {
-		return nil, &exchange.Error{Code: exchange.NoDatabase, Text: "the group is not configured"}
+		// The configuration has just been applied; its groups start next.
+		return nil, &exchange.Error{Code: exchange.Busy, Text: "the group is being set up, retry later"}
 	}
 	return &request{
 		session: s, statement: statement, route: route, monitor: monitor, writes: writes,
--- a/core/settings/entry.go
+++ b/core/settings/entry.go
@@ -26,24 +26,42 @@
 	Orders netip.AddrPort
 	// GraceTime is the time from SIGTERM until the process is killed.
 	GraceTime time.Duration
+	// ConfigTime is the time after its confirmation in which a configuration
+	// must be in force, LeaveTime the time after which a leaving backend server
+	// must get no new work. Both hold for hosts that have been undisturbed for
+	// CalmTime.
+	ConfigTime, LeaveTime, CalmTime time.Duration
 	// ConnectionLimit bounds the connections of callers.
 	ConnectionLimit int
 }
 
 // Ranges of an entry host's settings.
 var (
-	GraceTimeRange = validate.Range[time.Duration]{Default: 6 * time.Second, Min: time.Second, Max: 10 * time.Minute}
-	CallersRange   = validate.Range[int]{Default: 4000, Min: 1, Max: 1_000_000}
+	GraceTimeRange  = validate.Range[time.Duration]{Default: 6 * time.Second, Min: time.Second, Max: 10 * time.Minute}
+	ConfigTimeRange = validate.Range[time.Duration]{Default: 3 * time.Second, Min: time.Second, Max: 10 * time.Minute}
+	LeaveTimeRange  = validate.Range[time.Duration]{Default: 7 * time.Second, Min: time.Second, Max: 10 * time.Minute}
+	CalmTimeRange   = validate.Range[time.Duration]{Default: 0, Min: 0, Max: 10 * time.Minute}
+	CallersRange    = validate.Range[int]{Default: 4000, Min: 1, Max: 1_000_000}
 )
 
 // WithDefaults returns the settings with every parameter that is zero and has
 // a default set to it.
 func (e Entry) WithDefaults() Entry {
 	GraceTimeRange.SetDefault(&e.GraceTime)
+	ConfigTimeRange.SetDefault(&e.ConfigTime)
+	LeaveTimeRange.SetDefault(&e.LeaveTime)
 	CallersRange.SetDefault(&e.ConnectionLimit)
 	return e
 }
 
+// ConfigBound and ServersBound return how old the view of the configuration
+// and of the backend servers may become. A change may be confirmed at the start
+// of a disturbance, and its time runs while the host is not undisturbed yet.
+func (e Entry) ConfigBound() time.Duration { return max(e.CalmTime, e.ConfigTime) }
+
+// ServersBound is described at ConfigBound.
+func (e Entry) ServersBound() time.Duration { return max(e.CalmTime, e.LeaveTime) }
+
 // Validate returns all faults of the settings.
 func (e Entry) Validate() validate.Faults {
 	var faults validate.Faults
@@ -59,5 +77,8 @@
 	require("Store", e.Store.IsValid())
 	require("Orders", e.Orders.IsValid())
 	faults = append(faults, GraceTimeRange.Check("GraceTime", e.GraceTime)...)
+	faults = append(faults, ConfigTimeRange.Check("ConfigTime", e.ConfigTime)...)
+	faults = append(faults, LeaveTimeRange.Check("LeaveTime", e.LeaveTime)...)
+	faults = append(faults, CalmTimeRange.Check("CalmTime", e.CalmTime)...)
 	return append(faults, CallersRange.Check("ConnectionLimit", e.ConnectionLimit)...)
 }
--- a/e2e/replicated/history_test.go
+++ b/e2e/replicated/history_test.go
@@ -146,7 +146,7 @@
 	r := rand.New(rand.NewPCG(uint64(session), 7))
 	for n := 0; time.Now().Before(until); n++ {
 		class := []string{currentDB, agedDB, ownDB}[r.IntN(3)]
-		s, failure := h.pick(r).proxy.Open(class)
+		s, failure := h.pick(r).proxy.Open(context.Background(), class)
 		if failure != nil {
 			continue
 		}
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -149,7 +149,7 @@
 }, database string,
 ) *proxy.Session {
 	t.Helper()
-	s, failure := h.proxy.Open(database)
+	s, failure := h.proxy.Open(context.Background(), database)
 	if failure != nil {
 		t.Fatalf("open %s: %v", database, failure)
 	}
--- a/e2e/replicated/session_test.go
+++ b/e2e/replicated/session_test.go
@@ -188,7 +188,7 @@
 		assert.Assert(t, h.book.SetConfig(config))
 		answer := s.Execute(context.Background(), read("r1"))
 		assert.Equal(t, answer.Failure.Code, exchange.NoDatabase)
-		_, failure := h.proxy.Open(agedDB)
+		_, failure := h.proxy.Open(context.Background(), agedDB)
 		assert.Equal(t, failure.Code, exchange.NoDatabase)
 	})
 }
