detour: reach backend servers through other hosts

The other host connects to servers of its own view only, directly, and passes on bytes, so that the session, its transaction and its position stay with the caller's host. Refused connections are not passed on. Listeners probe idle connections each second, as connections towards servers do. The list of hosts is read in the background.

The forwarding of statements as the older engine does it: sessions' transactions and values would have to move with them.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -34,7 +34,11 @@
 	Ledger takeover.Ledger
 	Orders takeover.Orders
 	Hosts  Hosts
-	Dialer link.Dialer
+	// Connect opens a connection to an address.
+	Connect func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+	// Dialer returns the codec towards backend servers, whose connections are
+	// opened by connect.
+	Dialer func(connect func(context.Context, catalog.Server) (net.Conn, error)) link.Dialer
 	// Codec returns the codec of a caller's connection.
 	Codec func(net.Conn) Codec
 	// Readiness answers the balancer.
@@ -55,6 +59,7 @@
 	book     *catalog.Book
 	groups   *groups
 	peers    *peers
+	detours  *detours
 	servers  *link.Registry
 	proxy    *proxy.Proxy
 	callers  *callers
@@ -64,8 +69,9 @@
 // New assembles a host. Nothing is served until Run.
 func New(s settings.Entry, p Platform, log *slog.Logger) *Host {
 	h := &Host{settings: s, platform: p, log: &logevent.Logger{Log: log}, metrics: newMetrics(), book: &catalog.Book{}}
-	h.servers = link.NewRegistry(h.book, p.Dialer)
 	h.peers = newPeers(h)
+	h.detours = newDetours(h)
+	h.servers = link.NewRegistry(h.book, p.Dialer(h.detours.dialer.Connect))
 	h.groups = newGroups(h)
 	h.proxy = proxy.New(proxy.Config{
 		Book: h.book, Monitor: h.groups.monitor, Pool: h.servers.Pool, DataCentre: s.DataCentre,
@@ -142,13 +148,20 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{}))
 	mux.Handle(peer.BeliefHandler(h.peers.belief))
+	mux.Handle(h.detours.relay.Handler())
 	return h.addHTTP(ctx, g, h.settings.Operators, mux)
 }
 
 func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
-	return (&net.ListenConfig{}).Listen(ctx, "tcp", address.String())
+	alive := net.KeepAliveConfig{Enable: true, Idle: lostTime, Interval: lostTime, Count: 2}
+	return (&net.ListenConfig{KeepAliveConfig: alive}).Listen(ctx, "tcp", address.String())
 }
 
+// lostTime is the time between two probes of an idle connection. The
+// connections of a lost host or caller end after three of them, as backend
+// servers do it.
+const lostTime = time.Second
+
 // headerTimeout bounds the wait for the headers of a probe.
 const headerTimeout = 2 * time.Second
 
--- a/cmd/entry/entry_test.go
+++ b/cmd/entry/entry_test.go
@@ -19,6 +19,7 @@
 	"basilmill/core/catalog"
 	"basilmill/core/group"
 	corehost "basilmill/core/host"
+	"basilmill/core/link"
 	"basilmill/core/settings"
 	"basilmill/platform"
 	"basilmill/standin/replicated"
@@ -97,7 +98,8 @@
 	}.WithDefaults()}
 	started := time.Now()
 	e := entry.New(h.settings, entry.Platform{
-		Source: source{world}, Ledger: world, Hosts: noHosts{}, Orders: world, Dialer: world,
+		Source: source{world}, Ledger: world, Hosts: noHosts{}, Orders: world,
+		Dialer:    func(func(context.Context, catalog.Server) (net.Conn, error)) link.Dialer { return world },
 		Codec:     func(c net.Conn) entry.Codec { return platform.NewCaller(c) },
 		Readiness: platform.ReadinessHandler,
 		Reload:    func(settings.Entry) {},
--- a/cmd/entry/metrics.go
+++ b/cmd/entry/metrics.go
@@ -18,6 +18,7 @@
 	lostCallers prometheus.Counter
 	peerCalls   *prometheus.CounterVec
 	storeCalls  *prometheus.CounterVec
+	detours     *prometheus.CounterVec
 }
 
 // durationBuckets cover a read in the own data centre up to the longest
@@ -42,7 +43,10 @@
 			Name: "basilmill_store_calls_total", Help: "Calls of the platform's store by method and kind, and by status (0 without an answer).",
 		}, []string{"call", "status"}),
 	}
-	m.registry.MustRegister(m.statements, m.durations, m.retried, m.lostCallers, m.peerCalls, m.storeCalls)
+	m.detours = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "basilmill_detours_total", Help: "Connections to backend servers opened through other hosts, by result.",
+	}, []string{"result"})
+	m.registry.MustRegister(m.detours, m.statements, m.durations, m.retried, m.lostCallers, m.peerCalls, m.storeCalls)
 	return m
 }
 
@@ -71,6 +75,7 @@
 	gauge("basilmill_callers", "Callers connected.", func() float64 { return float64(h.callers.count()) })
 	gauge("basilmill_connections_open", "Connections to backend servers.", pooled(func(s link.Stats) float64 { return float64(s.Open) }))
 	gauge("basilmill_connections_exclusive", "Connections held by a transaction or a write.", pooled(func(s link.Stats) float64 { return float64(s.Exclusive) }))
+	gauge("basilmill_relayed_connections", "Connections passed on for other hosts.", func() float64 { return float64(h.detours.relay.Open()) })
 	gauge("basilmill_connection_waiters", "Requests that wait for a connection.", pooled(func(s link.Stats) float64 { return float64(s.Waiting) }))
 	gauge("basilmill_connections_refused", "Openings that a server refused over its limit.", pooled(func(s link.Stats) float64 { return float64(s.Refused) }))
 	gauge("basilmill_configuration_version", "Version of the configuration in force.", func() float64 {
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -42,6 +42,9 @@
 	mu     sync.Mutex
 	known  []host.Info
 	listed time.Time
+	// refreshed is closed when the list that is being read is there; nil if
+	// none is.
+	refreshed chan struct{}
 }
 
 func newPeers(h *Host) *peers {
@@ -107,22 +110,29 @@
 	return lead.Sample{At: sent - belief.Age, Position: belief.Position}
 }
 
-// list returns the other hosts.
+// list returns the other hosts. Only the first call waits for the store; later
+// ones have an old list brought up to date in the background.
 func (p *peers) list(ctx context.Context) []host.Info {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if time.Since(p.listed) > listAge {
-		p.listed = time.Now()
-		ctx, cancel := context.WithTimeout(ctx, registerTimeout)
-		defer cancel()
-		// An old list is better than none; the loss of the store is logged by
-		// the feeds.
-		if hosts, err := p.host.platform.Hosts.ListHosts(ctx); err == nil {
-			p.known = hosts
+	refreshed := p.refreshed
+	if refreshed == nil && time.Since(p.listed) > listAge {
+		refreshed = make(chan struct{})
+		p.refreshed = refreshed
+		go p.refresh(refreshed) //nolint:gosec // the list outlives the call
+	}
+	known := p.known
+	p.mu.Unlock()
+	if known == nil && refreshed != nil {
+		select {
+		case <-refreshed:
+		case <-ctx.Done():
 		}
+		p.mu.Lock()
+		known = p.known
+		p.mu.Unlock()
 	}
 	var others []host.Info
-	for _, info := range p.known {
+	for _, info := range known {
 		if info.ID != p.host.settings.HostID {
 			others = append(others, info)
 		}
@@ -130,6 +140,22 @@
 	return others
 }
 
+// refresh reads the list. An old list is better than none; the loss of the
+// store is logged by the feeds.
+func (p *peers) refresh(done chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+	defer cancel()
+	hosts, err := p.host.platform.Hosts.ListHosts(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err == nil {
+		p.known = hosts
+	}
+	p.listed = time.Now()
+	p.refreshed = nil
+	close(done)
+}
+
 // belief returns what this host has proven about a group.
 func (p *peers) belief(id group.ID) (peer.Belief, bool) {
 	monitor := p.host.groups.monitor(id)
--- a/cmd/internal/command/entry.go
+++ b/cmd/internal/command/entry.go
@@ -13,6 +13,8 @@
 	"golang.org/x/sys/unix"
 
 	"basilmill/cmd/entry"
+	"basilmill/core/catalog"
+	"basilmill/core/link"
 	"basilmill/core/logevent"
 	"basilmill/core/settings"
 	"basilmill/platform"
@@ -45,7 +47,10 @@
 	defer func() { _ = lines.Close() }()
 	log := newLogger(lines, settings.Log{Format: settings.JSON})
 	host := entry.New(s, entry.Platform{
-		Source: store, Ledger: store, Hosts: store, Orders: orders, Dialer: platform.Dialer{},
+		Source: store, Ledger: store, Hosts: store, Orders: orders, Connect: platform.Connect,
+		Dialer: func(connect func(context.Context, catalog.Server) (net.Conn, error)) link.Dialer {
+			return platform.Dialer{Connect: connect}
+		},
 		Codec:     func(conn net.Conn) entry.Codec { return platform.NewCaller(conn) },
 		Readiness: platform.ReadinessHandler,
 		Reload: func(s settings.Entry) {
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -51,6 +51,7 @@
 	BackendServerLeaving  Number = 5002
 	BackendServerGone     Number = 5005
 	BackendServerChanged  Number = 5006
+	ServerDetour          Number = 5007
 	ProtocolError         Number = 5003
 	AuthenticationFailure Number = 5004
 )
@@ -106,6 +107,7 @@
 	{AuthenticationFailure, "AuthenticationFailure", slog.LevelWarn, "authentication failed", "Check the caller's password; repeated failures may be an attack."},
 	{BackendServerGone, "BackendServerGone", slog.LevelInfo, "backend server dropped", "None."},
 	{BackendServerChanged, "BackendServerChanged", slog.LevelInfo, "entry of a backend server changed", "None."},
+	{ServerDetour, "ServerDetour", slog.LevelWarn, "backend server out of direct reach, connection through another host", "Check the network between this host and the backend server."},
 }
 
 // Limits of repeated events: the first few of each number are written, then
--- /dev/null
+++ b/io/peer/relay_test.go
@@ -0,0 +1,92 @@
+package peer_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/group"
+	"basilmill/io/peer"
+)
+
+// echoServer answers each line with itself.
+func echoServer(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+func connect(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+}
+
+// startRelay serves a relay that knows the server "a".
+func startRelay(t *testing.T, limit int64) (*peer.Relay, netip.AddrPort) {
+	t.Helper()
+	target := echoServer(t)
+	relay := &peer.Relay{Limit: limit, Connect: func(ctx context.Context, server group.ServerID) (net.Conn, error) {
+		if server != "a" {
+			return nil, errors.New("unknown server")
+		}
+		return connect(ctx, target)
+	}}
+	_, handler := relay.Handler()
+	s := httptest.NewServer(handler)
+	t.Cleanup(s.Close)
+	return relay, netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+// Bytes must arrive unchanged in both directions, and the end of one side must
+// end the other, so that a server rolls back.
+func TestRelayPassesOn(t *testing.T) {
+	relay, address := startRelay(t, 4)
+	conn, err := peer.DialThrough(context.Background(), connect, address, "a")
+	assert.NilError(t, err)
+	_, err = io.WriteString(conn, "QUERY 1 READ x\r\n")
+	assert.NilError(t, err)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	assert.NilError(t, err)
+	assert.Equal(t, line, "QUERY 1 READ x\r\n")
+	assert.Equal(t, relay.Open(), int64(1))
+	assert.NilError(t, conn.Close())
+	for deadline := time.Now().Add(5 * time.Second); relay.Open() > 0; {
+		if time.Now().After(deadline) {
+			t.Fatal("the connection to the server stays open")
+		}
+		time.Sleep(5 * time.Millisecond) // Real sockets have no paused clock.
+	}
+}
+
+// A host passes on connections to backend servers only, and few of them.
+func TestRelayRefuses(t *testing.T) {
+	_, address := startRelay(t, 1)
+	_, err := peer.DialThrough(context.Background(), connect, address, "b")
+	assert.ErrorContains(t, err, "status 502")
+	conn, err := peer.DialThrough(context.Background(), connect, address, "a")
+	assert.NilError(t, err)
+	_, err = peer.DialThrough(context.Background(), connect, address, "a")
+	assert.ErrorContains(t, err, "status 503")
+	assert.NilError(t, conn.Close())
+}
