entry: metrics of waits, holds, positions, changes and the view; shell completion

Only counters of statements and of store calls were there.

`basilmill completion` writes the script of a shell.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -72,6 +72,7 @@
 	h.peers = newPeers(h)
 	h.detours = newDetours(h)
 	h.servers = link.NewRegistry(h.book, p.Dialer(h.detours.dialer.Connect))
+	h.servers.Observer = h.metrics
 	h.groups = newGroups(h)
 	h.proxy = proxy.New(proxy.Config{
 		Book: h.book, Monitor: h.groups.monitor, Pool: h.servers.Pool, DataCentre: s.DataCentre,
@@ -83,8 +84,9 @@
 }
 
 // ObserveStoreCall counts a call of the platform's store.
-func (h *Host) ObserveStoreCall(call string, status int) {
+func (h *Host) ObserveStoreCall(call string, status int, elapsed time.Duration) {
 	h.metrics.storeCalls.WithLabelValues(call, strconv.Itoa(status)).Inc()
+	h.metrics.storeTimes.WithLabelValues(call).Observe(elapsed.Seconds())
 }
 
 // ready reports whether the balancer should send new connections.
--- a/cmd/entry/entry_test.go
+++ b/cmd/entry/entry_test.go
@@ -196,7 +196,18 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	assert.NilError(t, err)
-	assert.Assert(t, strings.Contains(string(body), `basilmill_statements_total{class="current",outcome="done"} 4`), "%s", body)
+	for _, want := range []string{
+		`basilmill_statements_total{class="current",outcome="done"} 4`,
+		`basilmill_statement_duration_seconds_count{class="current"} 4`,
+		`basilmill_connection_wait_seconds_count{result="granted"}`,
+		`basilmill_connection_hold_seconds_count{use="exclusive"} 1`,
+		`basilmill_primary_proof_age_seconds{group="orders"}`,
+		`basilmill_view_confirmed_timestamp_seconds{part="servers"}`,
+		`basilmill_connections_window`,
+		`basilmill_relayed_connections 0`,
+	} {
+		assert.Assert(t, strings.Contains(string(body), want), "%s lacks %s", body, want)
+	}
 }
 
 // Bad input gets an error or a close and disturbs nobody.
--- a/cmd/entry/groups.go
+++ b/cmd/entry/groups.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/rand"
 	"log/slog"
+	"maps"
 	"sync"
+	"time"
 
 	"basilmill/core/catalog"
 	"basilmill/core/group"
@@ -32,6 +34,13 @@
 	return g.monitors[id]
 }
 
+// all returns the monitors of all groups.
+func (g *groups) all() map[group.ID]*lead.Monitor {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.monitors)
+}
+
 // run starts a monitor for each group that the configuration names.
 func (g *groups) run(ctx context.Context) error {
 	var wait sync.WaitGroup
@@ -71,12 +80,27 @@
 		NewAttempt: rand.Text, Observe: g.step,
 	}
 	return lead.New(lead.Config{
-		Group: id, Book: h.book, Databases: h.servers, Attempter: runner, Clock: h.platform.Clock, Log: h.log,
+		Group: id, Book: h.book, Databases: h.servers, Attempter: timed{runner, h.metrics}, Clock: h.platform.Clock, Log: h.log,
 		DataCentre: h.settings.DataCentre, Peers: h.peers,
 	})
 }
 
+// timed is an Attempter that counts its attempts and their times.
+type timed struct {
+	attempter lead.Attempter
+	metrics   *metrics
+}
+
+// Run implements lead.Attempter.
+func (t timed) Run(ctx context.Context, s takeover.Situation) (group.ServerID, error) {
+	started := time.Now()
+	server, err := t.attempter.Run(ctx, s)
+	t.metrics.changes.WithLabelValues(s.Cause.String(), result(err)).Observe(time.Since(started).Seconds())
+	return server, err
+}
+
 func (g *groups) step(id group.ID, s takeover.Step) {
+	g.host.metrics.changeSteps.WithLabelValues(s.Name, result(s.Err)).Inc()
 	problem := ""
 	if s.Err != nil {
 		problem = s.Err.Error()
--- a/cmd/entry/report.go
+++ b/cmd/entry/report.go
@@ -26,6 +26,9 @@
 func (r *feedReport) report(part string, at catalog.Revision, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if err == nil {
+		r.host.metrics.viewConfirmed.WithLabelValues(part).SetToCurrentTime()
+	}
 	attrs := []slog.Attr{slog.String("part", part), slog.Int64("revision", int64(at))}
 	ctx := context.Background()
 	switch {
--- a/cmd/internal/command/root.go
+++ b/cmd/internal/command/root.go
@@ -25,6 +25,8 @@
 		Action:          subcommandRequired,
 		HideHelpCommand: true,
 		HideVersion:     true,
+		// basilmill completion bash|zsh|fish|pwsh writes the script.
+		EnableShellCompletion: true,
 		// Run reports errors and chooses the exit code.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -109,15 +109,15 @@
 // Changed returns a channel that is closed when a newer snapshot exists.
 func (s *Snapshot) Changed() <-chan struct{} { return s.changed }
 
-// Covering returns a position that covers every commit acknowledged before the
-// given time, the lowest one known.
-func (s *Snapshot) Covering(at time.Duration) (group.Position, bool) {
+// Covering returns the sample whose position covers every commit acknowledged
+// before the given time, the lowest one known.
+func (s *Snapshot) Covering(at time.Duration) (Sample, bool) {
 	for _, sample := range s.Samples {
 		if sample.At >= at {
-			return sample.Position, true
+			return sample, true
 		}
 	}
-	return group.Position{}, false
+	return Sample{}, false
 }
 
 // Term returns the term of the newest sample.
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -53,10 +53,22 @@
 // sent for them.
 var ErrNoConnection = errors.New("no connection to the backend server")
 
+// Observer receives the times of requests for connections. Its methods are
+// called while the pool is locked and must not block.
+type Observer interface {
+	// Waited is told how long a request waited for a connection, and whether it
+	// got one.
+	Waited(d time.Duration, granted bool)
+	// Held is told how long a request had a connection.
+	Held(d time.Duration, exclusive bool)
+}
+
 // Pool shares the connections to one server between sessions.
 type Pool struct {
 	server catalog.Server
 	dialer Dialer
+	// observer is nil if nobody wants the times.
+	observer Observer
 
 	mu      sync.Mutex
 	limit   int
@@ -78,6 +90,8 @@
 // Stats describes a pool at one moment.
 type Stats struct {
 	Open, Exclusive, Waiting int
+	// Shared counts the sessions that share connections, Window how many may.
+	Shared, Window int
 	// Opened, Refused and Failed count openings by result.
 	Opened, Refused, Failed int64
 }
@@ -86,6 +100,7 @@
 	exclusive bool
 	wanted    *Settings
 	priority  int
+	since     time.Time
 	ready     chan leased
 }
 
@@ -99,6 +114,7 @@
 	*Conn
 	pool      *Pool
 	exclusive bool
+	since     time.Time
 	once      sync.Once
 }
 
@@ -128,6 +144,7 @@
 
 func (p *Pool) get(ctx context.Context, w *waiter) (*Lease, error) {
 	w.ready = make(chan leased, 1)
+	w.since = time.Now()
 	p.mu.Lock()
 	if p.closed {
 		p.mu.Unlock()
@@ -155,6 +172,7 @@
 	i := slices.Index(p.waiters, w)
 	if i >= 0 {
 		p.waiters = slices.Delete(p.waiters, i, i+1)
+		p.waited(w, false)
 	}
 	p.mu.Unlock()
 	if i >= 0 {
@@ -177,6 +195,9 @@
 			l.shares--
 		}
 		l.idleSince = time.Now()
+		if p.observer != nil {
+			p.observer.Held(l.idleSince.Sub(l.since), l.exclusive)
+		}
 		p.dispatch()
 	})
 }
@@ -237,7 +258,14 @@
 	} else {
 		c.shares++
 	}
-	w.ready <- leased{lease: &Lease{Conn: c, pool: p, exclusive: w.exclusive}}
+	p.waited(w, true)
+	w.ready <- leased{lease: &Lease{Conn: c, pool: p, exclusive: w.exclusive, since: time.Now()}}
+}
+
+func (p *Pool) waited(w *waiter, granted bool) {
+	if p.observer != nil {
+		p.observer.Waited(time.Since(w.since), granted)
+	}
 }
 
 // choose returns the connection for a waiter, or nil.
@@ -329,6 +357,7 @@
 	defer p.mu.Unlock()
 	s := p.stats
 	s.Open, s.Waiting = len(p.conns), len(p.waiters)
+	s.Shared, s.Window = p.shares(), int(p.window)
 	for _, c := range p.conns {
 		if c.exclusive {
 			s.Exclusive++
--- a/core/link/registry.go
+++ b/core/link/registry.go
@@ -13,6 +13,10 @@
 // Registry holds the pool of each backend server and sends probes and commands
 // over them.
 type Registry struct {
+	// Observer, if set before the first use, receives the times of requests for
+	// connections.
+	Observer Observer
+
 	book   *catalog.Book
 	dialer Dialer
 
@@ -53,6 +57,7 @@
 		limit = max(limit, config.Groups[server.Group].ConnectionLimit/hostShare)
 	}
 	p := NewPool(server, r.dialer, limit)
+	p.observer = r.Observer
 	r.pools[key] = p
 	return p
 }
@@ -91,6 +96,8 @@
 		total.Open += stats.Open
 		total.Exclusive += stats.Exclusive
 		total.Waiting += stats.Waiting
+		total.Shared += stats.Shared
+		total.Window += stats.Window
 		total.Opened += stats.Opened
 		total.Refused += stats.Refused
 		total.Failed += stats.Failed
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -46,7 +46,9 @@
 	Elapsed   time.Duration
 	Attempts  int
 	Server    group.ServerID
-	Answer    exchange.Answer
+	// PositionAge is the age of the proof that an aged read was served at.
+	PositionAge time.Duration
+	Answer      exchange.Answer
 }
 
 // Proxy executes statements. It is safe for concurrent use.
@@ -127,6 +129,9 @@
 	// leader is the leader that the last attempt was sent to.
 	leader   catalog.Server
 	position group.Position
+	// positionAge is the age of the proof that the position is from; zero for
+	// work that needs no position.
+	positionAge time.Duration
 	// reason is why the last attempt did not succeed.
 	reason string
 }
@@ -272,7 +277,7 @@
 	if p.config.Observe != nil {
 		p.config.Observe(Result{
 			Route: r.route, Operation: r.statement.Operation, Elapsed: elapsed, Attempts: r.attempts,
-			Server: r.server, Answer: answer,
+			Server: r.server, PositionAge: r.positionAge, Answer: answer,
 		})
 	}
 	if answer.Failure != nil {
--- a/core/proxy/read.go
+++ b/core/proxy/read.go
@@ -77,9 +77,10 @@
 	at := r.arrived - r.route.MaxAge + ageMargin
 	for {
 		snapshot := r.monitor.Snapshot()
-		if position, ok := snapshot.Covering(at); ok {
-			r.position = position
-			if r.route.Class == catalog.OwnWrites && r.session.written.Compare(position) > 0 {
+		if sample, ok := snapshot.Covering(at); ok {
+			r.position = sample.Position
+			r.positionAge = r.session.proxy.config.Clock() - sample.At
+			if r.route.Class == catalog.OwnWrites && r.session.written.Compare(r.position) > 0 {
 				r.position = r.session.written
 			}
 			return true
