catalog: remember the servers in an object that does not lapse

A trial that logged the openings shows that each host opens one server after the other from 37.2 to 38.1 s, as their entries come back: the three primaries are known at 37.75, 37.9 and 38.15 s, although they lead all the time.

The hosts keep the list of servers in an object of their own, written by the first of them some seconds after a change.

Ruled out: the limit of connections (no opening was refused before 37.9 s).

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -31,6 +31,7 @@
 // Platform is what the host needs of the platform.
 type Platform struct {
 	Source catalog.Source
+	Memory catalog.Memory
 	Ledger takeover.Ledger
 	Orders takeover.Orders
 	Hosts  Hosts
@@ -121,7 +122,8 @@
 func (h *Host) addBackground(g *run.Group, ctx context.Context, stop func(), reload <-chan settings.Entry) {
 	report := newFeedReport(h)
 	feed := &catalog.Feed{
-		Book: h.book, Source: h.platform.Source, Report: report.report, Changed: report.changed,
+		Book: h.book, Source: h.platform.Source, Memory: h.platform.Memory,
+		Report: report.report, Changed: report.changed, Restored: report.restored,
 		ConfigBound: h.settings.ConfigBound(), ServersBound: h.settings.ServersBound(),
 	}
 	add := func(f func(context.Context) error) {
@@ -129,6 +131,7 @@
 	}
 	add(feed.FollowServers)
 	add(feed.FollowConfig)
+	add(feed.FollowMemory)
 	add(h.groups.run)
 	add(h.peers.register)
 	add(func(ctx context.Context) error { return h.tidy(ctx) })
--- a/cmd/entry/entry_test.go
+++ b/cmd/entry/entry_test.go
@@ -61,6 +61,13 @@
 
 func (noHosts) ListHosts(context.Context) ([]corehost.Info, error) { return nil, nil }
 
+// noMemory remembers nothing.
+type noMemory struct{}
+
+func (noMemory) Recall(context.Context) (catalog.Remembered, error) { return catalog.Remembered{}, nil }
+
+func (noMemory) Remember(context.Context, catalog.Remembered) error { return nil }
+
 func hold(ctx context.Context, wait time.Duration) error {
 	select {
 	case <-ctx.Done():
@@ -98,7 +105,7 @@
 	}.WithDefaults()}
 	started := time.Now()
 	e := entry.New(h.settings, entry.Platform{
-		Source: source{world}, Ledger: world, Hosts: noHosts{}, Orders: world,
+		Source: source{world}, Memory: noMemory{}, Ledger: world, Hosts: noHosts{}, Orders: world,
 		Dialer:    func(func(context.Context, catalog.Server) (net.Conn, error)) link.Dialer { return world },
 		Codec:     func(c net.Conn) entry.Codec { return platform.NewCaller(c) },
 		Readiness: platform.ReadinessHandler,
--- a/cmd/entry/report.go
+++ b/cmd/entry/report.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"basilmill/core/catalog"
+	"basilmill/core/group"
 	"basilmill/core/logevent"
 )
 
@@ -58,3 +59,10 @@
 	}
 	r.host.log.Write(context.Background(), logevent.BackendServerChanged, attrs...)
 }
+
+// restored logs servers that are known from the memory only.
+func (r *feedReport) restored(servers []group.ServerID) {
+	for _, id := range servers {
+		r.host.log.Write(context.Background(), logevent.BackendServerChanged, slog.String("server", string(id)), slog.Bool("remembered", true))
+	}
+}
--- a/core/catalog/follow.go
+++ b/core/catalog/follow.go
@@ -73,6 +73,11 @@
 	// ConfigBound and ServersBound bound the age of the view while an answer of
 	// the source does not come; zero selects a default.
 	ConfigBound, ServersBound time.Duration
+	// Memory is needed by FollowMemory only.
+	Memory Memory
+	// Restored, if set, receives the servers that were known from the memory
+	// only.
+	Restored func(servers []group.ServerID)
 	// Report, if set, receives the result of each call of the source.
 	Report func(part string, at Revision, err error)
 	// Changed, if set, receives each change of a server's entry that a watch
