--- a/cmd/entry/detours.go
+++ b/cmd/entry/detours.go
@@ -75,7 +75,8 @@
 	if err != nil {
 		problem = err.Error()
 	}
-	d.host.log.Write(context.Background(), logevent.ServerDetour, slog.String("server", string(server)), slog.String("through", string(through)), slog.String("error", problem))
+	of := d.host.book.View().Servers[server].Group
+	d.host.log.Write(context.Background(), logevent.ServerDetour, slog.String("group", string(of)), slog.String("server", string(server)), slog.String("through", string(through)), slog.String("error", problem))
 }
 
 // result is the label of a metric for an error.
