proxy: leave a lagging or unreachable server alone for longer each time

The time for which a server is left alone doubles with each such answer in a row, up to 1.3 s, and with each failed connection, up to 9.6 s.

Ruled out: the choice of older positions (the route's age is used up already).

--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -12,14 +12,19 @@
 )
 
 const (
-	// avoidTime is how long a server is avoided after a failed connection.
+	// avoidTime is how long a server is avoided after a failed connection. It
+	// doubles with each failure in a row.
 	avoidTime = 300 * time.Millisecond
 	// busyTime is how long a server is avoided after a busy answer: about one
 	// statement's work.
 	busyTime = 20 * time.Millisecond
 	// behindTime is how long a server is taken to be behind after it said so:
-	// a fraction of the pause between two writes of a session.
+	// a fraction of the pause between two writes of a session. It doubles with
+	// each such answer in a row, because a replica that lags does so for
+	// seconds and each attempt costs the caller a round trip.
 	behindTime = 40 * time.Millisecond
+	// maxDoublings bounds both times, to 1.3 and 9.6 s.
+	maxDoublings = 5
 	// remoteCost is what a read in another data centre must gain in time. It
 	// stands for the price of bytes between data centres.
 	remoteCost = 25 * time.Millisecond
@@ -73,7 +78,7 @@
 	if now.Before(h.avoidUntil) {
 		cost += penalty
 	}
-	if now.Sub(h.behindAt) < behindTime && h.position.Compare(needed) < 0 {
+	if now.Before(h.behindUntil) && h.position.Compare(needed) < 0 {
 		cost += penalty
 	}
 	return cost
@@ -88,7 +93,9 @@
 	if !answer.Position.IsZero() {
 		h.position = answer.Position
 	}
+	h.failures = 0
 	if answer.Failure == nil {
+		h.behind = 0
 		if h.latency == 0 {
 			h.latency = elapsed
 		}
@@ -99,7 +106,7 @@
 	case exchange.Busy:
 		h.avoidUntil = now.Add(busyTime)
 	case exchange.Behind:
-		h.behindAt = now
+		h.behindUntil = now.Add(doubled(behindTime, &h.behind))
 	default:
 	}
 }
@@ -109,7 +116,14 @@
 	h := p.health.of(id)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.avoidUntil = time.Now().Add(avoidTime)
+	h.avoidUntil = time.Now().Add(doubled(avoidTime, &h.failures))
+}
+
+// doubled returns the time doubled as often as counted, and counts.
+func doubled(d time.Duration, count *int) time.Duration {
+	d <<= *count
+	*count = min(*count+1, maxDoublings)
+	return d
 }
 
 // sharedName returns the name under which connections know a prepared
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -322,8 +322,10 @@
 	avoidUntil time.Time
 	// position is the last seen end of the server's readable log.
 	position group.Position
-	// behindAt is when the server last answered that its log is behind.
-	behindAt time.Time
+	// behindUntil is set after an answer that the server's log is behind.
+	behindUntil time.Time
+	// failures and behind count such failures and answers in a row.
+	failures, behind int
 	// latency is the smoothed time of a read on the server.
 	latency time.Duration
 }
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -49,6 +49,8 @@
 	ledger    func(takeover.Ledger) takeover.Ledger
 	// view changes the list of servers that the host follows.
 	view func([]catalog.Server) []catalog.Server
+	// observe receives the result of each statement.
+	observe func(proxy.Result)
 }
 
 func testConfig() *catalog.Config {
@@ -99,7 +101,7 @@
 	})
 	h.proxy = proxy.New(proxy.Config{
 		Book: h.book, Monitor: func(group.ID) *lead.Monitor { return h.monitor }, Pool: h.registry.Pool,
-		DataCentre: "dc-b", Clock: clock, Log: log,
+		DataCentre: "dc-b", Clock: clock, Log: log, Observe: p.observe,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
--- a/e2e/replicated/session_test.go
+++ b/e2e/replicated/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"basilmill/core/exchange"
+	"basilmill/core/proxy"
 	"basilmill/standin/replicated"
 )
 
@@ -210,3 +212,29 @@
 		assert.Equal(t, (<-first).Failure.Code, exchange.InDoubt)
 	})
 }
+
+// Reads must not be tried again and again on a replica that lags for seconds:
+// each attempt costs the caller a round trip.
+func TestLaggingReplicaIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		world := replicated.NewWorld()
+		attempts := 0
+		h := startHost(world, "h1", parts{observe: func(r proxy.Result) {
+			if r.Operation == exchange.Read {
+				attempts += r.Attempts
+			}
+		}})
+		defer stop(world, h)
+		h.settled(t)
+		world.Server("b").SetLag(5 * time.Second)
+		s := h.open(t, ownDB)
+		ctx := context.Background()
+		const reads = 200
+		for i := range reads {
+			assert.Assert(t, s.Execute(ctx, write(fmt.Sprint("w", i))).Failure == nil)
+			assert.Assert(t, s.Execute(ctx, read(fmt.Sprint("r", i))).Failure == nil)
+			time.Sleep(20 * time.Millisecond)
+		}
+		assert.Assert(t, attempts < reads+reads/10, "%d attempts for %d reads", attempts, reads)
+	})
+}
