--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -109,15 +109,6 @@
 	err   error
 }
 
-// Lease is the right to use a connection until Release.
-type Lease struct {
-	*Conn
-	pool      *Pool
-	exclusive bool
-	since     time.Time
-	once      sync.Once
-}
-
 // NewPool returns a pool without connections that opens up to limit of them.
 func NewPool(server catalog.Server, dialer Dialer, limit int) *Pool {
 	return &Pool{server: server, dialer: dialer, limit: limit, window: maxWindow}
@@ -183,41 +174,6 @@
 	}
 }
 
-// Release hands the connection back.
-func (l *Lease) Release() {
-	l.once.Do(func() {
-		p := l.pool
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if l.exclusive {
-			l.Conn.exclusive = false
-		} else {
-			l.shares--
-		}
-		l.idleSince = time.Now()
-		if p.observer != nil {
-			p.observer.Held(l.idleSince.Sub(l.since), l.exclusive)
-		}
-		p.dispatch()
-	})
-}
-
-// Answered reports that the server answered a statement of the lease, and
-// whether it refused it for lack of a slot.
-func (l *Lease) Answered(busy bool) {
-	p := l.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !busy {
-		p.window = min(p.window+1/p.window, maxWindow)
-		return
-	}
-	if now := time.Now(); now.Sub(p.windowCut) > windowPause {
-		p.windowCut = now
-		p.window = max(p.window*windowCut, 1)
-	}
-}
-
 // shares returns the shared uses of all connections.
 func (p *Pool) shares() (n int) {
 	for _, c := range p.conns {
--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -12,19 +12,6 @@
 )
 
 const (
-	// avoidTime is how long a server is avoided after a failed connection. It
-	// doubles with each failure in a row.
-	avoidTime = 300 * time.Millisecond
-	// busyTime is how long a server is avoided after a busy answer: about one
-	// statement's work.
-	busyTime = 20 * time.Millisecond
-	// behindTime is how long a server is taken to be behind after it said so:
-	// a fraction of the pause between two writes of a session. It doubles with
-	// each such answer in a row, because a replica that lags does so for
-	// seconds and each attempt costs the caller a round trip.
-	behindTime = 40 * time.Millisecond
-	// maxDoublings bounds both times, to 1.3 and 9.6 s.
-	maxDoublings = 5
 	// remoteCost is what a read in another data centre must gain in time. It
 	// stands for the price of bytes between data centres.
 	remoteCost = 25 * time.Millisecond
@@ -34,8 +21,6 @@
 	startLatency = 10 * time.Millisecond
 	// penalty orders the servers that should be avoided behind all others.
 	penalty = 10 * time.Second
-	// smoothing is the weight of a new sample of the latency, in parts.
-	smoothing = 8
 )
 
 // reader returns the server on which a read that needs the position is
@@ -84,48 +69,6 @@
 	return cost
 }
 
-// learned updates what is known about a server from its answer to a read.
-func (p *Proxy) learned(id group.ServerID, answer exchange.Answer, elapsed time.Duration) {
-	h := p.health.of(id)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := time.Now()
-	if !answer.Position.IsZero() {
-		h.position = answer.Position
-	}
-	h.failures = 0
-	if answer.Failure == nil {
-		h.behind = 0
-		if h.latency == 0 {
-			h.latency = elapsed
-		}
-		h.latency += (elapsed - h.latency) / smoothing
-		return
-	}
-	switch answer.Failure.Code {
-	case exchange.Busy:
-		h.avoidUntil = now.Add(busyTime)
-	case exchange.Behind:
-		h.behindUntil = now.Add(doubled(behindTime, &h.behind))
-	default:
-	}
-}
-
-// avoid notes that no answer could be had from a server.
-func (p *Proxy) avoid(id group.ServerID) {
-	h := p.health.of(id)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.avoidUntil = time.Now().Add(doubled(avoidTime, &h.failures))
-}
-
-// doubled returns the time doubled as often as counted, and counts.
-func doubled(d time.Duration, count *int) time.Duration {
-	d <<= *count
-	*count = min(*count+1, maxDoublings)
-	return d
-}
-
 // sharedName returns the name under which connections know a prepared
 // statement. Sessions that prepare the same thing share it.
 func sharedName(prepared exchange.Prepared) string {
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -11,7 +11,6 @@
 	"context"
 	"log/slog"
 	"maps"
-	"sync"
 	"time"
 
 	"basilmill/core/catalog"
@@ -308,48 +307,3 @@
 		slog.Duration("leader_proven", proven), slog.Int("attempts", r.attempts), slog.Duration("elapsed", elapsed),
 		slog.String("reason", r.reason), slog.String("outcome", outcome))
 }
-
-// healths holds what the proxy noticed about each server.
-type healths struct {
-	mu      sync.Mutex
-	servers map[group.ServerID]*health
-}
-
-// health is what the proxy noticed about one server.
-type health struct {
-	mu sync.Mutex
-	// avoidUntil is set after a failed connection or a busy answer.
-	avoidUntil time.Time
-	// position is the last seen end of the server's readable log.
-	position group.Position
-	// behindUntil is set after an answer that the server's log is behind.
-	behindUntil time.Time
-	// failures and behind count such failures and answers in a row.
-	failures, behind int
-	// latency is the smoothed time of a read on the server.
-	latency time.Duration
-}
-
-func (h *healths) of(id group.ServerID) *health {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.servers == nil {
-		h.servers = map[group.ServerID]*health{}
-	}
-	if h.servers[id] == nil {
-		h.servers[id] = &health{}
-	}
-	return h.servers[id]
-}
-
-// Forget drops what was noticed about servers that the catalogue no longer
-// has.
-func (p *Proxy) Forget(view *catalog.View) {
-	p.health.mu.Lock()
-	defer p.health.mu.Unlock()
-	for id := range p.health.servers {
-		if _, ok := view.Servers[id]; !ok {
-			delete(p.health.servers, id)
-		}
-	}
-}
--- a/core/takeover/order.go
+++ b/core/takeover/order.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -13,105 +11,6 @@
 	"basilmill/core/group"
 )
 
-// claim takes the next number. It fails with ErrBehind if no server holds the
-// log that the last primary started from; reached is the furthest position.
-func (a *attempt) claim(ctx context.Context, reached group.Position) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	current, err := a.Ledger.Load(ctx, a.Group)
-	if err != nil {
-		return err
-	}
-	a.Note(current)
-	if current.Holder != "" && current.Holder != a.Self && time.Since(a.seenAt) < Lease {
-		return ErrLease
-	}
-	if reached.Compare(current.Base) < 0 {
-		return eris.Wrapf(ErrBehind, "%v of %v", reached, current.Base)
-	}
-	next := current
-	next.Epoch++
-	next.Holder = a.Self
-	if err := a.update(ctx, next); err != nil {
-		return err
-	}
-	a.outstanding = current.Open
-	a.report(Step{Name: "claimed", Epoch: a.record.Epoch})
-	return nil
-}
-
-// update replaces the record.
-func (a *attempt) update(ctx context.Context, next Record) error {
-	next.Attempt = a.NewAttempt()
-	stored, err := a.Ledger.Store(ctx, a.Group, next)
-	if err != nil && !errors.Is(err, ErrConflict) {
-		// The update may have taken effect.
-		stored, err = a.Ledger.Load(ctx, a.Group)
-		if err == nil && stored.Attempt != next.Attempt {
-			err = ErrConflict
-		}
-	}
-	if err != nil {
-		return err
-	}
-	a.Note(stored)
-	a.record = stored
-	return nil
-}
-
-// enlist adds the servers that the store lists and the host's view lacks, and
-// returns their status: they may have confirmed commits.
-func (a *attempt) enlist(ctx context.Context) ([]answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	listed, err := a.Roster.Servers(ctx, a.Group)
-	if err != nil {
-		return nil, eris.Wrap(err, "list the servers")
-	}
-	var missing []catalog.Server
-	for _, s := range listed {
-		if !slices.ContainsFunc(a.Members, func(m catalog.Server) bool { return m.ID == s.ID }) {
-			missing = append(missing, s)
-		}
-	}
-	if len(missing) == 0 {
-		return nil, nil
-	}
-	a.Members = slices.Concat(a.Members, missing)
-	return a.commandAll(ctx, missing, exchange.Statement{Operation: exchange.Status})
-}
-
-// stop stops the servers from receiving and returns the furthest one. After a
-// failure they receive again.
-func (a *attempt) stop(ctx context.Context, servers []catalog.Server, term group.Term) (next answer, err error) {
-	a.suspended = servers
-	final, err := a.commandAll(ctx, servers, exchange.Statement{Operation: exchange.Suspend, Term: term})
-	if err == nil {
-		next = furthest(final)
-		if next.status.Received.Compare(a.record.Base) < 0 {
-			err = eris.Wrapf(ErrBehind, "%v of %v", next.status.Received, a.record.Base)
-		}
-	}
-	if err != nil {
-		a.resume(ctx)
-	}
-	return next, err
-}
-
-// resume lets suspended servers receive again after an attempt was given up.
-// While an order may be outstanding they stay suspended: the server that it
-// names would lack the commits acknowledged since.
-func (a *attempt) resume(ctx context.Context) {
-	if a.outstanding {
-		a.left = len(a.suspended) > 0
-		a.report(Step{Name: "left suspended", Epoch: a.record.Epoch})
-		return
-	}
-	_, err := a.commandAll(ctx, a.suspended, exchange.Statement{Operation: exchange.Resume})
-	a.left = err != nil
-	a.report(Step{Name: "resumed", Epoch: a.record.Epoch, Err: err})
-}
-
 // promote records what the server holds, orders the promotion and waits until
 // the server leads.
 func (a *attempt) promote(ctx context.Context, next answer) (group.ServerID, error) {
@@ -136,29 +35,6 @@
 	return server.ID, nil
 }
 
-// settle records the end of the log of the server that is about to be named.
-func (a *attempt) settle(ctx context.Context, base group.Position) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	next := a.record
-	next.Base, next.Open = base, true
-	return eris.Wrap(a.update(ctx, next), "record the end of the log")
-}
-
-// close records that no order is outstanding. A record that stays open costs
-// the next attempt that is given up a call.
-func (a *attempt) close(ctx context.Context) {
-	if !a.record.Open {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	next := a.record
-	next.Open = false
-	err := a.update(ctx, next)
-	a.report(Step{Name: "closed", Epoch: a.record.Epoch, Err: err})
-}
-
 // order repeats the order until it is answered, because an order without an
 // answer may be carried out later.
 func (a *attempt) order(ctx context.Context, server catalog.Server) (err error) {
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -12,7 +12,10 @@
 //
 // Each attempt has a number from a conditional update of the group's record in
 // the platform's store. The platform refuses orders with lower numbers than it
-// has seen, so that an order that is carried out late changes nothing.
+// has seen, so that an order that is carried out late changes nothing. The record
+// also keeps the end of the log that the last primary started from, because a
+// server behind it may lack commits acknowledged under earlier primaries, and
+// whether an order may be outstanding.
 package takeover
 
 import (
@@ -225,132 +228,6 @@
 	}
 }
 
-// replaceLost replaces a primary that is out of reach.
-func (a *attempt) replaceLost(ctx context.Context) (group.ServerID, error) {
-	others := a.others()
-	if len(others) == 0 {
-		return "", ErrNobody
-	}
-	before, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
-	if err != nil {
-		return "", err
-	}
-	if server, ok := leader(before); ok {
-		return server, ErrLeads
-	}
-	if a.Cause == Lost {
-		if err := a.checkProgress(ctx, others, before); err != nil {
-			return "", err
-		}
-	}
-	if err := a.claim(ctx, furthest(before).status.Received); err != nil {
-		return "", err
-	}
-	missing, err := a.enlist(ctx)
-	if err != nil {
-		return "", err
-	}
-	if server, ok := leader(missing); ok {
-		return server, ErrLeads
-	}
-	next, err := a.stop(ctx, a.others(), highestTerm(append(before, missing...))+1)
-	if err != nil {
-		return "", err
-	}
-	return a.promote(ctx, next)
-}
-
-// replaceReachable replaces a primary that answers: it is demoted first, and a
-// replica that holds its whole log follows.
-func (a *attempt) replaceReachable(ctx context.Context) (group.ServerID, error) {
-	others := a.others()
-	if !slices.ContainsFunc(others, func(s catalog.Server) bool { return !s.Leaving }) {
-		return "", ErrNobody
-	}
-	status, err := a.command(ctx, a.Primary, exchange.Statement{Operation: exchange.Status})
-	if err != nil {
-		return "", err
-	}
-	reached := status.Received
-	if a.Cause == Stalled {
-		if reached, err = a.checkStalled(ctx, others, status.Received); err != nil {
-			return "", err
-		}
-	}
-	if err := a.claim(ctx, reached); err != nil {
-		return "", err
-	}
-	if _, err := a.enlist(ctx); err != nil {
-		return "", err
-	}
-	demoted, err := a.command(ctx, a.Primary, exchange.Statement{Operation: exchange.Demote, Term: status.Term + 1})
-	if err != nil {
-		return "", err
-	}
-	return a.promote(ctx, a.complete(ctx, demoted))
-}
-
-// complete returns the server to follow a demoted primary: a replica that
-// holds its whole log, else for a stalled primary the furthest replica if all
-// of them stop, else the primary itself.
-func (a *attempt) complete(ctx context.Context, demoted exchange.ServerStatus) answer {
-	others := a.others()
-	deadline := time.Now().Add(catchUpTime)
-	for {
-		answers, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
-		for _, answer := range answers {
-			if !answer.server.Leaving && answer.status.Received.Compare(demoted.Received) >= 0 {
-				return answer
-			}
-		}
-		if time.Now().Before(deadline) && sleep(ctx, catchUpPoll) == nil {
-			continue
-		}
-		if err == nil && a.Cause == Stalled {
-			next, err := a.stop(ctx, others, max(demoted.Term, highestTerm(answers))+1)
-			if err == nil {
-				return next
-			}
-		}
-		return answer{a.Primary, demoted}
-	}
-}
-
-// checkProgress fails with ErrLeads when a replica received something: then a
-// primary leads, and only this host does not reach it.
-func (a *attempt) checkProgress(ctx context.Context, others []catalog.Server, before []answer) error {
-	if err := sleep(ctx, progressTime); err != nil {
-		return err
-	}
-	after, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
-	if err != nil {
-		return err
-	}
-	for i := range after {
-		if after[i].status.Received.Compare(before[i].status.Received) > 0 {
-			return ErrLeads
-		}
-	}
-	return nil
-}
-
-// checkStalled fails with ErrLeads unless the primary holds commits that no
-// replica receives. It returns the furthest replica's position.
-func (a *attempt) checkStalled(ctx context.Context, others []catalog.Server, end group.Position) (reached group.Position, err error) {
-	before, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
-	if err != nil {
-		return reached, err
-	}
-	if err := a.checkProgress(ctx, others, before); err != nil {
-		return reached, err
-	}
-	reached = furthest(before).status.Received
-	if reached.Compare(end) >= 0 {
-		return reached, ErrLeads
-	}
-	return reached, nil
-}
-
 func (a *attempt) others() []catalog.Server {
 	return slices.DeleteFunc(slices.Clone(a.Members), func(s catalog.Server) bool { return s.ID == a.Primary.ID })
 }
