takeover: repeat updates of the record that have no answer

The attempt that holds the number suspends both replicas at 25.18 s and gives up at 25.9 s, as the update that records the end of the log gets no answer within the 0.7 s that it shares with the question whether it was made; that question always failed at once. The next attempt ends at 27.7 s. The same limit made claims fail while answers get lost.

Each call of the record has a limit of its own, 350 ms, and an update without an answer is repeated under the same id, up to four times, until the record says whether it was made.

Ruled out: the number's lease (the same host tries again at once).

TestUnansweredUpdateIsRepeated fails on the code before in both variants.

--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -13,9 +13,7 @@
 // claim takes the next number. It fails with ErrBehind if no server holds the
 // log that the last primary started from; reached is the furthest position.
 func (a *attempt) claim(ctx context.Context, reached group.Position) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	current, err := a.Ledger.Load(ctx, a.Group)
+	current, err := a.load(ctx)
 	if err != nil {
 		return err
 	}
@@ -37,29 +35,60 @@
 	return nil
 }
 
-// update replaces the record.
-func (a *attempt) update(ctx context.Context, next Record) error {
+// update replaces the record. An update without an answer may have been made
+// or be made later; it is repeated under the same id until the record says
+// which.
+func (a *attempt) update(ctx context.Context, next Record) (err error) {
 	next.Attempt = a.NewAttempt()
-	stored, err := a.Ledger.Store(ctx, a.Group, next)
-	if err != nil && !errors.Is(err, ErrConflict) {
-		// The update may have taken effect.
-		stored, err = a.Ledger.Load(ctx, a.Group)
-		if err == nil && stored.Attempt != next.Attempt {
-			err = ErrConflict
+	for range updateTries {
+		var stored Record
+		stored, err = a.store(ctx, next)
+		if err != nil {
+			stored, err = a.settled(ctx, next, err)
+		}
+		if err == nil {
+			a.Note(stored)
+			a.record = stored
+			return nil
+		}
+		if errors.Is(err, ErrConflict) {
+			return err
 		}
 	}
-	if err != nil {
-		return err
+	return err
+}
+
+// settled returns the record if it is the one that an update without an answer
+// was to make. It fails with ErrConflict if another host changed it, and with
+// the update's own error if it is as before.
+func (a *attempt) settled(ctx context.Context, next Record, cause error) (Record, error) {
+	current, err := a.load(ctx)
+	switch {
+	case err != nil:
+		return Record{}, err
+	case current.Attempt == next.Attempt:
+		return current, nil
+	case current.Revision != next.Revision:
+		return Record{}, ErrConflict
+	default:
+		return Record{}, cause
 	}
-	a.Note(stored)
-	a.record = stored
-	return nil
+}
+
+func (a *attempt) load(ctx context.Context) (Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	return a.Ledger.Load(ctx, a.Group)
+}
+
+func (a *attempt) store(ctx context.Context, next Record) (Record, error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	return a.Ledger.Store(ctx, a.Group, next)
 }
 
 // settle records the end of the log of the server that is about to be named.
 func (a *attempt) settle(ctx context.Context, base group.Position) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	next := a.record
 	next.Base, next.Open = base, true
 	return eris.Wrap(a.update(ctx, next), "record the end of the log")
@@ -71,8 +100,6 @@
 	if !a.record.Open {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	next := a.record
 	next.Open = false
 	err := a.update(ctx, next)
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -121,8 +121,13 @@
 	leadPoll = 40 * time.Millisecond
 	// orderTries bounds the repetitions of an order without an answer.
 	orderTries = 4
-	// callTimeout bounds one call of the ledger or of the orders.
+	// callTimeout bounds one order or list of servers.
 	callTimeout = 700 * time.Millisecond
+	// recordTimeout bounds one call for the record: several times an answer of
+	// the store across regions (45 ms), and a slow store's.
+	recordTimeout = 350 * time.Millisecond
+	// updateTries bounds the repetitions of an update of the record.
+	updateTries = 4
 )
 
 // Cause says why a change of primary is attempted.
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -24,12 +24,14 @@
 	silent   map[group.ServerID]bool
 	record   takeover.Record
 	lose     bool
-	orders   []takeover.Epoch
-	refuse   int
-	fail     int
-	resumed  []group.ServerID
-	listed   []catalog.Server
-	leader   group.ServerID
+	// silent updates are not answered; they are made if lose is set.
+	silentUpdates int
+	orders        []takeover.Epoch
+	refuse        int
+	fail          int
+	resumed       []group.ServerID
+	listed        []catalog.Server
+	leader        group.ServerID
 }
 
 func (f *fakes) Command(ctx context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
@@ -47,11 +49,25 @@
 
 func (f *fakes) Leads(_ context.Context, s catalog.Server) bool { return f.leader == s.ID }
 
-func (f *fakes) Load(context.Context, group.ID) (takeover.Record, error) { return f.record, nil }
+func (f *fakes) Load(ctx context.Context, _ group.ID) (takeover.Record, error) {
+	return f.record, ctx.Err()
+}
 
 func (f *fakes) Servers(context.Context, group.ID) ([]catalog.Server, error) { return f.listed, nil }
 
-func (f *fakes) Store(_ context.Context, _ group.ID, r takeover.Record) (takeover.Record, error) {
+func (f *fakes) Store(ctx context.Context, _ group.ID, r takeover.Record) (takeover.Record, error) {
+	if r.Revision != f.record.Revision {
+		return takeover.Record{}, takeover.ErrConflict
+	}
+	if f.silentUpdates > 0 {
+		f.silentUpdates--
+		if f.lose {
+			r.Revision++
+			f.record = r
+		}
+		<-ctx.Done()
+		return takeover.Record{}, ctx.Err()
+	}
 	r.Revision++
 	f.record = r
 	if f.lose {
@@ -208,6 +224,26 @@
 	assert.NilError(t, err)
 }
 
+// The store may make an update and not answer, or not make it, or make it after
+// it was sent again. Giving up each time would leave the group without a
+// primary while answers get lost.
+func TestUnansweredUpdateIsRepeated(t *testing.T) {
+	for _, made := range []bool{true, false} {
+		f := newFakes()
+		f.silentUpdates, f.lose = 2, made
+		if made {
+			// Later updates are answered.
+			f.silentUpdates = 1
+		}
+		server, err := attempt(t, f, takeover.Gone, func(*takeover.Runner) {
+			time.AfterFunc(300*time.Millisecond, func() { f.lose = false })
+		})
+		assert.NilError(t, err, "made: %v", made)
+		assert.Equal(t, server, group.ServerID("c"))
+		assert.DeepEqual(t, f.orders, []takeover.Epoch{1})
+	}
+}
+
 // An order without an answer may be carried out later, so it is repeated until
 // it is answered.
 func TestOrderIsRepeatedUntilAnswered(t *testing.T) {
