lead: read the record of a change of primary after each change

All other hosts refuse with "another host's attempt is too recent" until then, because the lease of a number counts from when a host sees it first, and they see that of 11.0 s first when they attempt a change. The change is done at 22.7 s.

A host reads the record one second after it found a primary, when the author of the change has completed it. No attempt runs meanwhile.

Ruled out: a shorter lease (the platform wants 3 s between two holders).

--- a/cmd/entry/groups.go
+++ b/cmd/entry/groups.go
@@ -87,14 +87,14 @@
 
 // timed is an Attempter that counts its attempts and their times.
 type timed struct {
-	attempter lead.Attempter
-	metrics   *metrics
+	lead.Attempter
+	metrics *metrics
 }
 
 // Run implements lead.Attempter.
 func (t timed) Run(ctx context.Context, s takeover.Situation) (group.ServerID, error) {
 	started := time.Now()
-	server, err := t.attempter.Run(ctx, s)
+	server, err := t.Attempter.Run(ctx, s)
 	t.metrics.changes.WithLabelValues(s.Cause.String(), result(err)).Observe(time.Since(started).Seconds())
 	return server, err
 }
--- a/core/lead/change.go
+++ b/core/lead/change.go
@@ -71,6 +71,18 @@
 	}()
 }
 
+// startLook reads the record of the last change. No attempt runs meanwhile.
+func (m *Monitor) startLook(ctx context.Context) {
+	m.attempt, m.lookAt = true, 0
+	go func() {
+		err := m.config.Attempter.Look(ctx, m.config.Group)
+		select {
+		case m.inputs <- lookInput{err}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
 // startAudit looks for suspended replicas while the leader is in reach.
 func (m *Monitor) startAudit(ctx context.Context, members []catalog.Server, now time.Duration) {
 	m.auditing = true
--- a/core/lead/input.go
+++ b/core/lead/input.go
@@ -79,6 +79,7 @@
 		m.log(logevent.PrimaryFound, slog.String("server", string(server.ID)), slog.Int64("term", int64(position.Term)),
 			slog.Duration("gap", m.config.Clock()-m.lost))
 		m.leader, m.known = server, true
+		m.lookAt = m.config.Clock() + lookDelay
 		m.lost = at
 	}
 	m.proven = max(m.proven, at)
@@ -152,6 +153,17 @@
 	m.nextAudit = now
 }
 
+// lookInput is the result of a look at the record. After a failure the next
+// attempt waits for the lease of a number that it sees for the first time.
+type lookInput struct{ err error }
+
+func (i lookInput) apply(m *Monitor) {
+	m.attempt = false
+	if i.err != nil {
+		m.log(logevent.ChangeRefused, slog.String("cause", "look"), errAttr(i.err))
+	}
+}
+
 // auditInput is the result of an audit.
 type auditInput struct{ found map[group.ServerID]bool }
 
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -62,6 +62,9 @@
 	// unfinished attempt left suspended. Each look is a priced request and
 	// takes a slot.
 	auditInterval = 3 * time.Second
+	// lookDelay is the time from finding a primary until the record of its change
+	// is read: its author completes it within a few calls of the store.
+	lookDelay = time.Second
 	// remoteAudits is the number of audits of the own data centre's replicas
 	// for each audit of all.
 	remoteAudits = 4
@@ -78,6 +81,9 @@
 // Attempter makes an attempt to change the primary.
 type Attempter interface {
 	Run(ctx context.Context, s takeover.Situation) (group.ServerID, error)
+	// Look reads the number of the last attempt, so that a later attempt need
+	// not wait because it sees that number for the first time.
+	Look(ctx context.Context, id group.ID) error
 }
 
 // Peers asks other hosts what they have proven.
@@ -165,12 +171,14 @@
 	nextSearch time.Duration
 	attempt    bool
 	nextTry    time.Duration
-	nextAudit  time.Duration
-	auditing   bool
-	asking     bool
-	nextAsk    time.Duration
-	audits     int
-	audited    map[group.ServerID]bool
+	// lookAt is when the record is read; zero if it need not be.
+	lookAt    time.Duration
+	nextAudit time.Duration
+	auditing  bool
+	asking    bool
+	nextAsk   time.Duration
+	audits    int
+	audited   map[group.ServerID]bool
 	// leftover is set while an audit found suspensions of an unfinished
 	// attempt, unfinished after an attempt of this host that may have left some.
 	leftover   bool
@@ -254,6 +262,9 @@
 			m.startAttempt(ctx, s)
 		}
 	}
+	if !m.attempt && m.lookAt != 0 && now >= m.lookAt {
+		m.startLook(ctx)
+	}
 	if m.config.Peers != nil && !m.asking && now >= m.nextAsk && now-m.proven > lonelyTime {
 		m.askPeers(ctx, now)
 	}
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -22,6 +22,7 @@
 
 // fakes plays the servers, the other hosts and the attempts.
 type fakes struct {
+	looks    int
 	mu       sync.Mutex
 	leader   group.ServerID
 	position group.Position
@@ -69,6 +70,13 @@
 	return "", takeover.ErrSilent
 }
 
+func (f *fakes) Look(context.Context, group.ID) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.looks++
+	return nil
+}
+
 func (f *fakes) Positions(context.Context, group.ID) []lead.Sample {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -187,6 +195,21 @@
 	})
 }
 
+// A host that sees the number of the last change first when it attempts one
+// would wait for its lease, while the group has no primary.
+func TestRecordIsReadAfterEachChange(t *testing.T) {
+	f := &fakes{leader: "a", position: at(1, 10)}
+	watch(t, f, func(t *testing.T, _ *lead.Monitor, _ *catalog.Book, _ func() time.Duration) {
+		time.Sleep(5 * time.Second)
+		f.set(func() {
+			assert.Equal(t, f.looks, 1)
+			f.leader, f.position = "b", at(2, 11)
+		})
+		time.Sleep(5 * time.Second)
+		f.set(func() { assert.Equal(t, f.looks, 2) })
+	})
+}
+
 // A leaving primary is replaced before it stops.
 func TestLeavingPrimaryCausesAnAttempt(t *testing.T) {
 	f := &fakes{leader: "a", position: at(1, 10)}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -225,6 +225,19 @@
 	}
 }
 
+// Look reads the group's record, so that the lease of its holder counts from
+// now at the latest. It must not run beside an attempt.
+func (r *Runner) Look(ctx context.Context, id group.ID) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	record, err := r.Ledger.Load(ctx, id)
+	if err != nil {
+		return eris.Wrapf(err, "look at the record of %s", id)
+	}
+	r.Note(record)
+	return nil
+}
+
 // Note takes a record that the host saw, so that the lease of its holder
 // counts from then.
 func (r *Runner) Note(record Record) {
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -24,8 +24,9 @@
 	silent   map[group.ServerID]bool
 	record   takeover.Record
 	lose     bool
-	// silent updates are not answered; they are made if lose is set.
+	// silentUpdates are not answered; they are made if silentMade is set.
 	silentUpdates int
+	silentMade    bool
 	orders        []takeover.Epoch
 	refuse        int
 	fail          int
@@ -61,7 +62,7 @@
 	}
 	if f.silentUpdates > 0 {
 		f.silentUpdates--
-		if f.lose {
+		if f.silentMade {
 			r.Revision++
 			f.record = r
 		}
@@ -216,6 +217,19 @@
 	assert.DeepEqual(t, f.orders, []takeover.Epoch{5})
 }
 
+// The lease counts from when the host saw the number first. A host that has
+// looked at the record need not wait when it attempts a change later.
+func TestLookedAtRecordHasNoLease(t *testing.T) {
+	f := newFakes()
+	f.record = takeover.Record{Epoch: 4, Holder: "h2", Revision: 4}
+	_, err := attempt(t, f, takeover.Gone, func(r *takeover.Runner) {
+		assert.NilError(t, r.Look(context.Background(), "g"))
+		time.Sleep(takeover.Lease)
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, f.orders, []takeover.Epoch{5})
+}
+
 // An update whose answer was lost is recognised by its attempt.
 func TestLostAnswerOfTheStoreIsSettled(t *testing.T) {
 	f := newFakes()
@@ -230,14 +244,8 @@
 func TestUnansweredUpdateIsRepeated(t *testing.T) {
 	for _, made := range []bool{true, false} {
 		f := newFakes()
-		f.silentUpdates, f.lose = 2, made
-		if made {
-			// Later updates are answered.
-			f.silentUpdates = 1
-		}
-		server, err := attempt(t, f, takeover.Gone, func(*takeover.Runner) {
-			time.AfterFunc(300*time.Millisecond, func() { f.lose = false })
-		})
+		f.silentUpdates, f.silentMade = 2, made
+		server, err := attempt(t, f, takeover.Gone, nil)
 		assert.NilError(t, err, "made: %v", made)
 		assert.Equal(t, server, group.ServerID("c"))
 		assert.DeepEqual(t, f.orders, []takeover.Epoch{1})
