catalog: short waits for tight bounds

Read as a newcomer: a deployment with a bound of 2 s, which the settings allow, would have had watches of 1.5 s, 2.7 s with the time limit and the pause after it.

The first wait is bounded like the later ones, down to 0.4 s.

TestWaitsAreShortForATightBound fails on the code before.

--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -100,12 +100,9 @@
 // follow plays a script for a while.
 func follow(t *testing.T, s *script, d time.Duration) *catalog.Book {
 	t.Helper()
-	var b catalog.Book
-	ctx, cancel := context.WithTimeout(context.Background(), d)
-	defer cancel()
-	f := catalog.Feed{Book: &b, Source: s}
-	assert.NilError(t, f.FollowServers(ctx))
-	return &b
+	b := &catalog.Book{}
+	followFor(t, &catalog.Feed{Book: b, Source: s}, d)
+	return b
 }
 
 // When the store has dropped its history, changes were missed: the list must be
@@ -159,11 +156,8 @@
 			answer,
 		}}
 		const bound = 6 * time.Second
-		var b catalog.Book
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		defer cancel()
-		f := catalog.Feed{Book: &b, Source: s, ServersBound: bound}
-		assert.NilError(t, f.FollowServers(ctx))
+		f := catalog.Feed{Book: &catalog.Book{}, Source: s, ServersBound: bound}
+		followFor(t, &f, time.Second)
 		assert.Equal(t, len(s.waits), 7)
 		longest := slices.Max(s.waits)
 		assert.Assert(t, longest > bound/2 && longest < bound-time.Second, "%v", longest)
@@ -172,6 +166,25 @@
 	})
 }
 
+// A tight bound shortens the first wait too.
+func TestWaitsAreShortForATightBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{}
+		const bound = 2 * time.Second
+		f := catalog.Feed{Book: &catalog.Book{}, Source: s, ServersBound: bound}
+		followFor(t, &f, time.Second)
+		assert.Assert(t, s.waits[0] < bound/2, "%v", s.waits)
+	})
+}
+
+// followFor follows the servers for a while.
+func followFor(t *testing.T, f *catalog.Feed, d time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	assert.NilError(t, f.FollowServers(ctx))
+}
+
 // An entry that another writer made unreadable names no server.
 func TestUnreadableEntryRemovesTheServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/core/catalog/follow.go
+++ b/core/catalog/follow.go
@@ -48,7 +48,9 @@
 	// shortWait is how long the first watch, and the first one after a failure,
 	// waits for a change. Longer waits follow: each watch is a priced call.
 	shortWait = 1500 * time.Millisecond
-	// longestWait bounds all waits.
+	// leastWait and longestWait bound all waits. At the least, nine hosts make
+	// 45 calls a second, a fortieth of what the store of today takes.
+	leastWait   = 400 * time.Millisecond
 	longestWait = 8 * time.Second
 	// nextCall is kept free for the call after a watch that was not answered.
 	nextCall = 300 * time.Millisecond
@@ -152,12 +154,13 @@
 // newWaits returns waits that keep the view's age within the bound when a
 // watch is not answered.
 func newWaits(bound time.Duration) *waits {
-	longest := min(max(bound-watchSlack-maxFeedPause-nextCall, shortWait), longestWait)
-	return &waits{longest: longest, next: shortWait}
+	w := &waits{longest: min(max(bound-watchSlack-maxFeedPause-nextCall, leastWait), longestWait)}
+	w.failed()
+	return w
 }
 
 func (w *waits) answered() { w.next = min(2*w.next, w.longest) }
-func (w *waits) failed()   { w.next = shortWait }
+func (w *waits) failed()   { w.next = min(shortWait, w.longest) }
 
 // list is an answer that takes effect when it is applied.
 type list struct {
