link: dial a failing server once at a time

After a failed opening one opening at a time is tried until one succeeds, as after a refusal over the server's limit.

Ruled out: fewer hosts asked at a time (with half of them cut off, one of three reaches the server in seven of eight cases).

TestSilentServerIsDialledOnceAtATime: 36 openings before, passes now.

--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -168,7 +169,7 @@
 	})
 }
 
-func newPool(d *fakeDialer) *link.Pool {
+func newPool(d link.Dialer) *link.Pool {
 	return link.NewPool(catalog.Server{ID: "a"}, d, 4)
 }
 
@@ -248,6 +249,35 @@
 	})
 }
 
+// A silent server must not be dialled for each waiting request: each opening
+// may ask several other hosts.
+func TestSilentServerIsDialledOnceAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const openTime, callers, elapsed = 500 * time.Millisecond, 10, 5 * time.Second
+		var dialled atomic.Int64
+		p := newPool(dialerFunc(func() (link.Stream, error) {
+			dialled.Add(1)
+			time.Sleep(openTime)
+			return nil, context.DeadlineExceeded
+		}))
+		defer p.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), elapsed)
+		defer cancel()
+		var wait sync.WaitGroup
+		for range callers {
+			wait.Go(func() {
+				for ctx.Err() == nil {
+					_, err := p.Shared(ctx, nil, 0)
+					assert.Check(t, err != nil)
+				}
+			})
+		}
+		wait.Wait()
+		time.Sleep(openTime)
+		assert.Assert(t, dialled.Load() <= callers+int64(elapsed/openTime), "%d openings", dialled.Load())
+	})
+}
+
 // Spare connections are closed so that other hosts can have them; the last one
 // is kept.
 func TestSpareConnectionsAreClosed(t *testing.T) {
--- a/core/link/opening.go
+++ b/core/link/opening.go
@@ -35,7 +35,7 @@
 		return
 	}
 	want := unserved
-	if p.full {
+	if p.full || p.failing {
 		want = 1
 	}
 	for p.opening < want && len(p.conns)+p.opening < p.limit {
@@ -72,7 +72,7 @@
 		go func() { _ = stream.Close() }()
 		return
 	}
-	p.full = false
+	p.full, p.failing = false, false
 	p.stats.Opened++
 	c := NewConn(stream, p.ended)
 	c.idleSince = time.Now()
@@ -92,6 +92,7 @@
 		return
 	}
 	p.stats.Failed++
+	p.failing = true
 	p.pausedUntil = time.Now().Add(failPause)
 	if len(p.conns) > 0 {
 		p.dispatch()
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -78,7 +78,9 @@
 	// pausedUntil is when the next opening may start after a failed one.
 	pausedUntil time.Time
 	pause       *time.Timer
-	full        bool
+	// full and failing are set after an opening that the server refused over
+	// its limit or that failed; then one opening at a time is tried.
+	full, failing bool
 	// window bounds the shared uses at a time. It falls when the server is
 	// busy and rises with each answer.
 	window    float64
