core/detour: guard the state of the test's network

The call ends after Connect has returned, so nothing orders the two. Only the test's own state is concerned; the trace names no line of the package but the start of that call.

The test reads and writes the network's state under its lock. No check was changed.

Ruled out: a shared state of Dialer (the trace's two accesses are both of detour_test.go).

--- a/core/detour/detour_test.go
+++ b/core/detour/detour_test.go
@@ -78,6 +78,13 @@
 	return nil, ctx.Err()
 }
 
+// with runs f while no call changes the network.
+func (n *network) with(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
 func (n *network) Hosts(context.Context) []host.Info { return n.hosts }
 
 func hosts(ids ...host.ID) (all []host.Info) {
@@ -99,14 +106,14 @@
 		// The direct path is not tried again at once.
 		_, err = d.Connect(context.Background(), server)
 		assert.NilError(t, err)
-		assert.Equal(t, n.tries, 1)
+		n.with(func() { assert.Equal(t, n.tries, 1) })
 		// It is used again when it works.
-		n.direct = true
+		n.with(func() { n.direct = true })
 		time.Sleep(2 * time.Second)
-		n.asked = nil
+		n.with(func() { n.asked = nil })
 		_, err = d.Connect(context.Background(), server)
 		assert.NilError(t, err)
-		assert.Equal(t, len(n.asked), 0)
+		n.with(func() { assert.Equal(t, len(n.asked), 0) })
 	})
 }
 
@@ -128,7 +135,7 @@
 		_, err := d.Connect(context.Background(), server)
 		assert.NilError(t, err)
 		synctest.Wait()
-		assert.Equal(t, n.open, 1)
+		n.with(func() { assert.Equal(t, n.open, 1) })
 	})
 }
 
