entry: log and count refusals over a server's connection limit

Each refused opening now writes event 4005 with the group, the server, the pool's open connections and its waiting requests, and counts by group.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -75,7 +75,7 @@
 	h.peers = newPeers(h)
 	h.detours = newDetours(h)
 	h.servers = link.NewRegistry(h.cache, p.Dialer(h.detours.dialer.Connect))
-	h.servers.Observer = h.metrics
+	h.servers.Observer = poolObserver{h.metrics, h.log}
 	h.groups = newGroups(h)
 	h.proxy = proxy.New(proxy.Config{
 		Cache: h.cache, Monitor: h.groups.monitor, Pool: h.servers.Pool, DataCentre: s.DataCentre,
--- a/cmd/entry/metrics.go
+++ b/cmd/entry/metrics.go
@@ -1,11 +1,15 @@
 package entry
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"basilmill/core/catalog"
 	"basilmill/core/link"
+	"basilmill/core/logevent"
 	"basilmill/core/proxy"
 )
 
@@ -17,6 +21,7 @@
 	positionAges       *prometheus.HistogramVec
 	connectionWaits    *prometheus.HistogramVec
 	connectionHolds    *prometheus.HistogramVec
+	limitRefusals      *prometheus.CounterVec
 	retries            prometheus.Counter
 	lostCallers        prometheus.Counter
 	peerCalls          *prometheus.CounterVec
@@ -67,6 +72,7 @@
 		positionAges:       histogram("basilmill_position_age_seconds", "Age of the proof whose position an aged read was served at.", ageBuckets, "class"),
 		connectionWaits:    histogram("basilmill_connection_wait_seconds", "Wait of a request for a connection.", waitBuckets, "result"),
 		connectionHolds:    histogram("basilmill_connection_hold_seconds", "Time that a request has a connection.", holdBuckets, "use"),
+		limitRefusals:      counter("basilmill_connections_refused_total", "Openings that a server refused over its limit, by group.", "group"),
 		retries:            prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_statement_retries_total", Help: "Attempts beyond the first."}),
 		lostCallers:        prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_callers_lost_total", Help: "Callers' connections that broke."}),
 		peerCalls:          counter("basilmill_peer_questions_total", "Questions to other hosts for a proven position, by answer.", "answer"),
@@ -81,22 +87,35 @@
 	return m
 }
 
+// poolObserver implements link.Observer with metrics and log events.
+type poolObserver struct {
+	metrics *metrics
+	log     *logevent.Logger
+}
+
 // ObserveWait implements link.Observer.
-func (m *metrics) ObserveWait(d time.Duration, granted bool) {
+func (o poolObserver) ObserveWait(d time.Duration, granted bool) {
 	label := "granted"
 	if !granted {
 		label = "given up"
 	}
-	m.connectionWaits.WithLabelValues(label).Observe(d.Seconds())
+	o.metrics.connectionWaits.WithLabelValues(label).Observe(d.Seconds())
 }
 
 // ObserveHold implements link.Observer.
-func (m *metrics) ObserveHold(d time.Duration, exclusive bool) {
+func (o poolObserver) ObserveHold(d time.Duration, exclusive bool) {
 	label := "shared"
 	if exclusive {
 		label = "exclusive"
 	}
-	m.connectionHolds.WithLabelValues(label).Observe(d.Seconds())
+	o.metrics.connectionHolds.WithLabelValues(label).Observe(d.Seconds())
+}
+
+// ObserveLimitReached implements link.Observer.
+func (o poolObserver) ObserveLimitReached(server catalog.Server, open, waiting int) {
+	o.metrics.limitRefusals.WithLabelValues(string(server.Group)).Inc()
+	o.log.Write(context.Background(), logevent.ConnectionLimitHit, slog.String("group", string(server.Group)),
+		slog.String("server", string(server.ID)), slog.Int("open", open), slog.Int("waiting", waiting))
 }
 
 // observeStatement records one statement.
@@ -133,7 +152,6 @@
 	m.registry.MustRegister(&proofAgeCollector{groups: h.groups, clock: h.platform.Clock})
 	gauge("basilmill_relayed_connections", "Connections passed on for other hosts.", func() float64 { return float64(h.detours.relay.OpenConnections()) })
 	gauge("basilmill_connection_waiters", "Requests that wait for a connection.", poolStat(func(s link.Stats) float64 { return float64(s.Waiting) }))
-	gauge("basilmill_connections_refused", "Openings that a server refused over its limit.", poolStat(func(s link.Stats) float64 { return float64(s.Refused) }))
 	gauge("basilmill_configuration_version", "Version of the configuration in force.", func() float64 {
 		if config := h.cache.View().Config; config != nil {
 			return float64(config.Version)
--- a/core/link/dial.go
+++ b/core/link/dial.go
@@ -93,6 +93,9 @@
 	var refusal *exchange.Error
 	if errors.As(err, &refusal) && refusal.Code == exchange.TooManyConnections {
 		p.stats.Refused++
+		if p.observer != nil {
+			p.observer.ObserveLimitReached(p.server, len(p.conns), len(p.waiters))
+		}
 		p.serverFull = true
 		p.backoffUntil = time.Now().Add(fullBackoff)
 		p.dispatch()
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -63,6 +63,9 @@
 	ObserveWait(d time.Duration, granted bool)
 	// ObserveHold receives how long a request held a connection.
 	ObserveHold(d time.Duration, exclusive bool)
+	// ObserveLimitReached receives the server that refused a connection over its
+	// limit, and the pool's open connections and waiting requests then.
+	ObserveLimitReached(server catalog.Server, open, waiting int)
 }
 
 // Pool is the pool of connections to one backend server. It shares them between
