--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -1,6 +1,7 @@
 package replicated_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -28,6 +29,9 @@
 	ownWritesDB  = "own"
 )
 
+// defaultConnectionLimit is the configured connection limit of each server.
+const defaultConnectionLimit = 16
+
 // maxAge is the maximum age of reads of boundedAgeDB and ownWritesDB.
 const maxAge = 1500 * time.Millisecond
 
@@ -52,9 +56,20 @@
 	filterServers func([]catalog.Server) []catalog.Server
 	// onResult is called with the result of each statement.
 	onResult func(proxy.Result)
+	// dataCentre is the host's data centre; empty selects "dc-b".
+	dataCentre host.DataCentre
+	// connectionLimit is the configured limit of each server; zero selects 16.
+	connectionLimit int
+	// network, if set, connects the host with the other hosts on it.
+	network *hostNetwork
 }
 
-func testConfig() *catalog.Config {
+// hostNetwork connects the hosts of a test.
+type hostNetwork struct{}
+
+func newHostNetwork() *hostNetwork { return &hostNetwork{} }
+
+func testConfig(connectionLimit int) *catalog.Config {
 	route := func(name string, consistency catalog.Consistency) catalog.Route {
 		return catalog.Route{
 			Name: name, Database: name, Group: replicated.Group, Consistency: consistency, MaxAge: maxAge,
@@ -66,18 +81,19 @@
 		Routes: map[string]catalog.Route{
 			currentDB: route(currentDB, catalog.Current), boundedAgeDB: route(boundedAgeDB, catalog.BoundedAge), ownWritesDB: route(ownWritesDB, catalog.OwnWrites),
 		},
-		Groups:                   map[group.ID]catalog.Group{replicated.Group: {ID: replicated.Group, ConnectionLimit: 16, SyncReplicas: 1}},
+		Groups:                   map[group.ID]catalog.Group{replicated.Group: {ID: replicated.Group, ConnectionLimit: connectionLimit, SyncReplicas: 1}},
 		IdleInTransactionTimeout: 3 * time.Second,
 	}
 }
 
 // startHost starts a host, which runs until its cancel function is called.
 func startHost(cluster *replicated.Cluster, id host.ID, options hostOptions) *entryHost {
+	dataCentre := cmp.Or(options.dataCentre, "dc-b")
 	started := time.Now()
 	clock := func() time.Duration { return time.Since(started) }
 	log := &logevent.Logger{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	h := &entryHost{id: id, cluster: cluster, cache: &catalog.Cache{}}
-	h.cache.SetConfig(testConfig())
+	h.cache.SetConfig(testConfig(cmp.Or(options.connectionLimit, defaultConnectionLimit)))
 	h.filterServers = options.filterServers
 	if h.filterServers == nil {
 		h.filterServers = func(servers []catalog.Server) []catalog.Server { return servers }
@@ -98,11 +114,11 @@
 		NewUpdateID: func() string { updates++; return fmt.Sprint(id, "-", updates) },
 	}
 	h.monitor = lead.New(lead.Config{
-		Group: replicated.Group, Cache: h.cache, Client: h.registry, PrimaryChanger: runner, Clock: clock, Log: log, DataCentre: "dc-b",
+		Group: replicated.Group, Cache: h.cache, Client: h.registry, PrimaryChanger: runner, Clock: clock, Log: log, DataCentre: dataCentre,
 	})
 	h.proxy = proxy.New(proxy.Config{
 		Cache: h.cache, Monitor: func(group.ID) *lead.Monitor { return h.monitor }, Pool: h.registry.Pool,
-		DataCentre: "dc-b", Clock: clock, Log: log, Observe: options.onResult,
+		DataCentre: dataCentre, Clock: clock, Log: log, Observe: options.onResult,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
--- a/e2e/replicated/opening_test.go
+++ b/e2e/replicated/opening_test.go
@@ -23,7 +23,7 @@
 		assert.Assert(t, failure != nil)
 		assert.Equal(t, failure.Code, exchange.Busy)
 
-		time.AfterFunc(50*time.Millisecond, func() { cache.SetConfig(testConfig()) })
+		time.AfterFunc(50*time.Millisecond, func() { cache.SetConfig(testConfig(defaultConnectionLimit)) })
 		_, failure = p.Open(context.Background(), currentDB)
 		assert.Assert(t, failure == nil, "%v", failure)
 		_, failure = p.Open(context.Background(), "absent")
--- a/e2e/replicated/session_test.go
+++ b/e2e/replicated/session_test.go
@@ -184,7 +184,7 @@
 func TestRemovedRouteIsRefused(t *testing.T) {
 	withCluster(t, func(t *testing.T, cluster *replicated.Cluster, h *entryHost) {
 		s := h.open(t, boundedAgeDB)
-		config := testConfig()
+		config := testConfig(defaultConnectionLimit)
 		config.Version = 2
 		delete(config.Routes, boundedAgeDB)
 		assert.Assert(t, h.cache.SetConfig(config))
