--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"basilmill/core/catalog"
+	"basilmill/core/host"
 	"basilmill/core/link"
 	"basilmill/core/logevent"
 	"basilmill/core/proxy"
@@ -63,6 +64,7 @@
 	groups   *groups
 	peers    *peers
 	detours  *detours
+	gateways *gateways
 	servers  *link.Registry
 	proxy    *proxy.Proxy
 	callers  *callers
@@ -76,9 +78,11 @@
 	h.detours = newDetours(h)
 	h.servers = link.NewRegistry(h.cache, p.Dialer(h.detours.dialer.Connect))
 	h.servers.Observer = poolObserver{h.metrics, h.log}
+	h.gateways = newGateways(h)
+	h.servers.Sources = h.gateways.client.Source
 	h.groups = newGroups(h)
 	h.proxy = proxy.New(proxy.Config{
-		Cache: h.cache, Monitor: h.groups.monitor, Pool: h.servers.Pool, DataCentre: s.DataCentre,
+		Cache: h.cache, Monitor: h.groups.monitor, Sources: h.gateways.client.Source, DataCentre: s.DataCentre,
 		Clock: p.Clock, Log: h.log, Observe: h.metrics.observeStatement,
 	})
 	h.callers = newCallers(h)
@@ -92,6 +96,14 @@
 	h.metrics.storeDurations.WithLabelValues(call).Observe(elapsed.Seconds())
 }
 
+// info returns the identity, location and peer address of this host.
+func (h *Host) info() host.Info {
+	return host.Info{ID: h.settings.HostID, DataCentre: h.settings.DataCentre, Region: h.settings.Region, PeerAddress: h.settings.Operators}
+}
+
+// pool returns this host's own connections to a backend server.
+func (h *Host) pool(server catalog.Server) link.Source { return h.servers.Pool(server) }
+
 // ready reports whether the load balancer should send new connections.
 func (h *Host) ready() bool {
 	view := h.cache.View()
@@ -108,6 +120,7 @@
 	defer func() { err = eris.Wrap(err, "entry host") }()
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	defer h.gateways.peers.Close()
 	var g run.Group
 	h.addBackground(&g, background, stop, reload)
 	if err := h.addServers(ctx, &g); err != nil {
@@ -160,6 +173,7 @@
 	mux.Handle("GET /metrics", promhttp.HandlerFor(h.metrics.registry, promhttp.HandlerOpts{}))
 	mux.Handle(peer.ProvenPositionHandler(h.peers.latestProof))
 	mux.Handle(h.detours.relay.Handler())
+	mux.Handle(peer.GatewayHandler(&h.gateways.service))
 	return h.addHTTP(ctx, g, h.settings.Operators, mux)
 }
 
@@ -183,7 +197,9 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, Protocols: new(http.Protocols), HTTP2: peer.GatewayPings()}
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
 	g.Add(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -201,9 +217,10 @@
 	h.log.Write(ctx, logevent.HostStopping, slog.Int("callers", h.callers.count()), slog.Duration("grace", h.settings.GraceTime))
 	started := time.Now()
 	h.detours.relay.Close()
+	h.gateways.service.Close()
 	h.callers.drain(listener, h.settings.GraceTime)
 	// Let the statements finish that other hosts have sent through this one.
-	for h.detours.relay.ActiveWithin(relayIdleThreshold) && time.Since(started) < h.settings.GraceTime-flushGracePeriod {
+	for (h.detours.relay.ActiveWithin(relayIdleThreshold) || h.gateways.service.Active() > 0) && time.Since(started) < h.settings.GraceTime-flushGracePeriod {
 		time.Sleep(drainPollInterval)
 	}
 	return nil
@@ -222,6 +239,7 @@
 				h.log.Write(ctx, logevent.BackendServerGone, slog.String("server", string(id)), slog.String("why", "no entry"))
 			}
 			h.servers.Prune()
+			h.gateways.client.Prune(h.cache.View())
 			h.proxy.Prune(h.cache.View())
 		}
 	}
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,8 +42,10 @@
 	host   *Host
 	client peer.ProvenPositionClient
 
-	mu          sync.Mutex
-	hosts       []host.Info
+	mu    sync.Mutex
+	hosts []host.Info
+	// version changes with each change of hosts.
+	version     int64
 	refreshedAt time.Time
 	// refreshDone is closed when the refresh of the list that is in progress has
 	// finished; nil if none is.
@@ -54,7 +58,7 @@
 
 // register retries the registration of this host until it succeeds.
 func (p *peers) register(ctx context.Context) error {
-	info := host.Info{ID: p.host.settings.HostID, DataCentre: p.host.settings.DataCentre, Region: p.host.settings.Region, PeerAddress: p.host.settings.Operators}
+	info := p.host.info()
 	var backoff retry.Backoff
 	for ctx.Err() == nil && !p.tryRegister(ctx, info) {
 		// The error is that of ctx, which the loop condition checks.
@@ -115,23 +119,16 @@
 // otherHosts returns the other hosts. It waits for the store only while there is
 // no list yet; later, an expired list is refreshed in the background.
 func (p *peers) otherHosts(ctx context.Context) []host.Info {
+	known, _ := p.knownHosts()
 	p.mu.Lock()
 	refreshDone := p.refreshDone
-	if refreshDone == nil && time.Since(p.refreshedAt) > hostListTTL {
-		refreshDone = make(chan struct{})
-		p.refreshDone = refreshDone
-		go p.refresh(refreshDone) //nolint:gosec // the list outlives the call
-	}
-	known := p.hosts
 	p.mu.Unlock()
 	if known == nil && refreshDone != nil {
 		select {
 		case <-refreshDone:
 		case <-ctx.Done():
 		}
-		p.mu.Lock()
-		known = p.hosts
-		p.mu.Unlock()
+		known, _ = p.knownHosts()
 	}
 	var others []host.Info
 	for _, info := range known {
@@ -142,6 +139,19 @@
 	return others
 }
 
+// knownHosts returns the hosts of the last list, in ascending order of their ids,
+// and its version. An expired list is refreshed in the background. The result must
+// not be modified.
+func (p *peers) knownHosts() (hosts []host.Info, version int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refreshDone == nil && time.Since(p.refreshedAt) > hostListTTL {
+		p.refreshDone = make(chan struct{})
+		go p.refresh(p.refreshDone)
+	}
+	return p.hosts, p.version
+}
+
 // refresh reads the list. If that fails, the old list stays in use, and the error
 // is not logged because syncReporter logs that the store is unavailable.
 func (p *peers) refresh(done chan struct{}) {
@@ -150,8 +160,10 @@
 	hosts, err := p.host.platform.Hosts.ListHosts(ctx)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err == nil {
+	slices.SortFunc(hosts, func(a, b host.Info) int { return cmp.Compare(a.ID, b.ID) })
+	if err == nil && !slices.Equal(hosts, p.hosts) {
 		p.hosts = hosts
+		p.version++
 	}
 	p.refreshedAt = time.Now()
 	p.refreshDone = nil
--- /dev/null
+++ b/core/gateway/choose.go
@@ -0,0 +1,201 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"basilmill/core/catalog"
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/core/placement"
+)
+
+const (
+	// minConnections is the least share of a server's connection limit for which
+	// a host holds connections: one for shared statements and one for a
+	// transaction.
+	minConnections = 2
+	// unresponsiveThreshold is how long a host may leave all statements in flight
+	// unanswered before it is avoided. It is several times the duration of a
+	// statement.
+	unresponsiveThreshold = 250 * time.Millisecond
+	// failureBackoff is how long a host is avoided after it could not be reached.
+	// It doubles with each consecutive failure up to maxFailureBackoff.
+	failureBackoff    = 250 * time.Millisecond
+	maxFailureBackoff = 2 * time.Second
+	// leavingBackoff is how long a stopping host is avoided. It covers the usual
+	// grace time.
+	leavingBackoff = 6 * time.Second
+	// noPathBackoff is how long a host is avoided for a server to which it has no
+	// connection.
+	noPathBackoff = time.Second
+)
+
+// hostState is what is known about another host as a gateway.
+type hostState struct {
+	inFlight int
+	// quietSince is when the host last answered, or when the oldest statement in
+	// flight was sent if that is later.
+	quietSince  time.Time
+	avoidUntil  time.Time
+	lastBackoff time.Duration
+}
+
+// isUnresponsive reports whether statements in flight have been unanswered for too
+// long.
+func (s *hostState) isUnresponsive(now time.Time) bool {
+	return s.inFlight > 0 && now.Sub(s.quietSince) > unresponsiveThreshold
+}
+
+// pathKey identifies the path to a server through a host.
+type pathKey struct {
+	host   host.ID
+	server group.ServerID
+}
+
+// ranking is the order in which hosts are chosen as the gateway to a server.
+type ranking struct {
+	version int64
+	limit   int
+	hosts   []host.Info
+}
+
+// choose returns the gateway to a server: the host with the highest rank that is
+// not avoided, or this host.
+func (c *Client) choose(server catalog.Server) host.Info {
+	hosts, version := c.Network.Hosts()
+	limit := c.connectionLimit(server)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, ok := c.rankings[server.ID]
+	if !ok || r.version != version || r.limit != limit {
+		r = ranking{version: version, limit: limit, hosts: rank(c.Self, hosts, server.ID, limit)}
+		if c.rankings == nil {
+			c.rankings = map[group.ServerID]ranking{}
+		}
+		c.rankings[server.ID] = r
+	}
+	now := time.Now()
+	for _, h := range r.hosts {
+		if h.ID == c.Self.ID || c.isAvailable(h.ID, server.ID, now) {
+			return h
+		}
+	}
+	return c.Self
+}
+
+// connectionLimit returns the connection limit of a server, zero if it is unknown.
+func (c *Client) connectionLimit(server catalog.Server) int {
+	config := c.Cache.View().Config
+	if config == nil {
+		return 0
+	}
+	return config.Groups[server.Group].ConnectionLimit
+}
+
+// isAvailable reports whether a host may be used as the gateway to a server. The
+// caller holds the mutex.
+func (c *Client) isAvailable(id host.ID, server group.ServerID, now time.Time) bool {
+	if now.Before(c.noPathUntil[pathKey{id, server}]) {
+		return false
+	}
+	s := c.hosts[id]
+	return s == nil || !now.Before(s.avoidUntil) && !s.isUnresponsive(now)
+}
+
+// rank returns the hosts that share connections to a server with this host, in
+// order of preference. It returns only this host if the connection limit suffices
+// for every host.
+func rank(self host.Info, hosts []host.Info, server group.ServerID, limit int) []host.Info {
+	return placement.Rank("server", string(server), sharingHosts(self, hosts, limit))
+}
+
+// sharingHosts returns the hosts that share connections with this host: the smallest
+// of the host itself, its data centre, its region and the deployment with which the
+// limit suffices for one gateway in each.
+func sharingHosts(self host.Info, hosts []host.Info, limit int) []host.Info {
+	others := slices.DeleteFunc(slices.Clone(hosts), func(h host.Info) bool { return h.ID == self.ID })
+	dataCentres, regions := map[host.DataCentre]bool{self.DataCentre: true}, map[host.Region]bool{self.Region: true}
+	for _, h := range others {
+		dataCentres[h.DataCentre], regions[h.Region] = true, true
+	}
+	gateways := limit / minConnections
+	switch {
+	case limit == 0 || len(others)+1 <= gateways:
+		others = nil
+	case len(dataCentres) <= gateways:
+		others = slices.DeleteFunc(others, func(h host.Info) bool { return h.DataCentre != self.DataCentre })
+	case len(regions) <= gateways:
+		others = slices.DeleteFunc(others, func(h host.Info) bool { return h.Region != self.Region })
+	default:
+	}
+	return append(others, self)
+}
+
+// began notes that a batch is being sent to a host.
+func (c *Client) began(id host.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hosts == nil {
+		c.hosts = map[host.ID]*hostState{}
+	}
+	s := c.hosts[id]
+	if s == nil {
+		s = &hostState{}
+		c.hosts[id] = s
+	}
+	if s.inFlight == 0 {
+		s.quietSince = time.Now()
+	}
+	s.inFlight++
+}
+
+// answered notes that a host has answered a batch.
+func (c *Client) answered(id host.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.hosts[id]
+	s.inFlight--
+	s.quietSince = time.Now()
+	s.lastBackoff = 0
+}
+
+// failed notes that a batch got no answer, because the host could not be reached or
+// the stream was closed. The host is avoided unless this host closed the stream
+// while others were being answered.
+func (c *Client) failed(id host.ID, closedHere bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	s := c.hosts[id]
+	unresponsive := s.isUnresponsive(now)
+	s.inFlight--
+	if closedHere && !unresponsive || now.Before(s.avoidUntil) {
+		return
+	}
+	s.lastBackoff = min(max(2*s.lastBackoff, failureBackoff), maxFailureBackoff)
+	s.avoidUntil = now.Add(s.lastBackoff)
+}
+
+// avoidHost avoids a host for all servers.
+func (c *Client) avoidHost(id host.ID, period time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts[id].avoidUntil = time.Now().Add(period)
+}
+
+// avoidPath avoids a host for one server. It also removes expired entries.
+func (c *Client) avoidPath(id host.ID, server group.ServerID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for key, until := range c.noPathUntil {
+		if now.After(until) {
+			delete(c.noPathUntil, key)
+		}
+	}
+	if c.noPathUntil == nil {
+		c.noPathUntil = map[pathKey]time.Time{}
+	}
+	c.noPathUntil[pathKey{id, server}] = now.Add(noPathBackoff)
+}
--- /dev/null
+++ b/core/gateway/client.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"basilmill/core/catalog"
+	"basilmill/core/exchange"
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/core/link"
+)
+
+// Client grants leases of connections to backend servers, on this host's own
+// connections or through a gateway. It is safe for concurrent use.
+type Client struct {
+	Self  host.Info
+	Cache *catalog.Cache
+	// Pools returns this host's own connections to a server.
+	Pools   link.Sources
+	Network Network
+
+	mu          sync.Mutex
+	rankings    map[group.ServerID]ranking
+	hosts       map[host.ID]*hostState
+	noPathUntil map[pathKey]time.Time
+	// loads counts the leases through gateways.
+	loads map[group.ServerID]int
+}
+
+// Source returns the source of connections to a server. It implements link.Sources.
+func (c *Client) Source(server catalog.Server) link.Source {
+	via := c.choose(server)
+	if via.ID == c.Self.ID {
+		return c.Pools(server)
+	}
+	return remoteSource{client: c, via: via, server: server.ID}
+}
+
+// Prune drops the state of servers that are no longer in the catalogue.
+func (c *Client) Prune(view *catalog.View) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.rankings {
+		if _, ok := view.Servers[id]; !ok {
+			delete(c.rankings, id)
+		}
+	}
+}
+
+func (c *Client) addLoad(server group.ServerID, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.loads == nil {
+		c.loads = map[group.ServerID]int{}
+	}
+	c.loads[server] += n
+	if c.loads[server] == 0 {
+		delete(c.loads, server)
+	}
+}
+
+// remoteSource grants leases through a gateway.
+type remoteSource struct {
+	client *Client
+	via    host.Info
+	server group.ServerID
+}
+
+// Load implements link.Source with the leases of this host.
+func (r remoteSource) Load() int {
+	r.client.mu.Lock()
+	defer r.client.mu.Unlock()
+	return r.client.loads[r.server]
+}
+
+// Acquire implements link.Source. It grants the lease at once; the gateway takes a
+// connection when it receives the first batch.
+func (r remoteSource) Acquire(_ context.Context, request link.Request) (*link.Lease, error) {
+	r.client.addLoad(r.server, 1)
+	c := &channel{remoteSource: r, request: request, stream: r.client.Network.Open(r.via), batches: make(chan pendingBatch, maxPendingBatches)}
+	go c.run()
+	return link.NewLease(c, c.release), nil
+}
+
+// maxPendingBatches bounds the batches of one lease that wait for the result of an
+// earlier one. A session waits for each result, except before a rollback.
+const maxPendingBatches = 4
+
+// channel carries the statements of one lease to the gateway.
+type channel struct {
+	remoteSource
+	request link.Request
+	stream  Stream
+	batches chan pendingBatch
+
+	mu sync.Mutex
+	// ended is set after Close, release or an error.
+	ended bool
+	// closedHere is set by Close.
+	closedHere bool
+}
+
+// pendingBatch is a batch and the call that its result completes.
+type pendingBatch struct {
+	Batch
+	call *link.Call
+}
+
+// Submit implements link.Channel.
+func (c *channel) Submit(desired *link.SessionState, statements ...exchange.Statement) *link.Call {
+	call := link.NewCall()
+	batch := Batch{
+		Server: c.server, Exclusive: c.request.Exclusive, Priority: c.request.Priority, MaxWait: c.request.MaxWait,
+		Desired: desired, Statements: statements,
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended || len(c.batches) == cap(c.batches) {
+		call.Fail(link.ErrLost)
+		return call
+	}
+	c.batches <- pendingBatch{batch, call}
+	return call
+}
+
+// Close implements link.Channel.
+func (c *channel) Close() {
+	c.mu.Lock()
+	c.closedHere = true
+	c.mu.Unlock()
+	c.end()
+	c.stream.Close()
+}
+
+// end accepts no further batches.
+func (c *channel) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ended {
+		c.ended = true
+		close(c.batches)
+	}
+}
+
+// release ends the lease.
+func (c *channel) release() {
+	c.client.addLoad(c.server, -1)
+	c.end()
+}
+
+// run sends the batches one after the other until the lease ends.
+func (c *channel) run() {
+	defer c.stream.Close()
+	for b := range c.batches {
+		answers, err := c.execute(b.Batch)
+		if err != nil {
+			c.end()
+			b.call.Fail(err)
+			for rest := range c.batches {
+				rest.call.Fail(link.ErrLost)
+			}
+			return
+		}
+		b.call.Complete(answers)
+	}
+	if c.stream.CloseSend() == nil {
+		// The gateway ends the stream once it has released the connection.
+		_, _ = c.stream.Receive()
+	}
+}
+
+// execute sends a batch and waits for its answers.
+func (c *channel) execute(batch Batch) (_ []exchange.Answer, err error) {
+	c.client.began(c.via.ID)
+	// An error of Send is followed by one of Receive, which has the cause.
+	_ = c.stream.Send(batch)
+	result, err := c.stream.Receive()
+	if err != nil {
+		c.mu.Lock()
+		closedHere := c.closedHere
+		c.mu.Unlock()
+		c.client.failed(c.via.ID, closedHere)
+		if errors.Is(err, link.ErrNoConnection) {
+			return nil, err
+		}
+		return nil, link.ErrLost
+	}
+	c.client.answered(c.via.ID)
+	switch {
+	case errors.Is(result.Err, ErrLeaving):
+		c.client.avoidHost(c.via.ID, leavingBackoff)
+	case errors.Is(result.Err, link.ErrNoConnection) && !errors.Is(result.Err, link.ErrQueueTimeout):
+		c.client.avoidPath(c.via.ID, c.server)
+	}
+	return result.Answers, result.Err
+}
--- /dev/null
+++ b/core/gateway/gateway.go
@@ -0,0 +1,77 @@
+// Package gateway shares connections to backend servers between hosts. A server
+// accepts few connections, so with many hosts only some of them can hold any. Each
+// group of hosts, usually those of one data centre, selects one host for each
+// server by rendezvous hashing. This host is the gateway to the server: it runs the
+// statements of the others on its own connections.
+//
+// The package owns the choice of the gateway, the channels to it, and the service
+// that a gateway offers.
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"basilmill/core/exchange"
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/core/link"
+)
+
+// ErrLeaving is the link.ErrNoConnection of a gateway that is stopping.
+var ErrLeaving = fmt.Errorf("%w: the gateway is stopping", link.ErrNoConnection)
+
+// ErrUnknownServer is the link.ErrNoConnection of a gateway that does not know the
+// server.
+var ErrUnknownServer = fmt.Errorf("%w: the server is not known", link.ErrNoConnection)
+
+// Batch is a batch of statements for a gateway, which sends them in one flush.
+type Batch struct {
+	// Server, Exclusive, Priority and MaxWait apply to the first batch of a
+	// stream. They have the meaning of link.Request.
+	Server    group.ServerID
+	Exclusive bool
+	Priority  int
+	MaxWait   time.Duration
+	// Desired is the session state that the statements need, if any.
+	Desired    *link.SessionState
+	Statements []exchange.Statement
+}
+
+// Result is the result of a batch: the answers to its statements, or the reason why
+// there are none. Err is link.ErrLost if the statements may have run. It is
+// link.ErrNoConnection if none was sent.
+type Result struct {
+	Answers []exchange.Answer
+	Err     error
+}
+
+// Stream carries the batches of one lease to a gateway.
+type Stream interface {
+	// Send may block until the gateway has been reached.
+	Send(Batch) error
+	// Receive returns the results in the order of the batches. If the gateway
+	// could not be reached, the error is link.ErrNoConnection.
+	Receive() (Result, error)
+	// CloseSend tells the gateway that no batch follows. The gateway then ends
+	// the stream.
+	CloseSend() error
+	// Close ends the stream at once.
+	Close()
+}
+
+// ServedStream is the gateway's side of a Stream.
+type ServedStream interface {
+	// Receive returns an error after the last batch.
+	Receive() (Batch, error)
+	Send(Result) error
+}
+
+// Network connects a host with the others.
+type Network interface {
+	// Hosts returns all known hosts and the version of the list. The list must
+	// not be modified.
+	Hosts() (hosts []host.Info, version int64)
+	// Open returns a stream to a host. It does not block.
+	Open(info host.Info) Stream
+}
--- /dev/null
+++ b/core/gateway/service.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+
+	"basilmill/core/exchange"
+	"basilmill/core/group"
+	"basilmill/core/link"
+)
+
+// Service runs the batches of other hosts on this host's own connections.
+type Service struct {
+	// Pool returns this host's own connections to a server. It returns false for
+	// a server that is unknown to this host.
+	Pool func(group.ServerID) (link.Source, bool)
+
+	closed atomic.Bool
+	active atomic.Int64
+}
+
+// Close makes the service refuse new streams. Open ones continue.
+func (s *Service) Close() { s.closed.Store(true) }
+
+// Active returns the number of streams that use or wait for a connection.
+func (s *Service) Active() int64 { return s.active.Load() }
+
+// Serve runs the batches of a stream. It returns when the other host has ended the
+// stream, when ctx has ended, or after an error.
+func (s *Service) Serve(ctx context.Context, stream ServedStream) error {
+	first, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	if s.closed.Load() {
+		return stream.Send(Result{Err: ErrLeaving})
+	}
+	source, ok := s.Pool(first.Server)
+	if !ok {
+		return stream.Send(Result{Err: ErrUnknownServer})
+	}
+	lease, err := source.Acquire(ctx, link.Request{
+		Exclusive: first.Exclusive, Desired: first.Desired, Priority: first.Priority, MaxWait: first.MaxWait,
+	})
+	if err != nil {
+		return stream.Send(Result{Err: err})
+	}
+	if first.Exclusive {
+		return serveExclusive(ctx, stream, lease, first)
+	}
+	return serveShared(ctx, stream, lease, first)
+}
+
+// serveShared runs one batch. Its lease is held until the server has answered, also
+// if the other host no longer waits.
+func serveShared(ctx context.Context, stream ServedStream, lease *link.Lease, batch Batch) error {
+	call := lease.Submit(batch.Desired, batch.Statements...)
+	select {
+	case <-call.Done:
+		lease.Release()
+		return stream.Send(resultOf(lease, batch, call))
+	case <-ctx.Done():
+		go func() { <-call.Done; lease.Release() }()
+		return ctx.Err()
+	}
+}
+
+// serveExclusive runs batches until the other host ends the stream. A transaction
+// that is still open then is rolled back.
+func serveExclusive(ctx context.Context, stream ServedStream, lease *link.Lease, batch Batch) error {
+	for {
+		call := lease.Submit(batch.Desired, batch.Statements...)
+		select {
+		case <-call.Done:
+		case <-ctx.Done():
+			lease.Close()
+			lease.Release()
+			return ctx.Err()
+		}
+		result := resultOf(lease, batch, call)
+		if result.Err != nil {
+			lease.Release()
+			return stream.Send(result)
+		}
+		err := stream.Send(result)
+		if err == nil {
+			batch, err = stream.Receive()
+		}
+		if err == nil {
+			continue
+		}
+		if result.Answers[len(result.Answers)-1].State == exchange.Idle {
+			lease.Release()
+		} else {
+			lease.RollBack()
+		}
+		// The other host ends the stream in order, or its connection is lost;
+		// either way nothing is left to send.
+		return nil
+	}
+}
+
+// resultOf returns the result of a call that is done.
+func resultOf(lease *link.Lease, batch Batch, call *link.Call) Result {
+	answers, err := call.Answers()
+	if err != nil {
+		return Result{Err: err}
+	}
+	reportAnswers(lease, batch, answers)
+	return Result{Answers: answers}
+}
+
+// reportAnswers adjusts the pool's window to the answers to callers' statements.
+func reportAnswers(lease *link.Lease, batch Batch, answers []exchange.Answer) {
+	for i, statement := range batch.Statements {
+		if statement.ID != "" {
+			failure := answers[i].Failure
+			lease.ReportAnswer(failure != nil && failure.Code == exchange.Busy)
+		}
+	}
+}
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -39,7 +39,7 @@
 // had arrived. Whether the statements ran is unknown.
 var ErrLost = errors.New("connection to the backend server lost")
 
-// Call is a batch of statements in flight on a connection.
+// Call is a batch of statements in flight on a channel.
 type Call struct {
 	// Done is closed when all answers have arrived or the connection has closed.
 	Done <-chan struct{}
@@ -63,6 +63,27 @@
 	return c.answers[c.setupCount:], nil
 }
 
+// NewCall returns a call that its channel ends with Complete or Fail.
+func NewCall() *Call {
+	call := &Call{done: make(chan struct{}), sentAt: time.Now()}
+	call.Done = call.done
+	return call
+}
+
+// Complete ends the call with the answers to its statements. It must not be
+// called after Complete or Fail.
+func (c *Call) Complete(answers []exchange.Answer) {
+	c.answers = answers
+	close(c.done)
+}
+
+// Fail ends the call without answers. It must not be called after Complete or
+// Fail.
+func (c *Call) Fail(err error) {
+	c.err = err
+	close(c.done)
+}
+
 // Conn is one connection to a backend server. Statements of several sessions may
 // be in flight on it at the same time, unless a session has exclusive use of it.
 type Conn struct {
@@ -107,12 +128,10 @@
 func (c *Conn) Submit(desired *SessionState, statements ...exchange.Statement) *Call {
 	c.sendMu.Lock()
 	defer c.sendMu.Unlock()
-	call := &Call{done: make(chan struct{})}
-	call.Done = call.done
+	call := NewCall()
 	batch, ok := c.enqueue(call, desired, statements)
 	if !ok {
-		call.err = ErrLost
-		close(call.done)
+		call.Fail(ErrLost)
 		return call
 	}
 	if err := c.stream.Send(batch); err != nil {
@@ -121,18 +140,6 @@
 	return call
 }
 
-// Run submits statements and waits for their answers. When ctx ends first, the
-// statements stay in flight and Run returns the error of ctx.
-func (c *Conn) Run(ctx context.Context, desired *SessionState, statements ...exchange.Statement) ([]exchange.Answer, error) {
-	call := c.Submit(desired, statements...)
-	select {
-	case <-call.Done:
-		return call.Answers()
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // enqueue adds the call to the calls in flight and returns the statements to
 // send. It returns false if the connection has closed.
 func (c *Conn) enqueue(call *Call, desired *SessionState, statements []exchange.Statement) ([]exchange.Statement, bool) {
@@ -148,7 +155,6 @@
 	call.setupCount = len(batch)
 	batch = append(batch, statements...)
 	call.expected = len(batch)
-	call.sentAt = time.Now()
 	c.calls = append(c.calls, call)
 	return batch, true
 }
@@ -261,8 +267,7 @@
 	// The stream is not used again, so an error of Close does not matter.
 	_ = c.stream.Close()
 	for _, call := range calls {
-		call.err = ErrLost
-		close(call.done)
+		call.Fail(ErrLost)
 	}
 	if c.onClose != nil {
 		c.onClose(c)
--- a/core/link/lease.go
+++ b/core/link/lease.go
@@ -1,53 +1,106 @@
 package link
 
 import (
+	"context"
 	"sync"
 	"time"
+
+	"basilmill/core/catalog"
+	"basilmill/core/exchange"
 )
 
+// Channel carries the statements of a lease to a backend server.
+type Channel interface {
+	// Submit sends statements in one flush, preceded by the statements that set
+	// up the desired session state if the connection has another one.
+	// Statements that need no session state pass nil.
+	Submit(desired *SessionState, statements ...exchange.Statement) *Call
+	// Close closes the connection to the backend server, which rolls back an
+	// open transaction. Statements in flight fail with ErrLost.
+	Close()
+}
+
+// Source grants leases of connections to one backend server. It is safe for
+// concurrent use.
+type Source interface {
+	// Acquire returns a lease. Without one the error is ErrNoConnection. A source
+	// may also grant the lease first and end a call with ErrNoConnection later.
+	Acquire(ctx context.Context, request Request) (*Lease, error)
+	// Load returns the number of sessions that use or wait for connections.
+	Load() int
+}
+
+// Sources returns the source of connections to a backend server.
+type Sources func(catalog.Server) Source
+
+// Request describes the connection that a session needs.
+type Request struct {
+	// Exclusive is set if no other session may have statements in flight on the
+	// connection.
+	Exclusive bool
+	// Desired is the session state that the connection should have, if any.
+	Desired *SessionState
+	// Priority orders waiting requests; lower ones are served first.
+	Priority int
+	// MaxWait bounds the wait for a connection; zero means no bound. It does
+	// not apply while there is no open connection, because a server at its
+	// limit frees the connections of lost hosts within seconds.
+	MaxWait time.Duration
+}
+
 // Lease is the right to use a connection until Release, either exclusively or
 // shared with other sessions.
 type Lease struct {
-	*Conn
-	pool        *Pool
-	exclusive   bool
-	grantedAt   time.Time
-	releaseOnce sync.Once
-}
-
-// Release returns the connection to the pool. Further calls have no effect.
-func (l *Lease) Release() {
-	l.releaseOnce.Do(func() {
-		p := l.pool
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if l.exclusive {
-			l.Conn.exclusive = false
-		} else {
-			l.sharedSessions--
-		}
-		l.idleSince = time.Now()
-		if p.observer != nil {
-			p.observer.ObserveHold(l.idleSince.Sub(l.grantedAt), l.exclusive)
-		}
-		p.dispatch()
-	})
+	Channel
+	release      func()
+	reportAnswer func(busy bool)
+	releaseOnce  sync.Once
 }
 
-// ReportAnswer adjusts the pool's window to an answer of the server: busy says
-// that the server refused the statement for lack of a free slot. The window grows
-// by about one per window of answers and is cut by a factor when the server is
-// busy (additive increase, multiplicative decrease).
-func (l *Lease) ReportAnswer(busy bool) {
-	p := l.pool
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !busy {
-		p.window = min(p.window+1/p.window, maxWindow)
-		return
+// NewLease returns a lease of a channel. The function release is called once.
+func NewLease(channel Channel, release func()) *Lease {
+	return &Lease{Channel: channel, release: release}
+}
+
+// Run submits statements and waits for their answers. When ctx ends first, the
+// statements stay in flight and Run returns the error of ctx.
+func Run(ctx context.Context, channel Channel, desired *SessionState, statements ...exchange.Statement) ([]exchange.Answer, error) {
+	call := channel.Submit(desired, statements...)
+	select {
+	case <-call.Done:
+		return call.Answers()
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	if now := time.Now(); now.Sub(p.lastWindowCut) > windowCutInterval {
-		p.lastWindowCut = now
-		p.window = max(p.window*windowCutFactor, 1)
+}
+
+// Release returns the connection to its source. Further calls have no effect.
+func (l *Lease) Release() { l.releaseOnce.Do(l.release) }
+
+// ReportAnswer adjusts the source's window to an answer of the server: busy says
+// that the server refused the statement for lack of a free slot.
+func (l *Lease) ReportAnswer(busy bool) {
+	if l.reportAnswer != nil {
+		l.reportAnswer(busy)
 	}
 }
+
+// rollbackTimeout bounds the wait for the answer to a rollback, after which the
+// connection is closed. It covers several round trips between regions.
+const rollbackTimeout = 500 * time.Millisecond
+
+// RollBack sends ROLLBACK and releases the lease once the server has answered. A
+// connection without an answer is closed after rollbackTimeout.
+func (l *Lease) RollBack() {
+	call := l.Submit(nil, exchange.Statement{Operation: exchange.Rollback})
+	go func() {
+		timer := time.NewTimer(rollbackTimeout)
+		defer timer.Stop()
+		select {
+		case <-call.Done:
+		case <-timer.C:
+			l.Close()
+		}
+		l.Release()
+	}()
+}
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -55,6 +56,10 @@
 // was sent for them.
 var ErrNoConnection = errors.New("no connection to the backend server")
 
+// ErrQueueTimeout is the ErrNoConnection of requests for which no connection became
+// free in time.
+var ErrQueueTimeout = fmt.Errorf("%w: none became free in time", ErrNoConnection)
+
 // Observer receives how long requests wait for connections and hold them. Its
 // methods are called with the pool's mutex held and must not block.
 type Observer interface {
@@ -109,9 +114,7 @@
 
 // waiter is a request that waits for a connection.
 type waiter struct {
-	exclusive  bool
-	desired    *SessionState
-	priority   int
+	Request
 	enqueuedAt time.Time
 	result     chan acquireResult
 }
@@ -135,17 +138,26 @@
 	p.dispatch()
 }
 
-// AcquireShared returns a lease of a connection on which other sessions may have
-// statements in flight. Waiting requests are served in ascending order of their
-// priority.
-func (p *Pool) AcquireShared(ctx context.Context, desired *SessionState, priority int) (*Lease, error) {
-	return p.acquire(ctx, &waiter{desired: desired, priority: priority})
+// Acquire implements Source. Waiting requests are served in ascending order of
+// their priority.
+func (p *Pool) Acquire(ctx context.Context, request Request) (*Lease, error) {
+	if request.MaxWait > 0 && p.hasConnection() {
+		limited, cancel := context.WithTimeout(ctx, request.MaxWait)
+		defer cancel()
+		ctx = limited
+	}
+	lease, err := p.acquire(ctx, &waiter{Request: request})
+	if err != nil && ctx.Err() != nil {
+		return nil, ErrQueueTimeout
+	}
+	return lease, err
 }
 
-// AcquireExclusive returns a lease of a connection that no other session uses
-// until Release.
-func (p *Pool) AcquireExclusive(ctx context.Context, desired *SessionState, priority int) (*Lease, error) {
-	return p.acquire(ctx, &waiter{exclusive: true, desired: desired, priority: priority})
+// hasConnection reports whether a connection is open.
+func (p *Pool) hasConnection() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns) > 0
 }
 
 // acquire queues the waiter and waits for its result.
@@ -157,7 +169,7 @@
 		p.mu.Unlock()
 		return nil, ErrNoConnection
 	}
-	at := slices.IndexFunc(p.waiters, func(o *waiter) bool { return o.priority > w.priority })
+	at := slices.IndexFunc(p.waiters, func(o *waiter) bool { return o.Priority > w.Priority })
 	if at < 0 {
 		at = len(p.waiters)
 	}
@@ -207,7 +219,7 @@
 	unserved := 0
 	inUse := p.sharedSessions()
 	p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter) bool {
-		if !w.exclusive && w.priority >= 0 && inUse >= int(p.window) {
+		if !w.Exclusive && w.Priority >= 0 && inUse >= int(p.window) {
 			return false
 		}
 		c := p.chooseConn(w)
@@ -216,7 +228,7 @@
 			return false
 		}
 		p.grant(w, c)
-		if !w.exclusive {
+		if !w.Exclusive {
 			inUse++
 		}
 		return true
@@ -229,13 +241,48 @@
 
 // grant gives the connection to the waiter. The caller holds the mutex.
 func (p *Pool) grant(w *waiter, c *Conn) {
-	if w.exclusive {
+	if w.Exclusive {
 		c.exclusive = true
 	} else {
 		c.sharedSessions++
 	}
 	p.observeWait(w, true)
-	w.result <- acquireResult{lease: &Lease{Conn: c, pool: p, exclusive: w.exclusive, grantedAt: time.Now()}}
+	grantedAt := time.Now()
+	lease := NewLease(c, func() { p.release(c, w.Exclusive, grantedAt) })
+	lease.reportAnswer = p.adjustWindow
+	w.result <- acquireResult{lease: lease}
+}
+
+// release takes back a connection that was granted.
+func (p *Pool) release(c *Conn, exclusive bool, grantedAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if exclusive {
+		c.exclusive = false
+	} else {
+		c.sharedSessions--
+	}
+	c.idleSince = time.Now()
+	if p.observer != nil {
+		p.observer.ObserveHold(c.idleSince.Sub(grantedAt), exclusive)
+	}
+	p.dispatch()
+}
+
+// adjustWindow adjusts the window to an answer of the server. The window grows by
+// about one per window of answers and is cut by a factor when the server is busy
+// (additive increase, multiplicative decrease).
+func (p *Pool) adjustWindow(busy bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !busy {
+		p.window = min(p.window+1/p.window, maxWindow)
+		return
+	}
+	if now := time.Now(); now.Sub(p.lastWindowCut) > windowCutInterval {
+		p.lastWindowCut = now
+		p.window = max(p.window*windowCutFactor, 1)
+	}
 }
 
 // observeWait reports the end of a wait to the observer.
@@ -253,10 +300,10 @@
 		if c.exclusive || c.Closed() || isUnresponsive(c) {
 			continue
 		}
-		if w.exclusive && c.sharedSessions > 0 {
+		if w.Exclusive && c.sharedSessions > 0 {
 			continue
 		}
-		if best == nil || c.sharedSessions < best.sharedSessions || c.sharedSessions == best.sharedSessions && !best.matches(w.desired) && c.matches(w.desired) {
+		if best == nil || c.sharedSessions < best.sharedSessions || c.sharedSessions == best.sharedSessions && !best.matches(w.Desired) && c.matches(w.Desired) {
 			best = c
 		}
 	}
--- a/core/link/registry.go
+++ b/core/link/registry.go
@@ -17,6 +17,10 @@
 	// Observer, if set, receives the wait and hold times of all pools. It must be
 	// set before the first use.
 	Observer Observer
+	// Sources, if set, returns the sources of connections for probes and
+	// commands; otherwise the registry's own pools serve them. It must be set
+	// before the first use.
+	Sources Sources
 
 	cache  *catalog.Cache
 	dialer Dialer
@@ -149,9 +153,17 @@
 	return *answers[0].Status, nil
 }
 
+// source returns the source of connections for probes and commands.
+func (r *Registry) source(server catalog.Server) Source {
+	if r.Sources != nil {
+		return r.Sources(server)
+	}
+	return r.Pool(server)
+}
+
 // run executes statements on a shared connection with priority over callers.
 func (r *Registry) run(ctx context.Context, server catalog.Server, statements ...exchange.Statement) ([]exchange.Answer, error) {
-	lease, err := r.Pool(server).AcquireShared(ctx, nil, controlPriority)
+	lease, err := r.source(server).Acquire(ctx, Request{Priority: controlPriority})
 	if err != nil {
 		return nil, err
 	}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -86,6 +86,22 @@
 	return top[:min(n, len(top))]
 }
 
+// Rank returns the hosts in descending order of their rendezvous weights for a
+// piece of work.
+func Rank(kind, name string, hosts []host.Info) []host.Info {
+	k := newWorkKey(kind, name)
+	ranked := make([]weightedHost, len(hosts))
+	for i, h := range hosts {
+		ranked[i] = weightedHost{Info: h, weight: k.weight(h.ID)}
+	}
+	slices.SortFunc(ranked, weightedHost.compare)
+	out := make([]host.Info, len(ranked))
+	for i, w := range ranked {
+		out[i] = w.Info
+	}
+	return out
+}
+
 // Relays returns the relays of a data centre, up to n hosts, which watch the
 // platform on behalf of the other hosts there.
 func Relays(dataCentre host.DataCentre, hosts []host.Info, n int) []host.Info {
--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -50,7 +50,7 @@
 // latency and load, plus penalties.
 func (p *Proxy) readCost(s catalog.Server, minPosition group.Position) time.Duration {
 	h := p.health.get(s.ID)
-	load := time.Duration(p.config.Pool(s).Load())
+	load := time.Duration(p.config.Sources(s).Load())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	latency := h.latency
--- a/core/proxy/current.go
+++ b/core/proxy/current.go
@@ -25,7 +25,7 @@
 		lease, err := r.acquire(ctx, server, false, desired)
 		if err != nil {
 			r.reason = err.Error()
-			if errors.Is(err, errQueueTimeout) || !awaitRetry(ctx) {
+			if errors.Is(err, link.ErrQueueTimeout) || !awaitRetry(ctx) {
 				return r.refuseRead()
 			}
 			continue
@@ -58,6 +58,9 @@
 	answers, err := call.Answers()
 	if err != nil {
 		r.reason = err.Error()
+		if errors.Is(err, link.ErrQueueTimeout) {
+			return exchange.Answer{}, giveUp
+		}
 		return exchange.Answer{}, retryElsewhere
 	}
 	if answers[0].Failure != nil {
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -28,8 +28,8 @@
 	Cache *catalog.Cache
 	// Monitor returns the primary monitor of a group, nil if it has none yet.
 	Monitor func(group.ID) *lead.Monitor
-	// Pool returns the connection pool of a backend server.
-	Pool       func(catalog.Server) *link.Pool
+	// Sources returns the source of connections to a backend server.
+	Sources    link.Sources
 	DataCentre host.DataCentre
 	// Clock is a monotonic clock that includes the time the machine is suspended.
 	Clock func() time.Duration
--- a/core/proxy/read.go
+++ b/core/proxy/read.go
@@ -154,30 +154,12 @@
 	}
 }
 
-// errQueueTimeout is returned when a request waited too long for a connection.
-var errQueueTimeout = errors.New("no free connection in time")
-
-// acquire takes a connection from a server's pool. The wait is bounded to a
-// fraction of the latency objective, so that a refused caller still has time to
-// retry. While the pool has no open connection, the whole statement timeout
-// applies, because a server at its connection limit frees the connections of
-// lost hosts within seconds.
+// acquire takes a connection to a server. The wait is bounded to a fraction of
+// the latency objective, so that a refused caller still has time to retry.
 func (r *request) acquire(ctx context.Context, server catalog.Server, exclusive bool, desired *link.SessionState) (*link.Lease, error) {
-	pool := r.session.proxy.config.Pool(server)
-	if pool.Stats().Open > 0 {
-		limited, cancel := context.WithTimeout(ctx, r.route.TargetLatency/queueDivisor)
-		defer cancel()
-		ctx = limited
-	}
-	acquire := pool.AcquireShared
-	if exclusive {
-		acquire = pool.AcquireExclusive
-	}
-	lease, err := acquire(ctx, desired, r.route.Priority)
-	if err != nil && ctx.Err() != nil {
-		return nil, errQueueTimeout
-	}
-	return lease, err
+	return r.session.proxy.config.Sources(server).Acquire(ctx, link.Request{
+		Exclusive: exclusive, Desired: desired, Priority: r.route.Priority, MaxWait: r.route.TargetLatency / queueDivisor,
+	})
 }
 
 // readResult is the result of one attempt of a read.
@@ -194,14 +176,17 @@
 	p := r.session.proxy
 	result := readResult{server: server.ID, next: retryElsewhere}
 	defer func() { results <- result }()
-	lease, err := r.acquire(ctx, server, false, desired)
-	if errors.Is(err, errQueueTimeout) {
-		result.next, result.reason = giveUp, err.Error()
-		return
+	failed := func(err error) {
+		result.reason = err.Error()
+		if errors.Is(err, link.ErrQueueTimeout) {
+			result.next = giveUp
+			return
+		}
+		p.recordFailure(server.ID)
 	}
+	lease, err := r.acquire(ctx, server, false, desired)
 	if err != nil {
-		p.recordFailure(server.ID)
-		result.reason = err.Error()
+		failed(err)
 		return
 	}
 	started := time.Now()
@@ -217,8 +202,7 @@
 	}
 	answers, err := call.Answers()
 	if err != nil {
-		p.recordFailure(server.ID)
-		result.reason = err.Error()
+		failed(err)
 		return
 	}
 	lease.ReportAnswer(isBusy(answers[0]))
--- a/core/proxy/transaction.go
+++ b/core/proxy/transaction.go
@@ -126,7 +126,11 @@
 	desired, statement := r.session.desiredState(r.statement)
 	for {
 		r.attempts++
-		answer, pending := r.runStatement(ctx, t.lease, desired, statement)
+		answer, pending, err := r.runStatement(ctx, t.lease, desired, statement)
+		if err != nil {
+			t.closeConnection()
+			return exchange.ErrorAnswer(exchange.Aborted, err.Error(), exchange.TransactionFailed)
+		}
 		if pending != nil {
 			t.closeConnection()
 			if r.statement.Operation == exchange.Commit {
@@ -199,7 +203,7 @@
 	lease, err := r.acquire(ctx, server, true, desired)
 	if err != nil {
 		r.reason = err.Error()
-		if errors.Is(err, errQueueTimeout) {
+		if errors.Is(err, link.ErrQueueTimeout) {
 			return exchange.Answer{}, giveUp
 		}
 		p.recordFailure(server.ID)
@@ -212,11 +216,14 @@
 		begin = exchange.Statement{Operation: exchange.BeginRead, MinPosition: r.minPosition}
 	}
 	started, sentAt := time.Now(), p.config.Clock()
-	answers, err := lease.Run(ctx, desired, begin)
+	answers, err := link.Run(ctx, lease, desired, begin)
 	if err != nil {
 		t.closeConnection()
 		r.attempts++
 		r.reason = err.Error()
+		if errors.Is(err, link.ErrQueueTimeout) {
+			return exchange.Answer{}, giveUp
+		}
 		p.recordFailure(server.ID)
 		if ctx.Err() != nil {
 			return exchange.Answer{}, giveUp
@@ -256,8 +263,7 @@
 	t.release()
 }
 
-// rollBack sends ROLLBACK and returns the connection to the pool once the server
-// has answered. A connection without an answer is closed after rollbackTimeout.
+// rollBack rolls back on the server and returns the connection to its source.
 func (t *transaction) rollBack() {
 	t.stopIdleTimer()
 	lease := t.lease
@@ -265,23 +271,9 @@
 	if lease == nil {
 		return
 	}
-	call := lease.Submit(nil, exchange.Statement{Operation: exchange.Rollback})
-	go func() {
-		timer := time.NewTimer(rollbackTimeout)
-		defer timer.Stop()
-		select {
-		case <-call.Done:
-		case <-timer.C:
-			lease.Close()
-		}
-		lease.Release()
-	}()
+	lease.RollBack()
 }
 
-// rollbackTimeout bounds the wait for the answer to a rollback, after which the
-// connection is closed. It covers several round trips between regions.
-const rollbackTimeout = 500 * time.Millisecond
-
 // closeConnection closes the connection, upon which the server rolls back.
 func (t *transaction) closeConnection() {
 	if t.lease != nil {
--- a/core/proxy/write.go
+++ b/core/proxy/write.go
@@ -21,21 +21,29 @@
 	for {
 		server, ok := r.awaitPrimary(ctx)
 		if !ok {
-			return r.refuse(exchange.Idle)
+			return r.refuse()
 		}
 		desired, statement := r.session.desiredState(r.statement)
 		lease, err := r.acquire(ctx, server, false, desired)
 		if err != nil {
 			r.reason = err.Error()
-			if errors.Is(err, errQueueTimeout) || !awaitRetry(ctx) {
-				return r.refuse(exchange.Idle)
+			if errors.Is(err, link.ErrQueueTimeout) || !awaitRetry(ctx) {
+				return r.refuse()
 			}
 			continue
 		}
 		r.attempts++
 		r.server, r.primary = server.ID, server
 		sentAt := p.config.Clock()
-		answer, pending := r.runStatement(ctx, lease, desired, statement)
+		answer, pending, err := r.runStatement(ctx, lease, desired, statement)
+		if err != nil {
+			lease.Release()
+			r.reason = err.Error()
+			if errors.Is(err, link.ErrQueueTimeout) || !awaitRetry(ctx) {
+				return r.refuse()
+			}
+			continue
+		}
 		if pending != nil {
 			// The connection stays open because it is shared with other
 			// sessions. The lease is held until the answer arrives.
@@ -53,34 +61,38 @@
 		lease.Release()
 		r.noteRefusal(answer.Failure)
 		if !awaitRetry(ctx) {
-			return r.refuse(exchange.Idle)
+			return r.refuse()
 		}
 	}
 }
 
 // refuse answers a request that is known not to have run.
-func (r *request) refuse(state exchange.State) exchange.Answer {
+func (r *request) refuse() exchange.Answer {
 	if r.reason == "" {
 		r.reason = "overloaded"
 	}
-	return exchange.ErrorAnswer(exchange.Busy, r.reason+", retry later", state)
+	return exchange.ErrorAnswer(exchange.Busy, r.reason+", retry later", exchange.Idle)
 }
 
 // runStatement sends one statement and returns its answer. The answer is InDoubt
 // when the connection was lost or ctx ended first. Then pending is not nil, and
-// it is closed when the answer has arrived or the connection has closed.
-func (r *request) runStatement(ctx context.Context, lease *link.Lease, desired *link.SessionState, statement exchange.Statement) (answer exchange.Answer, pending <-chan struct{}) {
+// it is closed when the answer has arrived or the connection has closed. The
+// error is set if the statement was not sent.
+func (r *request) runStatement(ctx context.Context, lease *link.Lease, desired *link.SessionState, statement exchange.Statement) (answer exchange.Answer, pending <-chan struct{}, err error) {
 	call := lease.Submit(desired, statement)
 	stall := time.NewTimer(stallThreshold)
 	defer stall.Stop()
-	inDoubt := func(reason string) (exchange.Answer, <-chan struct{}) {
+	inDoubt := func(reason string) (exchange.Answer, <-chan struct{}, error) {
 		r.reason = reason
-		return exchange.ErrorAnswer(exchange.InDoubt, reason, exchange.Idle), call.Done
+		return exchange.ErrorAnswer(exchange.InDoubt, reason, exchange.Idle), call.Done, nil
 	}
 	for {
 		select {
 		case <-call.Done:
 			answers, err := call.Answers()
+			if errors.Is(err, link.ErrNoConnection) {
+				return exchange.Answer{}, nil, err
+			}
 			if err != nil {
 				return inDoubt(err.Error())
 			}
@@ -88,7 +100,7 @@
 			if answers[0].Failure == nil && answers[0].Digest == "" {
 				return inDoubt("answer without a digest")
 			}
-			return answers[0], nil
+			return answers[0], nil, nil
 		case <-stall.C:
 			if r.writes {
 				r.monitor.ReportStalledCommit()
--- a/io/peer/forward.go
+++ b/io/peer/forward.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return toConnect(err)
 	}
-	e := newExchange(conversation)
+	e := newForwarding(conversation)
 	if err := stream.Send(&peerpb.ForwardResponse{Started: startedToWire(started)}); err != nil {
 		conversation.Release(true)
 		return err
@@ -49,10 +49,10 @@
 	return e.run(ctx, stream)
 }
 
-// exchange is the server side of Forward. One goroutine forwards requests from
+// forwarding is the server side of Forward. One goroutine forwards requests from
 // the stream to the backend server, one reads answers from the backend server and
 // one writes them to the stream.
-type exchange struct {
+type forwarding struct {
 	conversation backendserver.Conversation
 
 	mu   sync.Mutex
@@ -69,13 +69,13 @@
 	closed   bool
 }
 
-func newExchange(conversation backendserver.Conversation) *exchange {
-	e := &exchange{conversation: conversation}
+func newForwarding(conversation backendserver.Conversation) *forwarding {
+	e := &forwarding{conversation: conversation}
 	e.cond = sync.NewCond(&e.mu)
 	return e
 }
 
-func (e *exchange) run(ctx context.Context, stream *connect.BidiStream[peerpb.ForwardRequest, peerpb.ForwardResponse]) error {
+func (e *forwarding) run(ctx context.Context, stream *connect.BidiStream[peerpb.ForwardRequest, peerpb.ForwardResponse]) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group sync.WaitGroup
@@ -96,7 +96,7 @@
 // forwardRequests returns when the requesting host releases the connection, or
 // when the exchange fails. reusable is set if that host allows the reuse and no
 // answer is outstanding.
-func (e *exchange) forwardRequests(ctx context.Context, stream *connect.BidiStream[peerpb.ForwardRequest, peerpb.ForwardResponse]) (reusable bool, err error) {
+func (e *forwarding) forwardRequests(ctx context.Context, stream *connect.BidiStream[peerpb.ForwardRequest, peerpb.ForwardResponse]) (reusable bool, err error) {
 	for {
 		request, err := stream.Receive()
 		if errors.Is(err, io.EOF) {
@@ -117,7 +117,7 @@
 	}
 }
 
-func (e *exchange) cancelStatement(ctx context.Context) {
+func (e *forwarding) cancelStatement(ctx context.Context) {
 	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
 	defer stop()
 	// The PostgreSQL protocol allows a cancel request without effect, so a
@@ -125,7 +125,7 @@
 	_ = e.conversation.Cancel(ctx)
 }
 
-func (e *exchange) send(ctx context.Context, encoded []byte) error {
+func (e *forwarding) send(ctx context.Context, encoded []byte) error {
 	if len(encoded) == 0 {
 		return nil
 	}
@@ -160,13 +160,13 @@
 
 // idle reports whether all answers were read from the backend server without an
 // error.
-func (e *exchange) idle() bool {
+func (e *forwarding) idle() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.pendingReady == 0 && !e.unsynced && e.failure == nil
 }
 
-func (e *exchange) readAnswers(ctx context.Context) {
+func (e *forwarding) readAnswers(ctx context.Context) {
 	for e.awaitReadable() {
 		message, err := e.conversation.Receive(ctx)
 		if !e.store(message, err) {
@@ -177,7 +177,7 @@
 
 // awaitReadable blocks until an answer is outstanding and the buffer has room.
 // It returns false once the exchange is closed.
-func (e *exchange) awaitReadable() bool {
+func (e *forwarding) awaitReadable() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for !e.closed && ((e.pendingReady == 0 && !e.unsynced) || len(e.buffer) > maxBufferedBytes) {
@@ -188,7 +188,7 @@
 
 // store appends a message to the buffer, or records the error that ends the
 // exchange. It reports whether reading may go on.
-func (e *exchange) store(message pgproto3.BackendMessage, err error) bool {
+func (e *forwarding) store(message pgproto3.BackendMessage, err error) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	defer e.cond.Broadcast()
@@ -205,7 +205,7 @@
 	return true
 }
 
-func (e *exchange) writeAnswers(stream *connect.BidiStream[peerpb.ForwardRequest, peerpb.ForwardResponse]) {
+func (e *forwarding) writeAnswers(stream *connect.BidiStream[peerpb.ForwardRequest, peerpb.ForwardResponse]) {
 	for {
 		messages, failure, ok := e.nextAnswers()
 		if !ok {
@@ -223,7 +223,7 @@
 
 // nextAnswers blocks until there are answers or a failure to write. It
 // returns false once the exchange is closed and nothing is left to write.
-func (e *exchange) nextAnswers() (messages []byte, failure *peerpb.Failure, ok bool) {
+func (e *forwarding) nextAnswers() (messages []byte, failure *peerpb.Failure, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for !e.closed && len(e.buffer) == 0 && e.failure == nil {
@@ -249,7 +249,7 @@
 	return outcome.Unresolved("the connection to the backend server was lost", err)
 }
 
-func (e *exchange) close() {
+func (e *forwarding) close() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.closed = true
--- /dev/null
+++ b/io/peer/gateway.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/rotisserie/eris"
+
+	"basilmill/core/gateway"
+	"basilmill/core/host"
+	"basilmill/core/link"
+	"basilmill/io/peer/peerpb"
+	"basilmill/io/peer/peerpb/peerpbconnect"
+)
+
+const (
+	// gatewayDialTimeout bounds the opening of a connection to a gateway, which is
+	// usually in the same data centre and at most in the same deployment.
+	gatewayDialTimeout = 250 * time.Millisecond
+	// gatewayPingInterval and gatewayPingTimeout detect a connection on which
+	// nothing arrives any more, on both sides.
+	gatewayPingInterval = 500 * time.Millisecond
+	gatewayPingTimeout  = time.Second
+)
+
+// GatewayPings configures an HTTP/2 connection between a host and its gateway.
+func GatewayPings() *http.HTTP2Config {
+	return &http.HTTP2Config{SendPingTimeout: gatewayPingInterval, PingTimeout: gatewayPingTimeout}
+}
+
+// gatewayUnreachableError is the link.ErrNoConnection of a gateway to which no
+// connection could be opened.
+type gatewayUnreachableError struct{ cause error }
+
+func (e gatewayUnreachableError) Error() string { return "gateway unreachable: " + e.cause.Error() }
+
+func (e gatewayUnreachableError) Unwrap() error { return link.ErrNoConnection }
+
+// GatewayClient opens streams to the gateways on other hosts. It keeps one HTTP/2
+// connection to each.
+type GatewayClient struct {
+	http *http.Client
+
+	mu      sync.Mutex
+	clients map[netip.AddrPort]peerpbconnect.GatewayClient
+}
+
+// NewGatewayClient returns a client that opens connections with connect.
+func NewGatewayClient(connectTo func(context.Context, netip.AddrPort) (net.Conn, error)) *GatewayClient {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			conn, err := dialGateway(ctx, connectTo, address)
+			if err != nil {
+				return nil, gatewayUnreachableError{err}
+			}
+			return conn, nil
+		},
+		IdleConnTimeout: idleRetention,
+		Protocols:       new(http.Protocols),
+		HTTP2:           GatewayPings(),
+	}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	return &GatewayClient{http: &http.Client{Transport: transport}, clients: map[netip.AddrPort]peerpbconnect.GatewayClient{}}
+}
+
+func dialGateway(ctx context.Context, connectTo func(context.Context, netip.AddrPort) (net.Conn, error), address string) (net.Conn, error) {
+	target, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, gatewayDialTimeout)
+	defer cancel()
+	return connectTo(ctx, target)
+}
+
+// Close closes the idle connections.
+func (c *GatewayClient) Close() { c.http.CloseIdleConnections() }
+
+// Open returns a stream to the gateway on a host.
+func (c *GatewayClient) Open(info host.Info) gateway.Stream {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &gatewayStream{stream: c.client(info.PeerAddress).Execute(ctx), cancel: cancel}
+}
+
+func (c *GatewayClient) client(address netip.AddrPort) peerpbconnect.GatewayClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.clients[address]
+	if !ok {
+		client = peerpbconnect.NewGatewayClient(c.http, "http://"+address.String())
+		c.clients[address] = client
+	}
+	return client
+}
+
+// gatewayStream implements gateway.Stream.
+type gatewayStream struct {
+	stream *connect.BidiStreamForClient[peerpb.Batch, peerpb.BatchResult]
+	cancel func()
+}
+
+// Send implements gateway.Stream.
+func (s *gatewayStream) Send(b gateway.Batch) error { return s.stream.Send(encodeBatch(b)) }
+
+// Receive implements gateway.Stream.
+func (s *gatewayStream) Receive() (gateway.Result, error) {
+	m, err := s.stream.Receive()
+	if err != nil {
+		var unreachable gatewayUnreachableError
+		if errors.As(err, &unreachable) {
+			return gateway.Result{}, unreachable
+		}
+		return gateway.Result{}, eris.Wrap(err, "receive from the gateway")
+	}
+	return decodeResult(m), nil
+}
+
+// CloseSend implements gateway.Stream.
+func (s *gatewayStream) CloseSend() error { return s.stream.CloseRequest() }
+
+// Close implements gateway.Stream. It also ends the request, because the transport
+// does not see the end of the context while it waits for more of the request.
+func (s *gatewayStream) Close() {
+	s.cancel()
+	// The stream is not used again, so an error does not matter.
+	_ = s.stream.CloseRequest()
+}
+
+// GatewayHandler returns the path and the handler of a gateway's service.
+func GatewayHandler(service *gateway.Service) (path string, handler http.Handler) {
+	return peerpbconnect.NewGatewayHandler(gatewayServer{service})
+}
+
+// gatewayServer implements the Gateway service.
+type gatewayServer struct{ service *gateway.Service }
+
+// Execute implements the Gateway service.
+func (s gatewayServer) Execute(ctx context.Context, stream *connect.BidiStream[peerpb.Batch, peerpb.BatchResult]) error {
+	return s.service.Serve(ctx, servedStream{stream})
+}
+
+// servedStream implements gateway.ServedStream.
+type servedStream struct {
+	stream *connect.BidiStream[peerpb.Batch, peerpb.BatchResult]
+}
+
+// Receive implements gateway.ServedStream.
+func (s servedStream) Receive() (gateway.Batch, error) {
+	m, err := s.stream.Receive()
+	if err != nil {
+		return gateway.Batch{}, err
+	}
+	return decodeBatch(m)
+}
+
+// Send implements gateway.ServedStream.
+func (s servedStream) Send(r gateway.Result) error { return s.stream.Send(encodeResult(r)) }
--- /dev/null
+++ b/io/peer/gateway_test.go
@@ -0,0 +1,147 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/catalog"
+	"basilmill/core/exchange"
+	"basilmill/core/gateway"
+	"basilmill/core/group"
+	"basilmill/core/host"
+	"basilmill/core/link"
+	"basilmill/io/peer"
+)
+
+// recordingStream records statements and answers each one with the next prepared
+// answer.
+type recordingStream struct {
+	sent     chan exchange.Statement
+	prepared chan exchange.Answer
+	answers  chan exchange.Answer
+	closed   chan struct{}
+}
+
+func (s *recordingStream) Send(batch []exchange.Statement) error {
+	for _, statement := range batch {
+		s.sent <- statement
+		s.answers <- <-s.prepared
+	}
+	return nil
+}
+
+func (s *recordingStream) Receive() (exchange.Answer, error) {
+	select {
+	case a := <-s.answers:
+		return a, nil
+	case <-s.closed:
+		return exchange.Answer{}, net.ErrClosed
+	}
+}
+
+func (s *recordingStream) Close() error {
+	close(s.closed)
+	return nil
+}
+
+// singleDialer opens one prepared stream.
+type singleDialer struct{ stream *recordingStream }
+
+func (d singleDialer) Dial(context.Context, catalog.Server) (link.Stream, error) {
+	return d.stream, nil
+}
+
+// startGateway serves a gateway with one connection to a server "s1".
+func startGateway(t *testing.T) (stream *recordingStream, info host.Info) {
+	t.Helper()
+	stream = &recordingStream{sent: make(chan exchange.Statement, 64), prepared: make(chan exchange.Answer, 64), answers: make(chan exchange.Answer, 64), closed: make(chan struct{})}
+	pool := link.NewPool(catalog.Server{ID: "s1"}, singleDialer{stream}, 1)
+	t.Cleanup(pool.Close)
+	service := &gateway.Service{Pool: func(id group.ServerID) (link.Source, bool) { return pool, id == "s1" }}
+	mux := http.NewServeMux()
+	mux.Handle(peer.GatewayHandler(service))
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.Protocols = new(http.Protocols)
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	t.Cleanup(server.Close)
+	return stream, host.Info{ID: "g1", PeerAddress: netip.MustParseAddrPort(server.Listener.Addr().String())}
+}
+
+func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+}
+
+// Statements and answers must reach the other side with all their fields.
+func TestGatewayCarriesAllFields(t *testing.T) {
+	stream, info := startGateway(t)
+	client := peer.NewGatewayClient(dialTCP)
+	defer client.Close()
+	var batch gateway.Batch
+	batch.Server, batch.Exclusive, batch.Priority, batch.MaxWait = "s1", true, 2, time.Second
+	var want []exchange.Answer
+	for operation := exchange.Begin; operation <= exchange.Demote; operation++ {
+		s := exchange.Statement{ID: "q1", Operation: operation, Name: "n", Value: "v", Arguments: "item data", MinPosition: group.Position{Term: 2, Offset: 7}, Term: 3}
+		if operation == exchange.Prepare {
+			s.Prepared = exchange.PreparedStatement{Writes: true, Text: "text"}
+		}
+		batch.Statements = append(batch.Statements, s)
+	}
+	for code := exchange.Unclassified; code <= exchange.Unauthorised; code++ {
+		want = append(want, exchange.ErrorAnswer(code, "why", exchange.TransactionFailed))
+	}
+	want = append(want, exchange.Answer{
+		Rows: []string{"r1", "r2"}, Digest: "d", State: exchange.Idle, Position: group.Position{Term: 2, Offset: 9},
+		Status: &exchange.ServerStatus{
+			Role: exchange.Replica, Term: 2, ReceivedPosition: group.Position{Term: 2, Offset: 8}, SuspendedTerm: 4,
+			ReplicationLag: 5 * time.Millisecond, SlotsInUse: 1, ConnectionsInUse: 6,
+		},
+	})
+	want = want[len(want)-len(batch.Statements):]
+	for _, a := range want {
+		stream.prepared <- a
+	}
+	s := client.Open(info)
+	defer s.Close()
+	assert.NilError(t, s.Send(batch))
+	result, err := s.Receive()
+	assert.NilError(t, err)
+	assert.NilError(t, result.Err)
+	assert.DeepEqual(t, result.Answers, want)
+	for _, statement := range batch.Statements {
+		assert.DeepEqual(t, <-stream.sent, statement)
+	}
+}
+
+// A host that cannot be reached has run nothing, and neither has a gateway that does
+// not know the server.
+func TestUnreachableGatewayHasRunNothing(t *testing.T) {
+	_, info := startGateway(t)
+	client := peer.NewGatewayClient(dialTCP)
+	defer client.Close()
+	statements := []exchange.Statement{{Operation: exchange.Write, Arguments: "item data"}}
+	s := client.Open(info)
+	defer s.Close()
+	assert.NilError(t, s.Send(gateway.Batch{Server: "absent", Statements: statements}))
+	result, err := s.Receive()
+	assert.NilError(t, err)
+	assert.ErrorIs(t, result.Err, link.ErrNoConnection)
+
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	info.PeerAddress = netip.MustParseAddrPort(listener.Addr().String())
+	assert.NilError(t, listener.Close())
+	s = client.Open(info)
+	defer s.Close()
+	_ = s.Send(gateway.Batch{Server: "s1", Statements: statements})
+	_, err = s.Receive()
+	assert.Assert(t, errors.Is(err, link.ErrNoConnection), "%v", err)
+}
--- a/io/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/peer/peerpb/peerpbconnect/peer.connect.go
@@ -26,6 +26,8 @@
 	PeerServiceName = "basilmill.peer.v1.PeerService"
 	// BeliefsName is the fully-qualified name of the Beliefs service.
 	BeliefsName = "basilmill.peer.v1.Beliefs"
+	// GatewayName is the fully-qualified name of the Gateway service.
+	GatewayName = "basilmill.peer.v1.Gateway"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -52,6 +54,8 @@
 	PeerServiceForwardProcedure = "/basilmill.peer.v1.PeerService/Forward"
 	// BeliefsPositionProcedure is the fully-qualified name of the Beliefs's Position RPC.
 	BeliefsPositionProcedure = "/basilmill.peer.v1.Beliefs/Position"
+	// GatewayExecuteProcedure is the fully-qualified name of the Gateway's Execute RPC.
+	GatewayExecuteProcedure = "/basilmill.peer.v1.Gateway/Execute"
 )
 
 // PeerServiceClient is a client for the basilmill.peer.v1.PeerService service.
@@ -369,3 +373,79 @@
 func (UnimplementedBeliefsHandler) Position(context.Context, *connect.Request[peerpb.BeliefRequest]) (*connect.Response[peerpb.BeliefResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("basilmill.peer.v1.Beliefs.Position is not implemented"))
 }
+
+// GatewayClient is a client for the basilmill.peer.v1.Gateway service.
+type GatewayClient interface {
+	// Execute runs batches of statements on one connection of the receiver. The
+	// first batch names the server and says whether it needs the connection alone;
+	// then further batches may follow on the same connection.
+	Execute(context.Context) *connect.BidiStreamForClient[peerpb.Batch, peerpb.BatchResult]
+}
+
+// NewGatewayClient constructs a client for the basilmill.peer.v1.Gateway service. By default, it
+// uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewGatewayClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) GatewayClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	gatewayMethods := peerpb.File_peer_proto.Services().ByName("Gateway").Methods()
+	return &gatewayClient{
+		execute: connect.NewClient[peerpb.Batch, peerpb.BatchResult](
+			httpClient,
+			baseURL+GatewayExecuteProcedure,
+			connect.WithSchema(gatewayMethods.ByName("Execute")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// gatewayClient implements GatewayClient.
+type gatewayClient struct {
+	execute *connect.Client[peerpb.Batch, peerpb.BatchResult]
+}
+
+// Execute calls basilmill.peer.v1.Gateway.Execute.
+func (c *gatewayClient) Execute(ctx context.Context) *connect.BidiStreamForClient[peerpb.Batch, peerpb.BatchResult] {
+	return c.execute.CallBidiStream(ctx)
+}
+
+// GatewayHandler is an implementation of the basilmill.peer.v1.Gateway service.
+type GatewayHandler interface {
+	// Execute runs batches of statements on one connection of the receiver. The
+	// first batch names the server and says whether it needs the connection alone;
+	// then further batches may follow on the same connection.
+	Execute(context.Context, *connect.BidiStream[peerpb.Batch, peerpb.BatchResult]) error
+}
+
+// NewGatewayHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewGatewayHandler(svc GatewayHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	gatewayMethods := peerpb.File_peer_proto.Services().ByName("Gateway").Methods()
+	gatewayExecuteHandler := connect.NewBidiStreamHandler(
+		GatewayExecuteProcedure,
+		svc.Execute,
+		connect.WithSchema(gatewayMethods.ByName("Execute")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/basilmill.peer.v1.Gateway/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case GatewayExecuteProcedure:
+			gatewayExecuteHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedGatewayHandler returns CodeUnimplemented from all methods.
+type UnimplementedGatewayHandler struct{}
+
+func (UnimplementedGatewayHandler) Execute(context.Context, *connect.BidiStream[peerpb.Batch, peerpb.BatchResult]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("basilmill.peer.v1.Gateway.Execute is not implemented"))
+}
