gateway: share probes of primaries between the hosts of a gateway

Cause: with gateways, each of 81 hosts still probed each of 8 primaries five times a second, two thirds of them in another region, as statements of their own.

A gateway now answers from a probe that is at most 100 ms old, with its age, or sends one for all that wait. The age counts from when the host sent its request, so a position is never taken to be newer than it is (TestProbesAreSharedWithTheirAge). The checks after a promotion and all commands still go to the server itself. Probes and commands move from link.Registry to link.Commander, because a gateway must use its own pools and other hosts must not.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -79,7 +79,6 @@
 	h.servers = link.NewRegistry(h.cache, p.Dialer(h.detours.dialer.Connect))
 	h.servers.Observer = poolObserver{h.metrics, h.log}
 	h.gateways = newGateways(h)
-	h.servers.Sources = h.gateways.client.Source
 	h.groups = newGroups(h)
 	h.proxy = proxy.New(proxy.Config{
 		Cache: h.cache, Monitor: h.groups.monitor, Sources: h.gateways.client.Source, DataCentre: s.DataCentre,
@@ -239,7 +238,7 @@
 				h.log.Write(ctx, logevent.BackendServerGone, slog.String("server", string(id)), slog.String("why", "no entry"))
 			}
 			h.servers.Prune()
-			h.gateways.client.Prune(h.cache.View())
+			h.gateways.prune(h.cache.View())
 			h.proxy.Prune(h.cache.View())
 		}
 	}
--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -1,6 +1,10 @@
 package entry
 
 import (
+	"context"
+	"time"
+
+	"basilmill/core/catalog"
 	"basilmill/core/gateway"
 	"basilmill/core/group"
 	"basilmill/core/host"
@@ -8,9 +12,13 @@
 	"basilmill/io/peer"
 )
 
-// gateways uses backend servers through other hosts, and runs statements for them.
+// gateways uses backend servers through other hosts, and runs statements and probes
+// for them. It implements lead.ServerClient and takeover.ServerClient.
 type gateways struct {
+	link.Commander
+
 	host    *Host
+	prober  gateway.Prober
 	client  gateway.Client
 	service gateway.Service
 	peers   *peer.GatewayClient
@@ -21,16 +29,46 @@
 	g.client.Self = h.info()
 	g.client.Cache = h.cache
 	g.client.Pools = h.pool
-	g.client.Network = g
+	g.client.Prober = &g.prober
+	g.client.Network = gatewayNetwork{g.peers, h.peers}
+	g.Sources = g.client.Source
 	g.service.Pool = g.knownPool
+	g.service.Probe = g.probeKnown
+	g.prober.Probe = link.Commander{Sources: h.pool}.Probe
+	g.prober.Clock = h.platform.Clock
 	return g
 }
 
+// Probe implements lead.ServerClient.
+func (g *gateways) Probe(ctx context.Context, server catalog.Server) (position group.Position, age time.Duration, err error) {
+	proof, err := g.client.Probe(ctx, server)
+	return proof.Position, proof.Age, err
+}
+
+// gatewayNetwork connects this host with the gateways on others. It implements
+// gateway.Network.
+type gatewayNetwork struct {
+	*peer.GatewayClient
+	peers *peers
+}
+
 // Hosts implements gateway.Network.
-func (g *gateways) Hosts() (hosts []host.Info, version int64) { return g.host.peers.knownHosts() }
+func (n gatewayNetwork) Hosts() (hosts []host.Info, version int64) { return n.peers.knownHosts() }
 
-// Open implements gateway.Network.
-func (g *gateways) Open(info host.Info) gateway.Stream { return g.peers.Open(info) }
+// probeKnown probes a server in this host's catalogue on its own connections.
+func (g *gateways) probeKnown(ctx context.Context, id group.ServerID) (gateway.Proof, error) {
+	server, ok := g.host.cache.View().Servers[id]
+	if !ok {
+		return gateway.Proof{}, gateway.ErrUnknownServer
+	}
+	return g.prober.Run(ctx, server)
+}
+
+// prune drops the state of servers that are no longer in the catalogue.
+func (g *gateways) prune(view *catalog.View) {
+	g.client.Prune(view)
+	g.prober.Prune(view)
+}
 
 // knownPool returns this host's own connections to a server in its catalogue.
 func (g *gateways) knownPool(id group.ServerID) (link.Source, bool) {
--- a/cmd/entry/groups.go
+++ b/cmd/entry/groups.go
@@ -79,11 +79,11 @@
 func (g *groups) newMonitor(id group.ID) *lead.Monitor {
 	h := g.host
 	runner := &takeover.Runner{
-		Self: h.settings.HostID, Client: h.servers, Records: h.platform.RecordStore, ServerLister: catalog.ServerLister{Source: h.platform.Source}, Promotions: h.platform.PromotionService,
+		Self: h.settings.HostID, Client: h.gateways, Records: h.platform.RecordStore, ServerLister: catalog.ServerLister{Source: h.platform.Source}, Promotions: h.platform.PromotionService,
 		NewUpdateID: rand.Text, Observe: g.observeStep,
 	}
 	return lead.New(lead.Config{
-		Group: id, Cache: h.cache, Client: h.servers, PrimaryChanger: timedPrimaryChanger{runner, h.metrics}, Clock: h.platform.Clock, Log: h.log,
+		Group: id, Cache: h.cache, Client: h.gateways, PrimaryChanger: timedPrimaryChanger{runner, h.metrics}, Clock: h.platform.Clock, Log: h.log,
 		DataCentre: h.settings.DataCentre, Peers: h.peers,
 	})
 }
--- a/core/gateway/choose_test.go
+++ b/core/gateway/choose_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
@@ -20,6 +21,10 @@
 
 func (fixedNetwork) Open(host.Info) gateway.Stream { return nil }
 
+func (fixedNetwork) Probe(context.Context, host.Info, group.ServerID) (gateway.ProbeResult, error) {
+	return gateway.ProbeResult{}, nil
+}
+
 // ownPool marks the connections of the host itself.
 type ownPool struct{ link.Source }
 
--- a/core/gateway/client.go
+++ b/core/gateway/client.go
@@ -19,7 +19,9 @@
 	Self  host.Info
 	Cache *catalog.Cache
 	// Pools returns this host's own connections to a server.
-	Pools   link.Sources
+	Pools link.Sources
+	// Prober probes over this host's own connections.
+	Prober  *Prober
 	Network Network
 
 	mu          sync.Mutex
@@ -39,6 +41,35 @@
 	return remoteSource{client: c, via: via, server: server.ID}
 }
 
+// Probe checks that a server is the primary, on this host's own connections or
+// through its gateway.
+func (c *Client) Probe(ctx context.Context, server catalog.Server) (Proof, error) {
+	via := c.choose(server)
+	if via.ID == c.Self.ID {
+		return c.Prober.Run(ctx, server)
+	}
+	c.began(via.ID)
+	result, err := c.Network.Probe(ctx, via, server.ID)
+	if err != nil {
+		c.failed(via.ID, ctx.Err() != nil)
+		return Proof{}, err
+	}
+	c.answered(via.ID)
+	c.noteRefusal(via.ID, server.ID, result.Err)
+	return result.Proof, result.Err
+}
+
+// noteRefusal avoids a gateway that stated that it is stopping or has no path to the
+// server.
+func (c *Client) noteRefusal(via host.ID, server group.ServerID, err error) {
+	switch {
+	case errors.Is(err, ErrLeaving):
+		c.avoidHost(via, leavingBackoff)
+	case errors.Is(err, link.ErrNoConnection) && !errors.Is(err, link.ErrQueueTimeout):
+		c.avoidPath(via, server)
+	}
+}
+
 // Prune drops the state of servers that are no longer in the catalogue.
 func (c *Client) Prune(view *catalog.View) {
 	c.mu.Lock()
@@ -189,11 +220,6 @@
 		return nil, link.ErrLost
 	}
 	c.client.answered(c.via.ID)
-	switch {
-	case errors.Is(result.Err, ErrLeaving):
-		c.client.avoidHost(c.via.ID, leavingBackoff)
-	case errors.Is(result.Err, link.ErrNoConnection) && !errors.Is(result.Err, link.ErrQueueTimeout):
-		c.client.avoidPath(c.via.ID, c.server)
-	}
+	c.client.noteRefusal(c.via.ID, c.server, result.Err)
 	return result.Answers, result.Err
 }
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -9,6 +9,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -46,6 +47,13 @@
 	Err     error
 }
 
+// ProbeResult is the result of a probe on another host. Err is set if the probe
+// failed there: an *exchange.Error of the server, or an error as in Result.
+type ProbeResult struct {
+	Proof Proof
+	Err   error
+}
+
 // Stream carries the batches of one lease to a gateway.
 type Stream interface {
 	// Send may block until the gateway has been reached.
@@ -74,4 +82,6 @@
 	Hosts() (hosts []host.Info, version int64)
 	// Open returns a stream to a host. It does not block.
 	Open(info host.Info) Stream
+	// Probe requests the result of a probe of a server from a host.
+	Probe(ctx context.Context, info host.Info, server group.ServerID) (ProbeResult, error)
 }
--- a/core/gateway/service.go
+++ b/core/gateway/service.go
@@ -14,6 +14,9 @@
 	// Pool returns this host's own connections to a server. It returns false for
 	// a server that is unknown to this host.
 	Pool func(group.ServerID) (link.Source, bool)
+	// Probe returns the result of a probe over this host's own connections. It
+	// fails with ErrUnknownServer for a server that is unknown to this host.
+	Probe func(context.Context, group.ServerID) (Proof, error)
 
 	closed atomic.Bool
 	active atomic.Int64
@@ -53,6 +56,15 @@
 	return serveShared(ctx, stream, lease, first)
 }
 
+// ServeProbe returns the result of a probe for another host.
+func (s *Service) ServeProbe(ctx context.Context, server group.ServerID) (result ProbeResult) {
+	if s.closed.Load() {
+		return ProbeResult{Err: ErrLeaving}
+	}
+	result.Proof, result.Err = s.Probe(ctx, server)
+	return result
+}
+
 // serveShared runs one batch. Its lease is held until the server has answered, also
 // if the other host no longer waits.
 func serveShared(ctx context.Context, stream ServedStream, lease *link.Lease, batch Batch) error {
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -54,10 +54,10 @@
 	// back within two seconds after the store recovers.
 	startupGracePeriod = 2500 * time.Millisecond
 	// peerQueryThreshold is the age of this host's own newest proof from which
-	// it queries other hosts for theirs. It is longer than probeInterval. Their
-	// proofs let a host that cannot reach the primary serve reads that allow
-	// some age.
-	peerQueryThreshold = 300 * time.Millisecond
+	// it queries other hosts for theirs. It is longer than probeInterval and the
+	// age of a probe that a gateway shares together. Their proofs let a host that
+	// cannot reach the primary serve reads that allow some age.
+	peerQueryThreshold = 400 * time.Millisecond
 	// peerQueryInterval is the time between two queries to the other hosts.
 	peerQueryInterval = 150 * time.Millisecond
 	// trafficProofInterval is the least time between two samples taken from
@@ -78,9 +78,11 @@
 
 // ServerClient probes backend servers and sends them commands.
 type ServerClient interface {
-	// Probe returns the end of the server's log if the server is the primary.
-	// The error is an *exchange.Error with the code ReadOnly if it is not.
-	Probe(ctx context.Context, server catalog.Server) (group.Position, error)
+	// Probe returns the end of the server's log if the server is the primary. The
+	// position covers every commit acknowledged more than the age before the
+	// call. The error is an *exchange.Error with the code ReadOnly if the server
+	// is not the primary.
+	Probe(ctx context.Context, server catalog.Server) (position group.Position, age time.Duration, err error)
 	Command(ctx context.Context, server catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error)
 }
 
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -34,21 +34,21 @@
 	suspended   map[group.ServerID]group.Term
 }
 
-func (f *fakeCluster) Probe(ctx context.Context, s catalog.Server) (group.Position, error) {
+func (f *fakeCluster) Probe(ctx context.Context, s catalog.Server) (group.Position, time.Duration, error) {
 	f.mu.Lock()
 	unreachable, primary, position := f.unreachable, f.primary, f.position
 	f.mu.Unlock()
 	if s.ID != primary {
 		if primary == "" {
-			return group.Position{}, syscall.ECONNREFUSED
+			return group.Position{}, 0, syscall.ECONNREFUSED
 		}
-		return group.Position{}, &exchange.Error{Code: exchange.ReadOnly}
+		return group.Position{}, 0, &exchange.Error{Code: exchange.ReadOnly}
 	}
 	if unreachable {
 		<-ctx.Done()
-		return group.Position{}, ctx.Err()
+		return group.Position{}, 0, ctx.Err()
 	}
-	return position, nil
+	return position, 0, nil
 }
 
 func (f *fakeCluster) Command(_ context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
--- a/core/lead/search.go
+++ b/core/lead/search.go
@@ -72,9 +72,9 @@
 	go func() {
 		probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		position, err := m.config.Client.Probe(probeCtx, s)
+		position, age, err := m.config.Client.Probe(probeCtx, s)
 		select {
-		case m.events <- probeResultEvent{server: s, sentAt: now, position: position, err: err, search: search}:
+		case m.events <- probeResultEvent{server: s, sentAt: now - age, position: position, err: err, search: search}:
 		case <-ctx.Done():
 		}
 	}()
--- a/core/link/registry.go
+++ b/core/link/registry.go
@@ -1,29 +1,20 @@
 package link
 
 import (
-	"context"
-	"errors"
 	"sync"
 
 	"basilmill/core/catalog"
-	"basilmill/core/exchange"
 	"basilmill/core/group"
 )
 
-// Registry holds the connection pool of each backend server, and sends probes and
-// control commands to the servers. It implements lead.ServerClient and
-// takeover.ServerClient, and is safe for concurrent use.
+// Registry holds the connection pool of each backend server. It is safe for
+// concurrent use.
 type Registry struct {
 	// Observer, if set, receives the wait and hold times of all pools. It must be
 	// set before the first use.
 	Observer Observer
-	// Sources, if set, returns the sources of connections for probes and
-	// commands; otherwise the registry's own pools serve them. It must be set
-	// before the first use.
-	Sources Sources
-
-	cache  *catalog.Cache
-	dialer Dialer
+	cache    *catalog.Cache
+	dialer   Dialer
 
 	mu    sync.Mutex
 	pools map[poolKey]*Pool
@@ -111,73 +102,6 @@
 	return total
 }
 
-// controlPriority puts probes and commands before all requests of callers and
-// exempts them from the window.
-const controlPriority = -1
-
-var errNoStatus = errors.New("answer without a status")
-
-// Probe checks that the server is the primary, by beginning a read-write
-// transaction, which a server accepts only while it is the primary. It returns the
-// end of the server's readable log.
-func (r *Registry) Probe(ctx context.Context, server catalog.Server) (group.Position, error) {
-	answers, err := r.run(ctx, server, exchange.Statement{Operation: exchange.Begin}, exchange.Statement{Operation: exchange.Rollback})
-	if err != nil {
-		return group.Position{}, err
-	}
-	if answers[0].Failure != nil {
-		return group.Position{}, answers[0].Failure
-	}
-	return answers[0].Position, nil
-}
-
-// IsPrimary reports whether a probe finds that the server is the primary.
-func (r *Registry) IsPrimary(ctx context.Context, server catalog.Server) bool {
-	_, err := r.Probe(ctx, server)
-	return err == nil
-}
-
-// Command sends a control statement and returns the server's status from the
-// answer.
-func (r *Registry) Command(ctx context.Context, server catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
-	answers, err := r.run(ctx, server, statement)
-	if err != nil {
-		return exchange.ServerStatus{}, err
-	}
-	if answers[0].Failure != nil {
-		return exchange.ServerStatus{}, answers[0].Failure
-	}
-	if answers[0].Status == nil {
-		return exchange.ServerStatus{}, errNoStatus
-	}
-	return *answers[0].Status, nil
-}
-
-// source returns the source of connections for probes and commands.
-func (r *Registry) source(server catalog.Server) Source {
-	if r.Sources != nil {
-		return r.Sources(server)
-	}
-	return r.Pool(server)
-}
-
-// run executes statements on a shared connection with priority over callers.
-func (r *Registry) run(ctx context.Context, server catalog.Server, statements ...exchange.Statement) ([]exchange.Answer, error) {
-	lease, err := r.source(server).Acquire(ctx, Request{Priority: controlPriority})
-	if err != nil {
-		return nil, err
-	}
-	call := lease.Submit(nil, statements...)
-	select {
-	case <-call.Done:
-		lease.Release()
-		return call.Answers()
-	case <-ctx.Done():
-		go func() { <-call.Done; lease.Release() }()
-		return nil, ctx.Err()
-	}
-}
-
 // CloseAll closes the connections to all servers.
 func (r *Registry) CloseAll() {
 	r.mu.Lock()
--- a/e2e/replicated/history_test.go
+++ b/e2e/replicated/history_test.go
@@ -412,7 +412,7 @@
 			})
 		}
 		time.Sleep(time.Second)
-		client := stoppedReplication{wrap(h.registry), cluster}
+		client := stoppedReplication{wrap(h.commander), cluster}
 		runner := &takeover.Runner{Self: "h2", Client: client, Records: cluster, ServerLister: cluster, Promotions: cluster, NewUpdateID: func() string { return "x" }}
 		cluster.Server("a").SetUnlisted(true)
 		_, err := runner.Run(context.Background(), takeover.Request{Group: replicated.Group, Cause: takeover.PrimaryGone, Members: cluster.ServerEntries()})
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -43,6 +43,8 @@
 	cluster       *replicated.Cluster
 	cache         *catalog.Cache
 	registry      *link.Registry
+	sources       link.Sources
+	commander     link.Commander
 	monitor       *lead.Monitor
 	proxy         *proxy.Proxy
 	gateways      gateway.Client
@@ -98,11 +100,13 @@
 	}
 	h.cache.ReplaceServers(h.filterServers(cluster.ServerEntries()))
 	h.registry = link.NewRegistry(h.cache, cluster)
+	h.sources = h.pool
 	if options.network != nil {
-		options.network.add(h, dataCentre)
-		h.registry.Sources = h.gateways.Source
+		options.network.add(h, dataCentre, clock)
+		h.sources = h.gateways.Source
 	}
-	var client takeover.ServerClient = h.registry
+	h.commander = link.Commander{Sources: h.sources}
+	var client takeover.ServerClient = h.commander
 	if options.wrapClient != nil {
 		client = options.wrapClient(client)
 	}
@@ -116,10 +120,10 @@
 		NewUpdateID: func() string { updates++; return fmt.Sprint(id, "-", updates) },
 	}
 	h.monitor = lead.New(lead.Config{
-		Group: replicated.Group, Cache: h.cache, Client: h.registry, PrimaryChanger: runner, Clock: clock, Log: log, DataCentre: dataCentre,
+		Group: replicated.Group, Cache: h.cache, Client: h, PrimaryChanger: runner, Clock: clock, Log: log, DataCentre: dataCentre,
 	})
 	h.proxy = proxy.New(proxy.Config{
-		Cache: h.cache, Monitor: func(group.ID) *lead.Monitor { return h.monitor }, Sources: h.source,
+		Cache: h.cache, Monitor: func(group.ID) *lead.Monitor { return h.monitor }, Sources: h.sources,
 		DataCentre: dataCentre, Clock: clock, Log: log, Observe: options.onResult,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -129,12 +133,22 @@
 	return h
 }
 
-// source returns the source of connections to a server.
-func (h *entryHost) source(server catalog.Server) link.Source {
-	if h.registry.Sources != nil {
-		return h.registry.Sources(server)
+// pool returns the host's own connections to a server.
+func (h *entryHost) pool(server catalog.Server) link.Source { return h.registry.Pool(server) }
+
+// Probe implements lead.ServerClient.
+func (h *entryHost) Probe(ctx context.Context, server catalog.Server) (position group.Position, age time.Duration, err error) {
+	if h.gateways.Network == nil {
+		position, err = h.commander.Probe(ctx, server)
+		return position, 0, err
 	}
-	return h.registry.Pool(server)
+	proof, err := h.gateways.Probe(ctx, server)
+	return proof.Position, proof.Age, err
+}
+
+// Command implements lead.ServerClient.
+func (h *entryHost) Command(ctx context.Context, server catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
+	return h.commander.Command(ctx, server, statement)
 }
 
 // syncServers keeps the host's list of servers up to date and closes connections
--- a/e2e/replicated/network_test.go
+++ b/e2e/replicated/network_test.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"basilmill/core/catalog"
 	"basilmill/core/gateway"
 	"basilmill/core/group"
 	"basilmill/core/host"
@@ -35,7 +34,7 @@
 }
 
 // add connects a host.
-func (n *hostNetwork) add(h *entryHost, dataCentre host.DataCentre) {
+func (n *hostNetwork) add(h *entryHost, dataCentre host.DataCentre, clock func() time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	info := host.Info{ID: h.id, DataCentre: dataCentre, Region: host.Region(dataCentre)}
@@ -43,7 +42,15 @@
 	n.version++
 	n.hosts[h.id] = h
 	h.gateways.Self, h.gateways.Cache, h.gateways.Network = info, h.cache, n
-	h.gateways.Pools = func(s catalog.Server) link.Source { return h.registry.Pool(s) }
+	h.gateways.Pools = h.pool
+	h.gateways.Prober = &gateway.Prober{Probe: link.Commander{Sources: h.pool}.Probe, Clock: clock}
+	h.service.Probe = func(ctx context.Context, id group.ServerID) (gateway.Proof, error) {
+		server, ok := h.cache.View().Servers[id]
+		if !ok {
+			return gateway.Proof{}, gateway.ErrUnknownServer
+		}
+		return h.gateways.Prober.Run(ctx, server)
+	}
 	h.service.Pool = func(id group.ServerID) (link.Source, bool) {
 		server, ok := h.cache.View().Servers[id]
 		if !ok {
@@ -89,6 +96,21 @@
 	return s
 }
 
+// Probe implements gateway.Network.
+func (n *hostNetwork) Probe(ctx context.Context, info host.Info, server group.ServerID) (gateway.ProbeResult, error) {
+	n.mu.Lock()
+	target := n.hosts[info.ID]
+	n.mu.Unlock()
+	time.Sleep(hostDelay)
+	if n.isSilent(info.ID) {
+		<-ctx.Done()
+		return gateway.ProbeResult{}, ctx.Err()
+	}
+	result := target.service.ServeProbe(ctx, server)
+	time.Sleep(hostDelay)
+	return result, ctx.Err()
+}
+
 // hostStream is a stream between two hosts.
 type hostStream struct {
 	network *hostNetwork
--- a/e2e/replicated/primary_test.go
+++ b/e2e/replicated/primary_test.go
@@ -110,7 +110,7 @@
 	withCluster(t, func(t *testing.T, cluster *replicated.Cluster, h *entryHost) {
 		for _, s := range cluster.ServerEntries() {
 			if s.ID != "a" {
-				_, err := h.registry.Command(context.Background(), s, exchange.Statement{Operation: exchange.Suspend, Term: 9})
+				_, err := h.commander.Command(context.Background(), s, exchange.Statement{Operation: exchange.Suspend, Term: 9})
 				assert.NilError(t, err)
 			}
 		}
--- a/io/peer/gateway.go
+++ b/io/peer/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"basilmill/core/gateway"
+	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/link"
 	"basilmill/io/peer/peerpb"
@@ -132,6 +133,15 @@
 	_ = s.stream.CloseRequest()
 }
 
+// Probe requests the result of a probe from the gateway on a host.
+func (c *GatewayClient) Probe(ctx context.Context, info host.Info, server group.ServerID) (gateway.ProbeResult, error) {
+	response, err := c.client(info.PeerAddress).Probe(ctx, connect.NewRequest(&peerpb.ProbeRequest{Server: string(server)}))
+	if err != nil {
+		return gateway.ProbeResult{}, eris.Wrap(err, "request a probe from the gateway")
+	}
+	return decodeProbeResult(response.Msg), nil
+}
+
 // GatewayHandler returns the path and the handler of a gateway's service.
 func GatewayHandler(service *gateway.Service) (path string, handler http.Handler) {
 	return peerpbconnect.NewGatewayHandler(gatewayServer{service})
@@ -145,6 +155,12 @@
 	return s.service.Serve(ctx, servedStream{stream})
 }
 
+// Probe implements the Gateway service.
+func (s gatewayServer) Probe(ctx context.Context, request *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error) {
+	result := s.service.ServeProbe(ctx, group.ServerID(request.Msg.GetServer()))
+	return connect.NewResponse(encodeProbeResult(result)), nil
+}
+
 // servedStream implements gateway.ServedStream.
 type servedStream struct {
 	stream *connect.BidiStream[peerpb.Batch, peerpb.BatchResult]
--- a/io/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/peer/peerpb/peerpbconnect/peer.connect.go
@@ -56,6 +56,8 @@
 	BeliefsPositionProcedure = "/basilmill.peer.v1.Beliefs/Position"
 	// GatewayExecuteProcedure is the fully-qualified name of the Gateway's Execute RPC.
 	GatewayExecuteProcedure = "/basilmill.peer.v1.Gateway/Execute"
+	// GatewayProbeProcedure is the fully-qualified name of the Gateway's Probe RPC.
+	GatewayProbeProcedure = "/basilmill.peer.v1.Gateway/Probe"
 )
 
 // PeerServiceClient is a client for the basilmill.peer.v1.PeerService service.
@@ -380,6 +382,8 @@
 	// first batch names the server and says whether it needs the connection alone;
 	// then further batches may follow on the same connection.
 	Execute(context.Context) *connect.BidiStreamForClient[peerpb.Batch, peerpb.BatchResult]
+	// Probe returns the result of a recent or new probe of a server.
+	Probe(context.Context, *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error)
 }
 
 // NewGatewayClient constructs a client for the basilmill.peer.v1.Gateway service. By default, it
@@ -399,12 +403,19 @@
 			connect.WithSchema(gatewayMethods.ByName("Execute")),
 			connect.WithClientOptions(opts...),
 		),
+		probe: connect.NewClient[peerpb.ProbeRequest, peerpb.ProbeResponse](
+			httpClient,
+			baseURL+GatewayProbeProcedure,
+			connect.WithSchema(gatewayMethods.ByName("Probe")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // gatewayClient implements GatewayClient.
 type gatewayClient struct {
 	execute *connect.Client[peerpb.Batch, peerpb.BatchResult]
+	probe   *connect.Client[peerpb.ProbeRequest, peerpb.ProbeResponse]
 }
 
 // Execute calls basilmill.peer.v1.Gateway.Execute.
@@ -412,12 +423,19 @@
 	return c.execute.CallBidiStream(ctx)
 }
 
+// Probe calls basilmill.peer.v1.Gateway.Probe.
+func (c *gatewayClient) Probe(ctx context.Context, req *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error) {
+	return c.probe.CallUnary(ctx, req)
+}
+
 // GatewayHandler is an implementation of the basilmill.peer.v1.Gateway service.
 type GatewayHandler interface {
 	// Execute runs batches of statements on one connection of the receiver. The
 	// first batch names the server and says whether it needs the connection alone;
 	// then further batches may follow on the same connection.
 	Execute(context.Context, *connect.BidiStream[peerpb.Batch, peerpb.BatchResult]) error
+	// Probe returns the result of a recent or new probe of a server.
+	Probe(context.Context, *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error)
 }
 
 // NewGatewayHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -433,10 +451,18 @@
 		connect.WithSchema(gatewayMethods.ByName("Execute")),
 		connect.WithHandlerOptions(opts...),
 	)
+	gatewayProbeHandler := connect.NewUnaryHandler(
+		GatewayProbeProcedure,
+		svc.Probe,
+		connect.WithSchema(gatewayMethods.ByName("Probe")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/basilmill.peer.v1.Gateway/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GatewayExecuteProcedure:
 			gatewayExecuteHandler.ServeHTTP(w, r)
+		case GatewayProbeProcedure:
+			gatewayProbeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -449,3 +475,7 @@
 func (UnimplementedGatewayHandler) Execute(context.Context, *connect.BidiStream[peerpb.Batch, peerpb.BatchResult]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("basilmill.peer.v1.Gateway.Execute is not implemented"))
 }
+
+func (UnimplementedGatewayHandler) Probe(context.Context, *connect.Request[peerpb.ProbeRequest]) (*connect.Response[peerpb.ProbeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("basilmill.peer.v1.Gateway.Probe is not implemented"))
+}
--- a/io/peer/statement.go
+++ b/io/peer/statement.go
@@ -146,22 +146,53 @@
 	}
 }
 
-func decodeResult(m *peerpb.BatchResult) (r gateway.Result) {
-	switch m.GetRefusal() {
+func decodeResult(m *peerpb.BatchResult) gateway.Result {
+	if err := decodeRefusal(m.GetRefusal(), m.GetReason()); err != nil {
+		return gateway.Result{Err: err}
+	}
+	var r gateway.Result
+	for _, a := range m.GetAnswers() {
+		r.Answers = append(r.Answers, decodeAnswer(a))
+	}
+	return r
+}
+
+// decodeRefusal returns the error for a refusal, nil if there is none.
+func decodeRefusal(refusal peerpb.Refusal, reason string) error {
+	switch refusal {
 	case peerpb.Refusal_REFUSAL_UNSPECIFIED:
-		for _, a := range m.GetAnswers() {
-			r.Answers = append(r.Answers, decodeAnswer(a))
-		}
+		return nil
 	case peerpb.Refusal_REFUSAL_LEAVING:
-		r.Err = gateway.ErrLeaving
+		return gateway.ErrLeaving
 	case peerpb.Refusal_REFUSAL_QUEUE_TIMEOUT:
-		r.Err = link.ErrQueueTimeout
+		return link.ErrQueueTimeout
 	case peerpb.Refusal_REFUSAL_NO_CONNECTION:
-		r.Err = eris.Wrap(link.ErrNoConnection, m.GetReason())
+		return eris.Wrap(link.ErrNoConnection, reason)
 	default:
-		r.Err = link.ErrLost
+		return link.ErrLost
 	}
-	return r
+}
+
+func encodeProbeResult(r gateway.ProbeResult) *peerpb.ProbeResponse {
+	var failure *exchange.Error
+	if r.Err != nil && !errors.As(r.Err, &failure) {
+		return &peerpb.ProbeResponse{Refusal: refusalOf(r.Err), Reason: r.Err.Error()}
+	}
+	return &peerpb.ProbeResponse{
+		Answer:          encodeAnswer(exchange.Answer{Position: r.Proof.Position, Failure: failure}),
+		AgeMicroseconds: r.Proof.Age.Microseconds(),
+	}
+}
+
+func decodeProbeResult(m *peerpb.ProbeResponse) gateway.ProbeResult {
+	if err := decodeRefusal(m.GetRefusal(), m.GetReason()); err != nil {
+		return gateway.ProbeResult{Err: err}
+	}
+	answer := decodeAnswer(m.GetAnswer())
+	if answer.Failure != nil {
+		return gateway.ProbeResult{Err: answer.Failure}
+	}
+	return gateway.ProbeResult{Proof: gateway.Proof{Position: answer.Position, Age: time.Duration(m.GetAgeMicroseconds()) * time.Microsecond}}
 }
 
 func encodeAnswer(a exchange.Answer) *peerpb.Answer {
