catalog: read changes of servers in a row together

Cause: a watch ends with each change, so that 24 servers that register within 3.4 s cost each host 24 calls of the store.

TestChangesInARowAreReadTogether failed before with 21 watches for 20 changes.

--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -181,6 +181,33 @@
 	})
 }
 
+// Guards against a call of each host for each of several changes in a row.
+func TestChangesInARowAreReadTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const changes, interval = 20, 100 * time.Millisecond
+		started := time.Now()
+		s := &scriptedSource{}
+		// The store returns all changes after the revision, which counts them.
+		var answer func() ([]catalog.ServerChange, catalog.Revision, error)
+		answer = func() ([]catalog.ServerChange, catalog.Revision, error) {
+			s.watchAnswers = append(s.watchAnswers, answer)
+			known := s.watchRevisions[len(s.watchRevisions)-1] - 100
+			if known == changes {
+				time.Sleep(time.Hour)
+			}
+			time.Sleep(time.Until(started.Add(time.Duration(known+1) * interval)))
+			at := min(changes, catalog.Revision(time.Since(started)/interval))
+			b := server("b", false)
+			b.BootID = int64(at)
+			return []catalog.ServerChange{{ID: "b", Server: &b}}, 100 + at, nil
+		}
+		s.watchAnswers = append(s.watchAnswers, answer)
+		cache := syncScript(t, s, changes*interval+time.Second)
+		assert.Equal(t, cache.View().Servers["b"].BootID, int64(changes))
+		assert.Assert(t, len(s.watchRevisions) <= changes/2, "%d watches", len(s.watchRevisions))
+	})
+}
+
 // syncServersFor runs SyncServers for the given time.
 func syncServersFor(t *testing.T, syncer *catalog.Syncer, d time.Duration) {
 	t.Helper()
--- a/core/catalog/sync.go
+++ b/core/catalog/sync.go
@@ -67,6 +67,10 @@
 	// once more, on another connection: several round trips between regions.
 	// Calls sent during an outage of the store stay unanswered after its end.
 	listRetryInterval = 300 * time.Millisecond
+	// changeBatchDelay is the pause after a watch that returned changes of servers.
+	// Several servers often change in a row, and without the pause each change
+	// costs a call of each host.
+	changeBatchDelay = 300 * time.Millisecond
 	// maxSyncBackoff bounds the pause after a failed call. It is part of the
 	// time until the view is up to date again after an outage of the store.
 	maxSyncBackoff = 500 * time.Millisecond
@@ -95,16 +99,26 @@
 
 // SyncServers keeps the servers up to date until ctx ends.
 func (s *Syncer) SyncServers(ctx context.Context) error {
+	var nextWatch time.Time
 	return s.syncPart(ctx, "servers", cmp.Or(s.ServersTTL, defaultServersTTL),
 		func(ctx context.Context) (listResult, error) {
 			entries, at, err := s.Source.ListServers(ctx)
 			return listResult{at: at, apply: func() { s.replaceServers(entries, at) }}, err
 		},
 		func(ctx context.Context, from Revision, wait time.Duration) (Revision, error) {
+			if pause := time.Until(nextWatch); pause > 0 {
+				if !sleep(ctx, pause) {
+					return 0, ctx.Err()
+				}
+				wait -= pause
+			}
 			changes, at, err := s.Source.WatchServers(ctx, from, wait)
 			if err != nil {
 				return 0, err
 			}
+			if len(changes) > 0 {
+				nextWatch = time.Now().Add(changeBatchDelay)
+			}
 			for _, c := range changes {
 				if c.Server == nil {
 					s.Cache.MarkMissing(c.ID)
