gateway: know the other hosts before opening connections

A list of hosts read while the others were still registering stayed in use for 10 s.

A host now waits for the list of hosts, for a second at most; keeps no idle connection to a server to which it is not the gateway; and reads the list again a second after it has changed, then at doubling intervals up to 10 s.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -237,7 +237,7 @@
 			for _, id := range h.cache.Expire() {
 				h.log.Write(ctx, logevent.BackendServerGone, slog.String("server", string(id)), slog.String("why", "no entry"))
 			}
-			h.servers.Prune()
+			h.servers.Prune(h.gateways.client.IsGateway)
 			h.gateways.prune(h.cache.View())
 			h.proxy.Prune(h.cache.View())
 		}
--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -55,6 +55,9 @@
 // Hosts implements gateway.Network.
 func (n gatewayNetwork) Hosts() (hosts []host.Info, version int64) { return n.peers.knownHosts() }
 
+// AwaitHosts implements gateway.Network.
+func (n gatewayNetwork) AwaitHosts(ctx context.Context) error { return n.peers.awaitHosts(ctx) }
+
 // probeKnown probes a server in this host's catalogue on its own connections.
 func (g *gateways) probeKnown(ctx context.Context, id group.ServerID) (gateway.Proof, error) {
 	server, ok := g.host.cache.View().Servers[id]
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -22,9 +22,14 @@
 	// queryTimeout bounds a query: two round trips between regions and the opening
 	// of a connection.
 	queryTimeout = 200 * time.Millisecond
-	// hostListTTL is how long the list of hosts is used before it is read again.
-	// Hosts are added and removed within minutes.
-	hostListTTL = 10 * time.Second
+	// minHostListInterval is the time between two reads of the list of hosts after
+	// it has changed, because hosts often start together. It doubles up to
+	// maxHostListInterval while the list stays the same.
+	minHostListInterval = time.Second
+	maxHostListInterval = 10 * time.Second
+	// hostListRetryInterval is the time until the list is read again after a
+	// failure.
+	hostListRetryInterval = 300 * time.Millisecond
 	// storeTimeout bounds a call of the store.
 	storeTimeout = time.Second
 )
@@ -42,18 +47,21 @@
 	host   *Host
 	client peer.ProvenPositionClient
 
+	// listed is closed when the first list has been read.
+	listed chan struct{}
+
 	mu    sync.Mutex
 	hosts []host.Info
-	// version changes with each change of hosts.
-	version     int64
-	refreshedAt time.Time
-	// refreshDone is closed when the refresh of the list that is in progress has
-	// finished; nil if none is.
-	refreshDone chan struct{}
+	// version changes with each change of hosts; zero before the first list.
+	version int64
+	// refreshing is set while the list is being read.
+	refreshing      bool
+	nextRefresh     time.Time
+	refreshInterval time.Duration
 }
 
 func newPeers(h *Host) *peers {
-	return &peers{host: h, client: peer.ProvenPositionClient{HTTP: &http.Client{}}}
+	return &peers{host: h, client: peer.ProvenPositionClient{HTTP: &http.Client{}}, listed: make(chan struct{})}
 }
 
 // register retries the registration of this host until it succeeds.
@@ -78,12 +86,12 @@
 
 // Positions implements lead.Peers.
 func (p *peers) Positions(ctx context.Context, id group.ID) []lead.Sample {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
 	hosts := p.otherHosts(ctx)
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	hosts = hosts[:min(len(hosts), maxQueriedPeers)]
 	samples := make([]lead.Sample, len(hosts))
-	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
-	defer cancel()
 	var wait sync.WaitGroup
 	for i, info := range hosts {
 		wait.Go(func() { samples[i] = p.queryPeer(ctx, info, id) })
@@ -117,19 +125,11 @@
 }
 
 // otherHosts returns the other hosts. It waits for the store only while there is
-// no list yet; later, an expired list is refreshed in the background.
+// no list yet.
 func (p *peers) otherHosts(ctx context.Context) []host.Info {
+	// Without a list there are no other hosts.
+	_ = p.awaitHosts(ctx)
 	known, _ := p.knownHosts()
-	p.mu.Lock()
-	refreshDone := p.refreshDone
-	p.mu.Unlock()
-	if known == nil && refreshDone != nil {
-		select {
-		case <-refreshDone:
-		case <-ctx.Done():
-		}
-		known, _ = p.knownHosts()
-	}
 	var others []host.Info
 	for _, info := range known {
 		if info.ID != p.host.settings.HostID {
@@ -139,35 +139,54 @@
 	return others
 }
 
+// awaitHosts waits until the first list has been read.
+func (p *peers) awaitHosts(ctx context.Context) error {
+	p.knownHosts()
+	select {
+	case <-p.listed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // knownHosts returns the hosts of the last list, in ascending order of their ids,
-// and its version. An expired list is refreshed in the background. The result must
+// and its version. A list that is due is read in the background. The result must
 // not be modified.
 func (p *peers) knownHosts() (hosts []host.Info, version int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.refreshDone == nil && time.Since(p.refreshedAt) > hostListTTL {
-		p.refreshDone = make(chan struct{})
-		go p.refresh(p.refreshDone)
+	if !p.refreshing && !time.Now().Before(p.nextRefresh) {
+		p.refreshing = true
+		go p.refresh()
 	}
 	return p.hosts, p.version
 }
 
 // refresh reads the list. If that fails, the old list stays in use, and the error
 // is not logged because syncReporter logs that the store is unavailable.
-func (p *peers) refresh(done chan struct{}) {
+func (p *peers) refresh() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	hosts, err := p.host.platform.Hosts.ListHosts(ctx)
+	slices.SortFunc(hosts, func(a, b host.Info) int { return cmp.Compare(a.ID, b.ID) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	slices.SortFunc(hosts, func(a, b host.Info) int { return cmp.Compare(a.ID, b.ID) })
-	if err == nil && !slices.Equal(hosts, p.hosts) {
+	p.refreshing = false
+	switch {
+	case err != nil:
+		p.refreshInterval = hostListRetryInterval
+	case p.version == 0 || !slices.Equal(hosts, p.hosts):
+		if p.version == 0 {
+			close(p.listed)
+		}
 		p.hosts = hosts
 		p.version++
+		p.refreshInterval = minHostListInterval
+	default:
+		p.refreshInterval = min(2*p.refreshInterval, maxHostListInterval)
 	}
-	p.refreshedAt = time.Now()
-	p.refreshDone = nil
-	close(done)
+	p.nextRefresh = time.Now().Add(p.refreshInterval)
 }
 
 // latestProof returns the newest position of a group's primary that this host has
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -189,7 +189,7 @@
 		s := &scriptedSource{}
 		// The store returns all changes after the revision, which counts them.
 		var answer func() ([]catalog.ServerChange, catalog.Revision, error)
-		answer = func() ([]catalog.ServerChange, catalog.Revision, error) {
+		answer = func() ([]catalog.ServerChange, catalog.Revision, error) { //nolint:unparam // the type is that of watchAnswers
 			s.watchAnswers = append(s.watchAnswers, answer)
 			known := s.watchRevisions[len(s.watchRevisions)-1] - 100
 			if known == changes {
--- a/core/gateway/choose.go
+++ b/core/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -29,6 +30,10 @@
 	// noPathBackoff is how long a host is avoided for a server to which it has no
 	// connection.
 	noPathBackoff = time.Second
+	// hostListTimeout is how long after its first request this host waits for the
+	// list of hosts before it opens connections without it. The list is usually
+	// known within 100 ms of the start, unless the store is unavailable.
+	hostListTimeout = time.Second
 )
 
 // hostState is what is known about another host as a gateway.
@@ -60,6 +65,25 @@
 	hosts   []host.Info
 }
 
+// awaitHosts waits until the list of hosts is known, for at most hostListTimeout from
+// the first call. A host that does not know the others would use itself as the
+// gateway to all servers.
+func (c *Client) awaitHosts(ctx context.Context) {
+	if _, version := c.Network.Hosts(); version != 0 {
+		return
+	}
+	c.mu.Lock()
+	if c.firstRequestAt.IsZero() {
+		c.firstRequestAt = time.Now()
+	}
+	deadline := c.firstRequestAt.Add(hostListTimeout)
+	c.mu.Unlock()
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	// Without a list in time, this host goes on alone.
+	_ = c.Network.AwaitHosts(ctx)
+}
+
 // choose returns the gateway to a server: the host with the highest rank that is
 // not avoided, or this host.
 func (c *Client) choose(server catalog.Server) host.Info {
--- a/core/gateway/choose_test.go
+++ b/core/gateway/choose_test.go
@@ -19,6 +19,8 @@
 
 func (n fixedNetwork) Hosts() (hosts []host.Info, version int64) { return n, 1 }
 
+func (fixedNetwork) AwaitHosts(context.Context) error { return nil }
+
 func (fixedNetwork) Open(host.Info) gateway.Stream { return nil }
 
 func (fixedNetwork) Probe(context.Context, host.Info, group.ServerID) (gateway.ProbeResult, error) {
--- a/core/gateway/client.go
+++ b/core/gateway/client.go
@@ -28,12 +28,21 @@
 	rankings    map[group.ServerID]ranking
 	hosts       map[host.ID]*hostState
 	noPathUntil map[pathKey]time.Time
+	// firstRequestAt is when awaitHosts was first called without a list.
+	firstRequestAt time.Time
 	// loads counts the leases through gateways.
 	loads map[group.ServerID]int
 }
 
 // Source returns the source of connections to a server. It implements link.Sources.
 func (c *Client) Source(server catalog.Server) link.Source {
+	if _, version := c.Network.Hosts(); version == 0 {
+		return undecidedSource{client: c, server: server}
+	}
+	return c.chosenSource(server)
+}
+
+func (c *Client) chosenSource(server catalog.Server) link.Source {
 	via := c.choose(server)
 	if via.ID == c.Self.ID {
 		return c.Pools(server)
@@ -41,9 +50,28 @@
 	return remoteSource{client: c, via: via, server: server.ID}
 }
 
+// IsGateway reports whether this host uses its own connections to a server.
+func (c *Client) IsGateway(server catalog.Server) bool { return c.choose(server).ID == c.Self.ID }
+
+// undecidedSource is the source of a host that does not know the others yet.
+type undecidedSource struct {
+	client *Client
+	server catalog.Server
+}
+
+// Load implements link.Source.
+func (u undecidedSource) Load() int { return 0 }
+
+// Acquire implements link.Source. It waits until the other hosts are known.
+func (u undecidedSource) Acquire(ctx context.Context, request link.Request) (*link.Lease, error) {
+	u.client.awaitHosts(ctx)
+	return u.client.chosenSource(u.server).Acquire(ctx, request)
+}
+
 // Probe checks that a server is the primary, on this host's own connections or
 // through its gateway.
 func (c *Client) Probe(ctx context.Context, server catalog.Server) (Proof, error) {
+	c.awaitHosts(ctx)
 	via := c.choose(server)
 	if via.ID == c.Self.ID {
 		return c.Prober.Run(ctx, server)
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -77,9 +77,11 @@
 
 // Network connects a host with the others.
 type Network interface {
-	// Hosts returns all known hosts and the version of the list. The list must
-	// not be modified.
+	// Hosts returns all known hosts and the version of the list, zero before the
+	// first one is known. The list must not be modified.
 	Hosts() (hosts []host.Info, version int64)
+	// AwaitHosts waits until a list is known. The error is that of ctx.
+	AwaitHosts(ctx context.Context) error
 	// Open returns a stream to a host. It does not block.
 	Open(info host.Info) Stream
 	// Probe requests the result of a probe of a server from a host.
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -301,7 +301,7 @@
 			lease.Release()
 		}
 		time.Sleep(time.Second)
-		p.Prune()
+		p.Prune(true)
 		assert.Equal(t, p.Stats().Open, 1)
 	})
 }
@@ -344,7 +344,7 @@
 		assert.NilError(t, err)
 		call := lease.Submit(nil, newRead("x"))
 		time.Sleep(10 * time.Second)
-		p.Prune()
+		p.Prune(true)
 		<-call.Done
 		_, err = call.Answers()
 		assert.Assert(t, errors.Is(err, link.ErrLost))
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -318,9 +318,10 @@
 }
 
 // Prune closes connections that have been idle for longer than their retention,
-// and connections on which a statement has been unanswered for answerTimeout. It
-// is to be called regularly.
-func (p *Pool) Prune() {
+// and connections on which a statement has been unanswered for answerTimeout. With
+// keepLast, the last connection is kept for lastConnRetention. Prune is to be
+// called regularly.
+func (p *Pool) Prune(keepLast bool) {
 	p.mu.Lock()
 	var ending []*Conn
 	now := time.Now()
@@ -335,7 +336,7 @@
 			continue
 		}
 		retention := spareRetention * time.Duration(p.limit)
-		if len(p.conns)-len(ending) == 1 {
+		if keepLast && len(p.conns)-len(ending) == 1 {
 			retention = lastConnRetention
 		}
 		if now.Sub(c.idleSince) > retention {
--- a/core/link/registry.go
+++ b/core/link/registry.go
@@ -59,8 +59,9 @@
 }
 
 // Prune closes idle connections of all pools, and the pools of servers that are
-// no longer in the catalogue. It is to be called regularly.
-func (r *Registry) Prune() {
+// no longer in the catalogue. The last connection to a server is kept for longer if
+// keepLast returns true. Prune is to be called regularly.
+func (r *Registry) Prune(keepLast func(catalog.Server) bool) {
 	present := map[poolKey]bool{}
 	for _, server := range r.cache.View().Servers {
 		present[keyOf(server)] = true
@@ -77,7 +78,7 @@
 	}
 	r.mu.Unlock()
 	for _, p := range current {
-		p.Prune()
+		p.Prune(keepLast(p.server))
 	}
 	for _, p := range obsolete {
 		p.Close()
--- a/e2e/replicated/connection_limit_test.go
+++ b/e2e/replicated/connection_limit_test.go
@@ -55,6 +55,31 @@
 	})
 }
 
+// Guards against hosts that start at the same time and each take connections before
+// they know the others.
+func TestHostsThatStartTogetherStayWithinTheLimit(t *testing.T) {
+	const connectionLimit, hostsPerLocation, listDelay = 12, 8, 100 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		cluster := replicated.New()
+		cluster.ConnectionLimit = connectionLimit
+		network := newHostNetwork()
+		network.unknownUntil = time.Now().Add(listDelay)
+		var hosts []*entryHost
+		for _, dataCentre := range []host.DataCentre{"dc-a", "dc-b", "dc-c"} {
+			for i := range hostsPerLocation {
+				id := host.ID(fmt.Sprintf("%s-%d", dataCentre, i))
+				hosts = append(hosts, startHost(cluster, id, hostOptions{dataCentre: dataCentre, connectionLimit: connectionLimit, network: network}))
+			}
+		}
+		defer stop(cluster, hosts...)
+		time.Sleep(time.Second)
+		assert.Equal(t, cluster.RefusedConnections(), 0)
+		for _, h := range hosts {
+			assert.Assert(t, h.monitor.Snapshot().PrimaryKnown, "%s", h.id)
+		}
+	})
+}
+
 // outcomeTally counts operations by their outcome.
 type outcomeTally struct {
 	mu            sync.Mutex
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -133,6 +133,11 @@
 	return h
 }
 
+// isGateway reports whether the host uses its own connections to a server.
+func (h *entryHost) isGateway(server catalog.Server) bool {
+	return h.gateways.Network == nil || h.gateways.IsGateway(server)
+}
+
 // pool returns the host's own connections to a server.
 func (h *entryHost) pool(server catalog.Server) link.Source { return h.registry.Pool(server) }
 
@@ -165,7 +170,7 @@
 		case <-ticker.C:
 			h.cache.ReplaceServers(h.filterServers(h.cluster.ServerEntries()))
 			h.cache.Expire()
-			h.registry.Prune()
+			h.registry.Prune(h.isGateway)
 		}
 	}
 }
--- a/e2e/replicated/network_test.go
+++ b/e2e/replicated/network_test.go
@@ -25,8 +25,10 @@
 	mu      sync.Mutex
 	infos   []host.Info
 	version int64
-	hosts   map[host.ID]*entryHost
-	silent  map[host.ID]bool
+	// unknownUntil is when the hosts learn the list of hosts.
+	unknownUntil time.Time
+	hosts        map[host.ID]*entryHost
+	silent       map[host.ID]bool
 }
 
 func newHostNetwork() *hostNetwork {
@@ -78,9 +80,22 @@
 func (n *hostNetwork) Hosts() (hosts []host.Info, version int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if time.Now().Before(n.unknownUntil) {
+		return nil, 0
+	}
 	return n.infos, n.version
 }
 
+// AwaitHosts implements gateway.Network.
+func (n *hostNetwork) AwaitHosts(ctx context.Context) error {
+	select {
+	case <-time.After(time.Until(n.unknownUntil)):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Open implements gateway.Network.
 func (n *hostNetwork) Open(info host.Info) gateway.Stream {
 	n.mu.Lock()
--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -72,6 +72,7 @@
 	// lostPromotionDelay is not 0 while the platform loses the answers to
 	// promotions. A promotion is then carried out after this delay.
 	lostPromotionDelay time.Duration
+	refusedConnections int
 
 	record            takeover.Record
 	storeUnavailable  bool
@@ -211,6 +212,14 @@
 	return c.promotions
 }
 
+// RefusedConnections returns the number of connections that servers refused over
+// ConnectionLimit.
+func (c *Cluster) RefusedConnections() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusedConnections
+}
+
 // recordViolation records a violated guarantee. The caller must hold the mutex.
 func (c *Cluster) recordViolation(format string, args ...any) {
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
--- a/standin/replicated/stream.go
+++ b/standin/replicated/stream.go
@@ -33,6 +33,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	case c.ConnectionLimit > 0 && len(s.streams) >= c.ConnectionLimit:
+		c.refusedConnections++
 		c.mu.Unlock()
 		return nil, &exchange.Error{Code: exchange.TooManyConnections}
 	}
