entry: log and count which gateway served a request and which ones are avoided

With gateways, a request's path has one more host, which neither logs nor metrics showed. Each line about a request names the gateway, event 5008 (GatewayAvoided) says why a host is no longer used as one, and metrics count the avoidances and the streams of other hosts.

--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"basilmill/core/catalog"
@@ -9,6 +10,7 @@
 	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/link"
+	"basilmill/core/logevent"
 	"basilmill/io/peer"
 )
 
@@ -31,6 +33,7 @@
 	g.client.Pools = h.pool
 	g.client.Prober = &g.prober
 	g.client.Network = gatewayNetwork{g.peers, h.peers}
+	g.client.OnAvoid = g.observeAvoidance
 	g.Sources = g.client.Source
 	g.service.Pool = g.knownPool
 	g.service.Probe = g.probeKnown
@@ -58,6 +61,13 @@
 // AwaitHosts implements gateway.Network.
 func (n gatewayNetwork) AwaitHosts(ctx context.Context) error { return n.peers.awaitHosts(ctx) }
 
+// observeAvoidance counts and logs that a gateway is avoided.
+func (g *gateways) observeAvoidance(via host.ID, server group.ServerID, reason string) {
+	g.host.metrics.gatewaysAvoided.Inc()
+	g.host.log.Write(context.Background(), logevent.GatewayAvoided, slog.String("gateway", string(via)),
+		slog.String("server", string(server)), slog.String("reason", reason))
+}
+
 // probeKnown probes a server in this host's catalogue on its own connections.
 func (g *gateways) probeKnown(ctx context.Context, id group.ServerID) (gateway.Proof, error) {
 	server, ok := g.host.cache.View().Servers[id]
--- a/cmd/entry/metrics.go
+++ b/cmd/entry/metrics.go
@@ -31,6 +31,7 @@
 	changeDurations    *prometheus.HistogramVec
 	changeSteps        *prometheus.CounterVec
 	detours            *prometheus.CounterVec
+	gatewaysAvoided    prometheus.Counter
 }
 
 // Histogram buckets in seconds.
@@ -81,9 +82,10 @@
 		changeDurations:    histogram("basilmill_primary_change_duration_seconds", "Time of an attempt to change a primary.", changeBuckets, "cause", "result"),
 		changeSteps:        counter("basilmill_primary_change_steps_total", "Steps of attempts to change a primary.", "step", "result"),
 		detours:            counter("basilmill_detours_total", "Connections to backend servers opened through other hosts, by result.", "result"),
+		gatewaysAvoided:    prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_gateways_avoided_total", Help: "Decisions to avoid a gateway to backend servers."}),
 		viewConfirmed:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "basilmill_view_confirmed_timestamp_seconds", Help: "When the store last answered for a part of the view."}, []string{"part"}),
 	}
-	registry.MustRegister(m.retries, m.lostCallers, m.viewConfirmed)
+	registry.MustRegister(m.retries, m.lostCallers, m.gatewaysAvoided, m.viewConfirmed)
 	return m
 }
 
@@ -151,6 +153,7 @@
 	gauge("basilmill_connections_window", "Statements on shared connections that the servers' answers allow.", poolStat(func(s link.Stats) float64 { return float64(s.Window) }))
 	m.registry.MustRegister(&proofAgeCollector{groups: h.groups, clock: h.platform.Clock})
 	gauge("basilmill_relayed_connections", "Connections passed on for other hosts.", func() float64 { return float64(h.detours.relay.OpenConnections()) })
+	gauge("basilmill_gateway_streams", "Streams of other hosts that use or wait for a connection of this host.", func() float64 { return float64(h.gateways.service.Active()) })
 	gauge("basilmill_connection_waiters", "Requests that wait for a connection.", poolStat(func(s link.Stats) float64 { return float64(s.Waiting) }))
 	gauge("basilmill_configuration_version", "Version of the configuration in force.", func() float64 {
 		if config := h.cache.View().Config; config != nil {
--- a/core/gateway/choose.go
+++ b/core/gateway/choose.go
@@ -187,7 +187,15 @@
 // failed notes that a batch got no answer, because the host could not be reached or
 // the stream was closed. The host is avoided unless this host closed the stream
 // while others were being answered.
-func (c *Client) failed(id host.ID, closedHere bool) {
+func (c *Client) failed(id host.ID, closedHere bool, cause error) {
+	if c.backOff(id, closedHere) {
+		c.reportAvoidance(id, "", cause.Error())
+	}
+}
+
+// backOff ends a batch without an answer. It reports whether the host is avoided from
+// now on.
+func (c *Client) backOff(id host.ID, closedHere bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -195,10 +203,11 @@
 	unresponsive := s.isUnresponsive(now)
 	s.inFlight--
 	if closedHere && !unresponsive || now.Before(s.avoidUntil) {
-		return
+		return false
 	}
 	s.lastBackoff = min(max(2*s.lastBackoff, failureBackoff), maxFailureBackoff)
 	s.avoidUntil = now.Add(s.lastBackoff)
+	return true
 }
 
 // avoidHost avoids a host for all servers.
--- a/core/gateway/client.go
+++ b/core/gateway/client.go
@@ -23,6 +23,9 @@
 	// Prober probes over this host's own connections.
 	Prober  *Prober
 	Network Network
+	// OnAvoid, if set, is called when a gateway is avoided. The server is empty if
+	// the gateway is avoided for all servers. It must not block.
+	OnAvoid func(via host.ID, server group.ServerID, reason string)
 
 	mu          sync.Mutex
 	rankings    map[group.ServerID]ranking
@@ -79,7 +82,7 @@
 	c.began(via.ID)
 	result, err := c.Network.Probe(ctx, via, server.ID)
 	if err != nil {
-		c.failed(via.ID, ctx.Err() != nil)
+		c.failed(via.ID, ctx.Err() != nil, err)
 		return Proof{}, err
 	}
 	c.answered(via.ID)
@@ -93,8 +96,16 @@
 	switch {
 	case errors.Is(err, ErrLeaving):
 		c.avoidHost(via, leavingBackoff)
+		c.reportAvoidance(via, "", err.Error())
 	case errors.Is(err, link.ErrNoConnection) && !errors.Is(err, link.ErrQueueTimeout):
 		c.avoidPath(via, server)
+		c.reportAvoidance(via, server, err.Error())
+	}
+}
+
+func (c *Client) reportAvoidance(via host.ID, server group.ServerID, reason string) {
+	if c.OnAvoid != nil {
+		c.OnAvoid(via, server, reason)
 	}
 }
 
@@ -141,7 +152,9 @@
 	r.client.addLoad(r.server, 1)
 	c := &channel{remoteSource: r, request: request, stream: r.client.Network.Open(r.via), batches: make(chan pendingBatch, maxPendingBatches)}
 	go c.run()
-	return link.NewLease(c, c.release), nil
+	lease := link.NewLease(c, c.release)
+	lease.Gateway = r.via.ID
+	return lease, nil
 }
 
 // maxPendingBatches bounds the batches of one lease that wait for the result of an
@@ -241,7 +254,7 @@
 		c.mu.Lock()
 		closedHere := c.closedHere
 		c.mu.Unlock()
-		c.client.failed(c.via.ID, closedHere)
+		c.client.failed(c.via.ID, closedHere, err)
 		if errors.Is(err, link.ErrNoConnection) {
 			return nil, err
 		}
--- a/core/link/lease.go
+++ b/core/link/lease.go
@@ -7,6 +7,7 @@
 
 	"basilmill/core/catalog"
 	"basilmill/core/exchange"
+	"basilmill/core/host"
 )
 
 // Channel carries the statements of a lease to a backend server.
@@ -52,6 +53,8 @@
 // shared with other sessions.
 type Lease struct {
 	Channel
+	// Gateway is the host that holds the connection; empty if it is this host.
+	Gateway      host.ID
 	release      func()
 	reportAnswer func(busy bool)
 	releaseOnce  sync.Once
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -52,6 +52,7 @@
 	BackendServerGone     Number = 5005
 	BackendServerChanged  Number = 5006
 	ServerDetour          Number = 5007
+	GatewayAvoided        Number = 5008
 	ProtocolError         Number = 5003
 	AuthenticationFailure Number = 5004
 )
@@ -108,6 +109,7 @@
 	{BackendServerGone, "BackendServerGone", slog.LevelInfo, "backend server dropped", "None."},
 	{BackendServerChanged, "BackendServerChanged", slog.LevelInfo, "entry of a backend server changed", "None."},
 	{ServerDetour, "ServerDetour", slog.LevelWarn, "backend server out of direct reach, connection through another host", "Check the network between this host and the backend server."},
+	{GatewayAvoided, "GatewayAvoided", slog.LevelWarn, "gateway to backend servers avoided", "None if the host stops or restarts; else check it, or its path to the server if one is named."},
 }
 
 // Default rate limit of each event number: minBurst events at once, then
--- a/core/proxy/current.go
+++ b/core/proxy/current.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		r.attempts++
-		r.server, r.primary = server.ID, server
+		r.server, r.gateway, r.primary = server.ID, lease.Gateway, server
 		answer, next := r.readCurrentOn(ctx, lease, desired, statement)
 		if next == returnAnswer {
 			return answer
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -133,6 +133,9 @@
 	started  time.Time
 	attempts int
 	server   group.ServerID
+	// gateway is the host that held the connection of the last attempt; empty if
+	// it was this host.
+	gateway host.ID
 	// primary is the primary that the last attempt was sent to; unset if any
 	// server may run the statement.
 	primary catalog.Server
@@ -321,7 +324,7 @@
 	proofAge := r.session.proxy.config.Clock() - snapshot.ProvenAt
 	r.session.proxy.config.Log.Write(context.Background(), number,
 		slog.String("request", string(r.statement.ID)), slog.String("route", r.route.Name), slog.String("class", r.route.Consistency.String()),
-		slog.Int64("config", int64(r.session.proxy.config.Cache.View().ConfigVersion())), slog.Bool("writes", r.writes), slog.String("group", string(r.route.Group)), slog.String("server", string(r.server)),
+		slog.Int64("config", int64(r.session.proxy.config.Cache.View().ConfigVersion())), slog.Bool("writes", r.writes), slog.String("group", string(r.route.Group)), slog.String("server", string(r.server)), slog.String("gateway", string(r.gateway)),
 		slog.String("after", r.minPosition.String()), slog.String("leader", string(snapshot.Primary.ID)), slog.Bool("leader_known", snapshot.PrimaryKnown),
 		slog.Duration("leader_proven", proofAge), slog.Int("attempts", r.attempts), slog.Duration("elapsed", elapsed),
 		slog.String("reason", r.reason), slog.String("outcome", outcome))
--- a/core/proxy/read.go
+++ b/core/proxy/read.go
@@ -9,6 +9,7 @@
 	"basilmill/core/catalog"
 	"basilmill/core/exchange"
 	"basilmill/core/group"
+	"basilmill/core/host"
 	"basilmill/core/link"
 )
 
@@ -125,7 +126,7 @@
 		case result := <-results:
 			pending--
 			if result.next == returnAnswer || pending == 0 {
-				r.server = result.server
+				r.server, r.gateway = result.server, result.gateway
 				if result.next == returnAnswer {
 					r.session.proxy.hedgeBudget.RecordSuccess()
 				}
@@ -164,10 +165,11 @@
 
 // readResult is the result of one attempt of a read.
 type readResult struct {
-	server group.ServerID
-	answer exchange.Answer
-	next   nextAction
-	reason string
+	server  group.ServerID
+	gateway host.ID
+	answer  exchange.Answer
+	next    nextAction
+	reason  string
 }
 
 // readOnce makes one attempt of a read on one server and sends its result. It
@@ -189,6 +191,7 @@
 		failed(err)
 		return
 	}
+	result.gateway = lease.Gateway
 	started := time.Now()
 	sent.Store(true)
 	call := lease.Submit(desired, statement)
--- a/core/proxy/transaction.go
+++ b/core/proxy/transaction.go
@@ -123,6 +123,7 @@
 	if t.lease == nil {
 		return t.runFirst(ctx, r)
 	}
+	r.gateway = t.lease.Gateway
 	desired, statement := r.session.desiredState(r.statement)
 	for {
 		r.attempts++
@@ -210,7 +211,7 @@
 		return exchange.Answer{}, retryElsewhere
 	}
 	t.lease, t.server = lease, server.ID
-	r.server = server.ID
+	r.server, r.gateway = server.ID, lease.Gateway
 	begin := exchange.Statement{Operation: exchange.Begin}
 	if t.readOnly && t.route.Consistency != catalog.Current {
 		begin = exchange.Statement{Operation: exchange.BeginRead, MinPosition: r.minPosition}
--- a/core/proxy/write.go
+++ b/core/proxy/write.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		r.attempts++
-		r.server, r.primary = server.ID, server
+		r.server, r.gateway, r.primary = server.ID, lease.Gateway, server
 		sentAt := p.config.Clock()
 		answer, pending, err := r.runStatement(ctx, lease, desired, statement)
 		if err != nil {
