takeover, entry: read ahead from the store with stale reads

Each host reads the record of each group a second after it found a primary, so that a later attempt need not wait for a lease, and reads the list of hosts again and again. Both may be seconds old: an epoch that a stale read shows has been claimed before that read, so a lease that counts from then is never too short, and a host missing from the list is used a little later. Claims still read the current record.

--- a/cmd/entry/entry_test.go
+++ b/cmd/entry/entry_test.go
@@ -59,7 +59,7 @@
 
 func (noHosts) RegisterHost(context.Context, corehost.Info) error { return nil }
 
-func (noHosts) ListHosts(context.Context) ([]corehost.Info, error) { return nil, nil }
+func (noHosts) ListHosts(context.Context, bool) ([]corehost.Info, error) { return nil, nil }
 
 // noSavedServers is a store of saved servers that stays empty.
 type noSavedServers struct{}
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -38,7 +38,9 @@
 type Hosts interface {
 	// RegisterHost creates or replaces the entry of this host.
 	RegisterHost(ctx context.Context, info host.Info) error
-	ListHosts(ctx context.Context) ([]host.Info, error)
+	// ListHosts returns the registered hosts, with allowStale as of some seconds
+	// ago at most.
+	ListHosts(ctx context.Context, allowStale bool) ([]host.Info, error)
 }
 
 // peers queries the other hosts for the positions that they have proven. It also
@@ -168,7 +170,8 @@
 func (p *peers) refresh() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
-	hosts, err := p.host.platform.Hosts.ListHosts(ctx)
+	_, known := p.knownHosts()
+	hosts, err := p.host.platform.Hosts.ListHosts(ctx, known != 0)
 	slices.SortFunc(hosts, func(a, b host.Info) int { return cmp.Compare(a.ID, b.ID) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -76,6 +76,9 @@
 type RecordStore interface {
 	// Load returns the record of a group, the zero record if there is none.
 	Load(ctx context.Context, id group.ID) (Record, error)
+	// LoadStale returns the record as of some seconds ago at most. It costs a
+	// fraction of Load.
+	LoadStale(ctx context.Context, id group.ID) (Record, error)
 	// Store replaces the record if its revision is still r.Revision. Otherwise
 	// it returns ErrConflict.
 	Store(ctx context.Context, id group.ID, r Record) (Record, error)
@@ -244,11 +247,11 @@
 }
 
 // ReadRecord reads the group's record, so that the lease of its holder counts
-// from now at the latest. It must not run at the same time as an attempt.
+// from now at the latest, unless the store returns an older record. It must not run at the same time as an attempt.
 func (r *Runner) ReadRecord(ctx context.Context, id group.ID) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	record, err := r.Records.Load(ctx, id)
+	record, err := r.Records.LoadStale(ctx, id)
 	if err != nil {
 		return eris.Wrapf(err, "read the record of %s", id)
 	}
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -56,6 +56,10 @@
 	return f.record, ctx.Err()
 }
 
+func (f *fakeCluster) LoadStale(ctx context.Context, id group.ID) (takeover.Record, error) {
+	return f.Load(ctx, id)
+}
+
 func (f *fakeCluster) Servers(context.Context, group.ID) ([]catalog.Server, error) {
 	return f.listedServers, nil
 }
--- a/e2e/replicated/history_test.go
+++ b/e2e/replicated/history_test.go
@@ -340,6 +340,10 @@
 	return takeover.Record{}, nil
 }
 
+func (m missingRecord) LoadStale(context.Context, group.ID) (takeover.Record, error) {
+	return takeover.Record{}, nil
+}
+
 func (m missingRecord) Store(_ context.Context, _ group.ID, r takeover.Record) (takeover.Record, error) {
 	return r, nil
 }
--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -331,6 +331,11 @@
 	return c.record, nil
 }
 
+// LoadStale implements takeover.RecordStore.
+func (c *Cluster) LoadStale(ctx context.Context, id group.ID) (takeover.Record, error) {
+	return c.Load(ctx, id)
+}
+
 // Store implements takeover.RecordStore.
 func (c *Cluster) Store(ctx context.Context, _ group.ID, r takeover.Record) (takeover.Record, error) {
 	if err := sleep(ctx, NetDelay); err != nil {
