lead, takeover: keep commits that a departed replica confirmed

Traced with all logs: a replica leaves as planned (14.7 s, gone at 24.7 s) and confirms commits until then; the other replica receives nothing from 24.5 s on. The commits of those 0.2 s are on the primary alone. Commits then stall, the primary is demoted at 1:439, and the replica at 1:421 is promoted, because all remaining servers answered. The rule "the commits of a term are on some replica of that term" does not hold when a replica leaves with its log. A primary that crashes then has the same effect.

The monitor now notes when a server leaves the group or comes back with another boot, and the first position proven after that; the start of a host counts as a departure. A server that has not reached this position is not promoted, and a stalled primary is not demoted for it. Before such a position is proven, a stalled primary stays; one that does not answer may be replaced, because it may never return. What remains: a departure and a crash of the primary within one probe.

TestCommitsConfirmedByADepartedReplicaAreKept failed before for both cases (b was promoted).

--- a/core/lead/change.go
+++ b/core/lead/change.go
@@ -23,7 +23,10 @@
 
 // dueChange returns the change of primary that the state calls for, if any.
 func (m *Monitor) dueChange(members []catalog.Server, now time.Duration) (takeover.Request, bool) {
-	request := takeover.Request{Group: m.config.Group, Primary: m.primary, Members: members}
+	request := takeover.Request{
+		Group: m.config.Group, Primary: m.primary, Members: members,
+		DeparturePosition: m.departures.position, DepartureUnproven: m.departures.unproven,
+	}
 	if !m.primaryKnown {
 		if len(members) < 2 || now-m.lostAt < noPrimaryThreshold || now-m.startedAt < startupGracePeriod {
 			return request, false
--- a/core/lead/event.go
+++ b/core/lead/event.go
@@ -85,6 +85,7 @@
 		m.recordReadAt = m.config.Clock() + recordReadDelay
 		m.lostAt = at
 	}
+	m.departures.noteProof(at, position)
 	m.provenAt = max(m.provenAt, at)
 	m.nextProbe = max(m.nextProbe, at+probeInterval)
 	m.addSample(Sample{At: at, Position: position})
@@ -100,6 +101,7 @@
 		if s.At <= m.newestProof() || len(m.samples) > 0 && s.Position.Term < m.samples[len(m.samples)-1].Position.Term {
 			continue
 		}
+		m.departures.noteProof(s.At, s.Position)
 		m.addSample(s)
 		m.publish()
 	}
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -205,6 +205,7 @@
 	leftoverSuspensions    bool
 	mayHaveLeftSuspensions bool
 	samples                []Sample
+	departures             departures
 }
 
 // event is an update that the goroutine of a Monitor applies to its state.
@@ -256,6 +257,7 @@
 	defer ticker.Stop()
 	m.startedAt = m.config.Clock()
 	m.lostAt = m.startedAt
+	m.departures = departures{lastAt: m.startedAt, unproven: true}
 	for {
 		select {
 		case <-ctx.Done():
@@ -273,6 +275,7 @@
 func (m *Monitor) startDueWork(ctx context.Context) {
 	now := m.config.Clock()
 	members := m.config.Cache.View().Members(m.config.Group)
+	m.departures.note(members, now)
 	m.updatePrimaryEntry(members)
 	if m.primaryKnown && !m.probeInFlight && (m.probeRequested || now >= m.nextProbe) {
 		m.startProbe(ctx, now)
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -13,7 +13,7 @@
 // claim claims the next epoch for this host. It fails with ErrLeaseHeld while
 // another host's lease runs, and with ErrLogIncomplete if highestPosition, the
 // highest position that the next primary can have, has not reached the end of the
-// log that the last primary started from.
+// log that the last primary started from, or the commits of departed servers.
 func (a *attempt) claim(ctx context.Context, highestPosition group.Position) error {
 	current, err := a.loadRecord(ctx)
 	if err != nil {
@@ -26,6 +26,9 @@
 	if highestPosition.Compare(current.BasePosition) < 0 {
 		return eris.Wrapf(ErrLogIncomplete, "highest position %v is below the base position %v", highestPosition, current.BasePosition)
 	}
+	if err := a.checkDepartures(highestPosition); err != nil {
+		return err
+	}
 	next := current
 	next.Epoch++
 	next.Holder = a.Self
@@ -37,6 +40,19 @@
 	return nil
 }
 
+// checkDepartures fails with ErrLogIncomplete if a server at the position may lack
+// commits that a departed server confirmed. Without a proven position this is known
+// only for a primary that answers: a primary that does not answer may never return.
+func (a *attempt) checkDepartures(position group.Position) error {
+	if a.DepartureUnproven && a.Cause == CommitsStalled {
+		return eris.Wrap(ErrLogIncomplete, "no position is proven since a server left the group")
+	}
+	if position.Compare(a.DeparturePosition) < 0 {
+		return eris.Wrapf(ErrLogIncomplete, "highest position %v is below %v, the position when a server left the group", position, a.DeparturePosition)
+	}
+	return nil
+}
+
 // updateRecord replaces the record. An update without an answer may have been
 // applied or may be applied later. It is repeated under the same id until the
 // record shows the outcome.
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -180,6 +180,13 @@
 	Primary catalog.Server
 	// Members are all known servers of the group, including the primary.
 	Members []catalog.Server
+	// DeparturePosition covers every commit that was acknowledged before a server
+	// last left the group; zero if none has left. Such a commit may be on the
+	// primary alone, because the server that confirmed it is gone.
+	DeparturePosition group.Position
+	// DepartureUnproven is set while no position has been proven since a server
+	// left the group.
+	DepartureUnproven bool
 }
 
 // Step is a completed or failed step of an attempt, for the log.
--- a/e2e/replicated/primary_test.go
+++ b/e2e/replicated/primary_test.go
@@ -198,6 +198,37 @@
 	})
 }
 
+// The commits that a replica confirmed before it left the group are on the primary
+// alone while the other replica receives nothing. Neither a stalled nor a crashed
+// primary may then be replaced by that replica.
+func TestCommitsConfirmedByADepartedReplicaAreKept(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		t.Run(fmt.Sprint("crash=", crash), func(t *testing.T) {
+			withCluster(t, func(t *testing.T, cluster *replicated.Cluster, h *entryHost) {
+				cluster.Server("c").SetLeaving(true)
+				time.Sleep(time.Second)
+				cluster.Server("b").SetReplicationStopped(true)
+				awaitWrite(t, h, time.Second)
+				cluster.Server("c").Crash()
+				cluster.Server("c").SetUnlisted(true)
+				time.Sleep(time.Second)
+				if crash {
+					cluster.Server("a").Crash()
+					time.Sleep(5 * time.Second)
+					cluster.Server("a").Start()
+				}
+				s := h.open(t, currentDB)
+				for i := range 10 {
+					_ = s.Execute(context.Background(), write(fmt.Sprint("stalled-", i)))
+				}
+				assert.Equal(t, string(cluster.Primary()), "a")
+				cluster.Server("b").SetReplicationStopped(false)
+				awaitWrite(t, h, 5*time.Second)
+			})
+		})
+	}
+}
+
 // A host whose list lacks a replica that the store lists must not choose a new
 // primary without asking that replica.
 func TestServerMissingFromTheViewIsAccountedFor(t *testing.T) {
