gateway: refuse while the caller still waits

Cause: a gateway without any open connection to a server waited until the host's stream ended with the statement's time limit. The host then did not know whether the write had been sent and told its caller that it is in doubt, so that the caller could not repeat it. Before gateways, the host knew that its pool had nothing.

The first batch states how long the gateway may wait in any case: the rest of the caller's time less 100 ms. The refusal proves that nothing was sent.

--- a/core/gateway/client.go
+++ b/core/gateway/client.go
@@ -146,11 +146,22 @@
 	return r.client.loads[r.server]
 }
 
+// refusalDelay is the time that a refusal of the gateway may take to arrive: a few
+// round trips between regions.
+const refusalDelay = 100 * time.Millisecond
+
 // Acquire implements link.Source. It grants the lease at once; the gateway takes a
 // connection when it receives the first batch.
-func (r remoteSource) Acquire(_ context.Context, request link.Request) (*link.Lease, error) {
+func (r remoteSource) Acquire(ctx context.Context, request link.Request) (*link.Lease, error) {
+	var waitLimit time.Duration
+	if deadline, ok := ctx.Deadline(); ok {
+		waitLimit = time.Until(deadline) - refusalDelay
+		if waitLimit <= 0 {
+			return nil, link.ErrQueueTimeout
+		}
+	}
 	r.client.addLoad(r.server, 1)
-	c := &channel{remoteSource: r, request: request, stream: r.client.Network.Open(r.via), batches: make(chan pendingBatch, maxPendingBatches)}
+	c := &channel{remoteSource: r, request: request, waitLimit: waitLimit, stream: r.client.Network.Open(r.via), batches: make(chan pendingBatch, maxPendingBatches)}
 	go c.run()
 	lease := link.NewLease(c, c.release)
 	lease.Gateway = r.via.ID
@@ -165,8 +176,10 @@
 type channel struct {
 	remoteSource
 	request link.Request
-	stream  Stream
-	batches chan pendingBatch
+	// waitLimit is the WaitLimit of the first batch.
+	waitLimit time.Duration
+	stream    Stream
+	batches   chan pendingBatch
 
 	mu sync.Mutex
 	// ended is set after Close, release or an error.
@@ -185,7 +198,7 @@
 func (c *channel) Submit(desired *link.SessionState, statements ...exchange.Statement) *link.Call {
 	call := link.NewCall()
 	batch := Batch{
-		Server: c.server, Exclusive: c.request.Exclusive, Priority: c.request.Priority, MaxWait: c.request.MaxWait,
+		Server: c.server, Exclusive: c.request.Exclusive, Priority: c.request.Priority, MaxWait: c.request.MaxWait, WaitLimit: c.waitLimit,
 		Desired: desired, Statements: statements,
 	}
 	c.mu.Lock()
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -34,6 +34,10 @@
 	Exclusive bool
 	Priority  int
 	MaxWait   time.Duration
+	// WaitLimit also applies to the first batch. It bounds the wait for a
+	// connection in any case, so that the refusal arrives while the caller still
+	// waits; zero means no bound.
+	WaitLimit time.Duration
 	// Desired is the session state that the statements need, if any.
 	Desired    *link.SessionState
 	Statements []exchange.Statement
--- a/core/gateway/service.go
+++ b/core/gateway/service.go
@@ -44,9 +44,7 @@
 	if !ok {
 		return stream.Send(Result{Err: ErrUnknownServer})
 	}
-	lease, err := source.Acquire(ctx, link.Request{
-		Exclusive: first.Exclusive, Desired: first.Desired, Priority: first.Priority, MaxWait: first.MaxWait,
-	})
+	lease, err := acquire(ctx, source, first)
 	if err != nil {
 		return stream.Send(Result{Err: err})
 	}
@@ -56,6 +54,18 @@
 	return serveShared(ctx, stream, lease, first)
 }
 
+// acquire takes the connection for a stream.
+func acquire(ctx context.Context, source link.Source, first Batch) (*link.Lease, error) {
+	if first.WaitLimit > 0 {
+		limited, cancel := context.WithTimeout(ctx, first.WaitLimit)
+		defer cancel()
+		ctx = limited
+	}
+	return source.Acquire(ctx, link.Request{
+		Exclusive: first.Exclusive, Desired: first.Desired, Priority: first.Priority, MaxWait: first.MaxWait,
+	})
+}
+
 // ServeProbe returns the result of a probe for another host.
 func (s *Service) ServeProbe(ctx context.Context, server group.ServerID) (result ProbeResult) {
 	if s.closed.Load() {
