link: remove counters that nothing reads

The counts of dials by result were read only by the gauge that the counter basilmill_connections_refused_total replaced (Refused) or by nothing (Opened, Failed). Refusals are still counted, by group, and logged. No behaviour changes; the tests of link and entry pass.

--- a/core/link/dial.go
+++ b/core/link/dial.go
@@ -79,7 +79,6 @@
 		return
 	}
 	p.serverFull, p.dialFailing = false, false
-	p.stats.Opened++
 	c := NewConn(stream, p.removeConn)
 	c.idleSince = time.Now()
 	p.conns = append(p.conns, c)
@@ -92,7 +91,6 @@
 func (p *Pool) dialFailed(err error) {
 	var refusal *exchange.Error
 	if errors.As(err, &refusal) && refusal.Code == exchange.TooManyConnections {
-		p.stats.Refused++
 		if p.observer != nil {
 			p.observer.ObserveLimitReached(p.server, len(p.conns), len(p.waiters))
 		}
@@ -101,7 +99,6 @@
 		p.dispatch()
 		return
 	}
-	p.stats.Failed++
 	p.dialFailing = true
 	p.backoffUntil = time.Now().Add(dialBackoff)
 	if len(p.conns) > 0 {
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -98,7 +98,6 @@
 	window        float64
 	lastWindowCut time.Time
 	closed        bool
-	stats         Stats
 }
 
 // Stats is a snapshot of the counts of one pool, or their sum over several pools.
@@ -107,9 +106,6 @@
 	// Shared is the number of sessions that use shared connections, Window the
 	// current bound for it.
 	Shared, Window int
-	// Opened, Refused and Failed count the dials of the pool by result.
-	// Refused counts refusals over the connection limit of the server.
-	Opened, Refused, Failed int64
 }
 
 // waiter is a request that waits for a connection.
@@ -384,7 +380,7 @@
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.stats
+	var s Stats
 	s.Open, s.Waiting = len(p.conns), len(p.waiters)
 	s.Shared, s.Window = p.sharedSessions(), int(p.window)
 	for _, c := range p.conns {
--- a/core/link/registry.go
+++ b/core/link/registry.go
@@ -96,9 +96,6 @@
 		total.Waiting += stats.Waiting
 		total.Shared += stats.Shared
 		total.Window += stats.Window
-		total.Opened += stats.Opened
-		total.Refused += stats.Refused
-		total.Failed += stats.Failed
 	}
 	return total
 }
