lead: leave groups to the hosts that hold connections to them

Cause: every host monitored every group as if it were alone. 195 hosts woke 33 times a second for each of 20 groups, requested 5 probes a second for each from a gateway (19,500 calls a second between hosts), audited the replicas, read the record of each change and searched with 16 probes a second while a primary was missing.

Change: a host is responsible for a group if it is the gateway to one of its servers. Other hosts probe once a second and when a request waits for a proof, do not audit, read no records, and attempt a change only after three seconds. Time without probes no longer counts as time without proofs. Monitors sleep until work is due, the view changes or an event arrives. A gateway serves proofs to other hosts that are up to 250 ms old, because it probes each 200 ms. Where all hosts hold connections, all are responsible, as before.

The new tests failed with the old behaviour put back by hand.

--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -74,7 +74,7 @@
 	if !ok {
 		return gateway.Proof{}, gateway.ErrUnknownServer
 	}
-	return g.prober.Run(ctx, server)
+	return g.prober.RunShared(ctx, server)
 }
 
 // prune drops the state of servers that are no longer in the catalogue.
--- a/core/gateway/client.go
+++ b/core/gateway/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,6 +57,15 @@
 // IsGateway reports whether this host uses its own connections to a server.
 func (c *Client) IsGateway(server catalog.Server) bool { return c.choose(server).ID == c.Self.ID }
 
+// IsGatewayToAny reports whether this host uses its own connections to one of the
+// servers. It returns false while the other hosts are not known.
+func (c *Client) IsGatewayToAny(servers []catalog.Server) bool {
+	if _, version := c.Network.Hosts(); version == 0 {
+		return false
+	}
+	return slices.ContainsFunc(servers, c.IsGateway)
+}
+
 // undecidedSource is the source of a host that does not know the others yet.
 type undecidedSource struct {
 	client *Client
--- a/core/gateway/probe.go
+++ b/core/gateway/probe.go
@@ -10,9 +10,13 @@
 )
 
 const (
-	// probeReuseTTL is the age up to which a probe serves further requests. It is
-	// half of the interval at which a host probes a primary.
+	// probeReuseTTL is the age up to which a probe serves further requests of this
+	// host. It is half of the interval at which a host probes a primary.
 	probeReuseTTL = 100 * time.Millisecond
+	// sharedProbeTTL is the age up to which a probe serves other hosts. It exceeds
+	// the interval at which the gateway itself probes the primary, so that their
+	// requests add no probes.
+	sharedProbeTTL = 250 * time.Millisecond
 	// probeTimeout bounds a probe: seven round trips between regions. It is shorter
 	// than the time that a host waits for its gateway, so that the host learns
 	// that the server did not answer.
@@ -47,10 +51,21 @@
 	err      error
 }
 
-// Run returns the result of a probe that is not older than probeReuseTTL, or waits for
-// that of a new one.
+// Run returns the result of a probe for this host.
 func (p *Prober) Run(ctx context.Context, server catalog.Server) (Proof, error) {
-	current := p.current(server)
+	return p.run(ctx, server, probeReuseTTL)
+}
+
+// RunShared returns the result of a probe for another host. It may be older than
+// that of Run.
+func (p *Prober) RunShared(ctx context.Context, server catalog.Server) (Proof, error) {
+	return p.run(ctx, server, sharedProbeTTL)
+}
+
+// run returns the result of a probe that is not older than the TTL, or waits for that
+// of a new one.
+func (p *Prober) run(ctx context.Context, server catalog.Server, ttl time.Duration) (Proof, error) {
+	current := p.current(server, ttl)
 	select {
 	case <-current.done:
 		return Proof{Position: current.position, Age: p.Clock() - current.sentAt}, current.err
@@ -59,12 +74,13 @@
 	}
 }
 
-// current returns the last probe of a server, or a new one if that is too old.
-func (p *Prober) current(server catalog.Server) *probe {
+// current returns the last probe of a server, or a new one if that is older than the
+// TTL.
+func (p *Prober) current(server catalog.Server, ttl time.Duration) *probe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock()
-	if last := p.probes[server.ID]; last != nil && now-last.sentAt <= probeReuseTTL {
+	if last := p.probes[server.ID]; last != nil && now-last.sentAt <= ttl {
 		return last
 	}
 	if p.probes == nil {
--- a/core/lead/change.go
+++ b/core/lead/change.go
@@ -36,7 +36,7 @@
 		// primary since.
 		return request, m.newestProof() < m.lostAt
 	}
-	if now-m.newestProof() > unprovenThreshold && now-m.startedAt >= startupGracePeriod {
+	if min(m.unprovenFor(now), now-m.newestProof()) > unprovenThreshold && now-m.startedAt >= startupGracePeriod {
 		request.Cause = takeover.PrimaryUnresponsive
 		return request, true
 	}
@@ -55,6 +55,24 @@
 	return request, false
 }
 
+// startDueChange starts an attempt if a change is due. Stalled commits and suspended
+// replicas concern what this host has observed; any other change is left to the
+// responsible hosts for standbyDelay.
+func (m *Monitor) startDueChange(ctx context.Context, now time.Duration) {
+	request, due := m.dueChange(m.members, now)
+	if !due {
+		m.changeDueSince = 0
+		return
+	}
+	if m.changeDueSince == 0 {
+		m.changeDueSince = now
+	}
+	observedHere := request.Cause == takeover.CommitsStalled || request.Cause == takeover.ReplicasSuspended
+	if m.responsible || observedHere || now-m.changeDueSince >= standbyDelay {
+		m.startAttempt(ctx, request)
+	}
+}
+
 func (m *Monitor) startAttempt(ctx context.Context, request takeover.Request) {
 	m.attemptInFlight = true
 	m.log(logevent.PrimarySuspected, slog.String("cause", request.Cause.String()), slog.String("primary", string(request.Primary.ID)),
@@ -89,6 +107,15 @@
 	}()
 }
 
+// auditDue reports whether an audit should start: in the interval of a responsible
+// host, or at once after an attempt that may have left replicas suspended.
+func (m *Monitor) auditDue(now time.Duration) bool {
+	if !m.primaryKnown || m.auditInFlight || m.attemptInFlight {
+		return false
+	}
+	return m.responsible && now >= m.nextAudit || m.mayHaveLeftSuspensions
+}
+
 // startAudit looks for suspended replicas while a primary is known. Each
 // auditsPerFullAudit-th audit covers all data centres, and so does one for which
 // replicas may have been left suspended.
--- a/core/lead/event.go
+++ b/core/lead/event.go
@@ -15,7 +15,19 @@
 // probeRequestEvent requests a probe of the primary.
 type probeRequestEvent struct{}
 
-func (probeRequestEvent) apply(m *Monitor) { m.probeRequested = true }
+func (probeRequestEvent) apply(m *Monitor) {
+	now := m.config.Clock()
+	m.probeRequested = true
+	if !m.isEngaged(now) && !m.primaryKnown {
+		m.nextSearch = now
+	}
+	m.requestedUntil = now + requestRetention
+}
+
+// wakeEvent makes the goroutine check for due work.
+type wakeEvent struct{}
+
+func (wakeEvent) apply(*Monitor) {}
 
 // notPrimaryEvent says that a server refused a write or a transaction because it
 // is not the primary.
@@ -87,7 +99,8 @@
 	}
 	m.departures.noteProof(at, position)
 	m.provenAt = max(m.provenAt, at)
-	m.nextProbe = max(m.nextProbe, at+probeInterval)
+	m.unprovenSince = 0
+	m.nextProbe = max(m.nextProbe, at+m.probeInterval())
 	m.addSample(Sample{At: at, Position: position})
 	m.publish()
 }
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -29,8 +30,23 @@
 	probeInterval = 200 * time.Millisecond
 	// probeTimeout bounds a probe: ten round trips between regions.
 	probeTimeout = 400 * time.Millisecond
+	// idleProbeInterval is the time between two probes or searches of a host that
+	// is not responsible for the group, while no request waits for one. It is
+	// less than the maximum ages of reads, so that most find a position.
+	idleProbeInterval = time.Second
 	// searchInterval is the time between two searches while no primary is known.
 	searchInterval = 60 * time.Millisecond
+	// requestRetention is how long after a request for a probe a host searches as
+	// often as a responsible one. It exceeds the statement timeouts.
+	requestRetention = 2 * time.Second
+	// standbyDelay is how long a host that is not responsible leaves a due change
+	// to those that are. It exceeds the duration of most changes.
+	standbyDelay = 3 * time.Second
+	// unsettledInterval is the time between two checks for due work while a
+	// change of primary may be due.
+	unsettledInterval = 30 * time.Millisecond
+	// minWakeInterval is the least time between two checks for due work.
+	minWakeInterval = time.Millisecond
 	// unprovenThreshold is the age of the newest proof from which the primary
 	// counts as unresponsive and a change is attempted: two probes with their
 	// timeouts.
@@ -159,6 +175,11 @@
 	// DataCentre is the data centre of this host. Its replicas are audited
 	// more often than the others.
 	DataCentre host.DataCentre
+	// Responsible, if set, reports whether this host monitors the group, with the
+	// given servers, for other hosts too. A host that is not responsible probes
+	// rarely and on request, leaves audits to the responsible ones, and attempts
+	// a change only if they have not made it within standbyDelay.
+	Responsible func(members []catalog.Server) bool
 	// Clock returns a monotonic time that also advances while the machine is
 	// suspended.
 	Clock func() time.Duration
@@ -175,13 +196,23 @@
 	// their confirmation for too long.
 	stalledCommits atomic.Int64
 
+	view        *catalog.View
+	members     []catalog.Server // the group's servers in view
+	responsible bool
+	// requestedUntil is until when the host searches as often as a responsible
+	// one, because a request waits for a proof.
+	requestedUntil time.Duration
+
 	primary      catalog.Server
 	primaryKnown bool
 	startedAt    time.Duration // when Run was called
 	// lostAt is when the last primary was lost; while one is known, when the
 	// probe or statement that first proved it was sent.
-	lostAt         time.Duration
-	provenAt       time.Duration // when the probe of the last own proof was sent
+	lostAt   time.Duration
+	provenAt time.Duration // when the probe of the last own proof was sent
+	// unprovenSince is when the first probe after the last own proof was sent;
+	// zero if none was.
+	unprovenSince  time.Duration
 	probeInFlight  bool
 	probeRequested bool // a probe is due as soon as the current one ends
 	nextProbe      time.Duration
@@ -191,6 +222,8 @@
 	// attemptInFlight is set while an attempt runs or the record is read.
 	attemptInFlight bool
 	nextAttempt     time.Duration
+	// changeDueSince is since when a change has been due; zero if none is.
+	changeDueSince time.Duration
 	// recordReadAt is when the record is to be read; zero if it need not be.
 	recordReadAt      time.Duration
 	nextAudit         time.Duration
@@ -240,7 +273,10 @@
 
 // ReportStalledCommit reports that a commit has been waiting for its
 // confirmation for longer than replication normally takes.
-func (m *Monitor) ReportStalledCommit() { m.stalledCommits.Add(1) }
+func (m *Monitor) ReportStalledCommit() {
+	m.stalledCommits.Add(1)
+	m.send(wakeEvent{})
+}
 
 // send queues an event unless the queue is full. It never blocks: a dropped
 // report costs one probe interval.
@@ -253,20 +289,24 @@
 
 // Run monitors the primary until ctx ends.
 func (m *Monitor) Run(ctx context.Context) error {
-	ticker := time.NewTicker(searchInterval / 2)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	m.startedAt = m.config.Clock()
 	m.lostAt = m.startedAt
 	m.departures = departures{lastAt: m.startedAt, unproven: true}
+	viewChanged := m.config.Cache.Changed()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case e := <-m.events:
 			e.apply(m)
-		case <-ticker.C:
+		case <-viewChanged:
+			viewChanged = m.config.Cache.Changed()
+		case <-timer.C:
 		}
 		m.startDueWork(ctx)
+		timer.Reset(m.untilDue())
 	}
 }
 
@@ -274,29 +314,100 @@
 // are due.
 func (m *Monitor) startDueWork(ctx context.Context) {
 	now := m.config.Clock()
-	members := m.config.Cache.View().Members(m.config.Group)
-	m.departures.note(members, now)
-	m.updatePrimaryEntry(members)
+	m.updateMembers(now)
+	m.responsible = m.config.Responsible == nil || m.config.Responsible(m.members)
+	m.updatePrimaryEntry(m.members)
 	if m.primaryKnown && !m.probeInFlight && (m.probeRequested || now >= m.nextProbe) {
 		m.startProbe(ctx, now)
 	}
-	if m.searchDue(members, now) {
-		m.startSearch(ctx, members, now)
+	if m.searchDue(m.members, now) {
+		m.startSearch(ctx, m.members, now)
 	}
 	if !m.attemptInFlight && now >= m.nextAttempt {
-		if request, ok := m.dueChange(members, now); ok {
-			m.startAttempt(ctx, request)
-		}
+		m.startDueChange(ctx, now)
 	}
-	if !m.attemptInFlight && m.recordReadAt != 0 && now >= m.recordReadAt {
+	if m.responsible && !m.attemptInFlight && m.recordReadAt != 0 && now >= m.recordReadAt {
 		m.startRecordRead(ctx)
 	}
-	if m.config.Peers != nil && !m.peerQueryInFlight && now >= m.nextPeerQuery && now-m.provenAt > peerQueryThreshold {
+	if m.peerQueryDue(now) {
 		m.queryPeers(ctx, now)
 	}
-	if m.primaryKnown && !m.auditInFlight && !m.attemptInFlight && (now >= m.nextAudit || m.mayHaveLeftSuspensions) {
-		m.startAudit(ctx, members, now)
+	if m.auditDue(now) {
+		m.startAudit(ctx, m.members, now)
+	}
+}
+
+// updateMembers notes the group's servers if the view has changed.
+func (m *Monitor) updateMembers(now time.Duration) {
+	view := m.config.Cache.View()
+	if view == m.view {
+		return
+	}
+	members := view.Members(m.config.Group)
+	if !m.primaryKnown && !slices.Equal(members, m.members) {
+		m.nextSearch = now
+	}
+	m.view, m.members = view, members
+	m.departures.note(members, now)
+}
+
+// untilDue returns the time until work may be due that neither an event nor a
+// change of the view announces.
+func (m *Monitor) untilDue() time.Duration {
+	now := m.config.Clock()
+	if m.isUnsettled(now) {
+		return unsettledInterval
+	}
+	due := now + idleProbeInterval
+	switch {
+	case !m.primaryKnown:
+		if m.searchProbesInFlight == 0 {
+			due = min(due, m.nextSearch)
+		}
+	case !m.probeInFlight:
+		due = min(due, m.nextProbe)
+	}
+	if m.responsible && !m.attemptInFlight {
+		if m.recordReadAt != 0 {
+			due = min(due, m.recordReadAt)
+		}
+		if m.primaryKnown && !m.auditInFlight {
+			due = min(due, m.nextAudit)
+		}
+	}
+	return max(due-now, minWakeInterval)
+}
+
+// isUnsettled reports whether a change of primary, or another reaction to a fault,
+// may become due at any time.
+func (m *Monitor) isUnsettled(now time.Duration) bool {
+	if !m.primaryKnown {
+		return m.isEngaged(now)
+	}
+	return m.unprovenSince != 0 || m.changeDueSince != 0 || m.primary.Leaving || m.leftoverSuspensions ||
+		m.mayHaveLeftSuspensions || m.stalledCommits.Load() > 0 || m.otherClaimsPrimary(m.members)
+}
+
+// isEngaged reports whether this host has to find the primary of the group soon:
+// it is responsible, or a request waits.
+func (m *Monitor) isEngaged(now time.Duration) bool { return m.responsible || now < m.requestedUntil }
+
+// probeInterval returns the time from a proof to the next probe.
+func (m *Monitor) probeInterval() time.Duration {
+	if m.responsible {
+		return probeInterval
+	}
+	return idleProbeInterval
+}
+
+// unprovenFor returns for how long this host has sought a newer proof of the
+// primary. It counts from the last proof, but not for the time in which the host
+// left probes out.
+func (m *Monitor) unprovenFor(now time.Duration) time.Duration {
+	if m.unprovenSince == 0 {
+		return 0
 	}
+	return now - max(m.provenAt, m.unprovenSince-probeInterval)
 }
 
 // publish replaces the snapshot by a copy of the current state.
@@ -315,6 +426,7 @@
 		return
 	}
 	m.primaryKnown = false
+	m.unprovenSince = 0
 	m.lostAt = m.config.Clock()
 	m.nextProbe, m.nextSearch = m.lostAt, m.lostAt
 	m.log(logevent.PrimaryLost, slog.String("server", string(m.primary.ID)), slog.String("why", reason), slog.Duration("proven_before", m.lostAt-m.provenAt))
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -25,8 +26,13 @@
 type fakeCluster struct {
 	recordReads int
 	mu          sync.Mutex
-	primary     group.ServerID
-	position    group.Position
+	// probes and commands count the calls of servers, peerQueries those of hosts.
+	probes, commands, peerQueries int
+	// clockReadings counts the readings of the monitor's clock, of which it makes
+	// some whenever it wakes up.
+	clockReadings atomic.Int64
+	primary       group.ServerID
+	position      group.Position
 	// unreachable makes probes of the primary time out.
 	unreachable bool
 	peerSamples []lead.Sample
@@ -36,6 +42,7 @@
 
 func (f *fakeCluster) Probe(ctx context.Context, s catalog.Server) (group.Position, time.Duration, error) {
 	f.mu.Lock()
+	f.probes++
 	unreachable, primary, position := f.unreachable, f.primary, f.position
 	f.mu.Unlock()
 	if s.ID != primary {
@@ -54,6 +61,7 @@
 func (f *fakeCluster) Command(_ context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.commands++
 	if statement.Operation == exchange.Resume {
 		delete(f.suspended, s.ID)
 	}
@@ -81,6 +89,7 @@
 func (f *fakeCluster) Positions(context.Context, group.ID) []lead.Sample {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.peerQueries++
 	return f.peerSamples
 }
 
@@ -99,16 +108,22 @@
 // runMonitor runs a test with a monitor of the servers a, b and c in a synctest
 // bubble, in which time advances only while all goroutines are blocked.
 func runMonitor(t *testing.T, f *fakeCluster, test func(t *testing.T, m *lead.Monitor, cache *catalog.Cache, clock func() time.Duration)) {
+	t.Helper()
+	runMonitorWith(t, f, nil, test)
+}
+
+// runMonitorWith is runMonitor with the given Config.Responsible.
+func runMonitorWith(t *testing.T, f *fakeCluster, responsible func([]catalog.Server) bool, test func(t *testing.T, m *lead.Monitor, cache *catalog.Cache, clock func() time.Duration)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
-		clock := func() time.Duration { return time.Hour + time.Since(started) }
+		clock := func() time.Duration { f.clockReadings.Add(1); return time.Hour + time.Since(started) }
 		cache := &catalog.Cache{}
 		for _, id := range []group.ServerID{"a", "b", "c"} {
 			cache.PutServer(catalog.Server{ID: id, Group: "g", ClaimsPrimary: id == "a"})
 		}
 		m := lead.New(lead.Config{
-			Group: "g", Cache: cache, Client: f, PrimaryChanger: f, Peers: f, Clock: clock,
+			Group: "g", Cache: cache, Client: f, PrimaryChanger: f, Peers: f, Clock: clock, Responsible: responsible,
 			Log: &logevent.Logger{Log: slog.New(slog.NewTextHandler(io.Discard, nil))},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
@@ -253,3 +268,94 @@
 		assert.Equal(t, f.attempts[0].Cause, takeover.ReplicasSuspended)
 	})
 }
+
+// notResponsible is the Config.Responsible of a host that leaves a group to others.
+func notResponsible([]catalog.Server) bool { return false }
+
+// Most hosts of a large fleet do not hold connections to a group. What the group costs
+// such a host must not add up: every host monitors all groups.
+func TestHostThatIsNotResponsibleCostsLittle(t *testing.T) {
+	f := &fakeCluster{primary: "a", position: positionAt(1, 10)}
+	runMonitorWith(t, f, notResponsible, func(t *testing.T, m *lead.Monitor, _ *catalog.Cache, _ func() time.Duration) {
+		time.Sleep(time.Second)
+		f.update(func() { f.probes, f.commands, f.peerQueries, f.recordReads = 0, 0, 0, 0 })
+		f.clockReadings.Store(0)
+		const seconds = 30
+		time.Sleep(seconds * time.Second)
+		assert.Assert(t, m.Snapshot().PrimaryKnown)
+		f.update(func() {
+			assert.Assert(t, f.probes <= seconds+1, "%d probes", f.probes)
+			assert.Equal(t, f.commands+f.peerQueries+f.recordReads, 0)
+			assert.Assert(t, f.clockReadings.Load() <= 10*seconds, "%d readings of the clock", f.clockReadings.Load())
+		})
+	})
+}
+
+// A host that is responsible probes five times a second, and has nothing else to do
+// between the probes.
+func TestSettledMonitorWakesOnlyForDueWork(t *testing.T) {
+	f := &fakeCluster{primary: "a", position: positionAt(1, 10)}
+	runMonitor(t, f, func(t *testing.T, _ *lead.Monitor, _ *catalog.Cache, _ func() time.Duration) {
+		time.Sleep(5 * time.Second)
+		f.update(func() { f.probes = 0 })
+		f.clockReadings.Store(0)
+		time.Sleep(10 * time.Second)
+		f.update(func() {
+			readings := f.clockReadings.Load()
+			assert.Assert(t, readings <= 6*int64(f.probes), "%d readings of the clock for %d probes", readings, f.probes)
+		})
+	})
+}
+
+// A request that waits for a proof gets one at once, whoever is responsible.
+func TestRequestedProbeIsSentAtOnce(t *testing.T) {
+	f := &fakeCluster{primary: "a", position: positionAt(1, 10)}
+	runMonitorWith(t, f, notResponsible, func(t *testing.T, m *lead.Monitor, _ *catalog.Cache, clock func() time.Duration) {
+		time.Sleep(1900 * time.Millisecond)
+		f.update(func() { f.position = positionAt(1, 20) })
+		m.RequestProbe()
+		time.Sleep(time.Millisecond)
+		_, ok := m.Snapshot().OldestSampleSince(clock() - 5*time.Millisecond)
+		assert.Assert(t, ok)
+		f.update(func() { f.primary, f.position = "b", positionAt(2, 21) })
+		m.RequestProbe()
+		time.Sleep(70 * time.Millisecond)
+		assert.Equal(t, m.Snapshot().Primary.ID, group.ServerID("b"))
+	})
+}
+
+// Hosts that are not responsible must not act together with those that are, but they
+// must act in the end.
+func TestChangeIsLeftToResponsibleHosts(t *testing.T) {
+	for name, lose := range map[string]func(*fakeCluster, *catalog.Cache){
+		"unresponsive": func(f *fakeCluster, _ *catalog.Cache) { f.update(func() { f.unreachable = true }) },
+		"gone":         func(f *fakeCluster, _ *catalog.Cache) { f.update(func() { f.primary = "" }) },
+		"leaving": func(_ *fakeCluster, cache *catalog.Cache) {
+			cache.PutServer(catalog.Server{ID: "a", Group: "g", ClaimsPrimary: true, Leaving: true})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeCluster{primary: "a", position: positionAt(1, 10)}
+			runMonitorWith(t, f, notResponsible, func(t *testing.T, _ *lead.Monitor, cache *catalog.Cache, _ func() time.Duration) {
+				time.Sleep(5 * time.Second)
+				lose(f, cache)
+				time.Sleep(2500 * time.Millisecond)
+				assert.Equal(t, len(f.attemptedChanges()), 0)
+				time.Sleep(5 * time.Second)
+				assert.Assert(t, len(f.attemptedChanges()) > 0)
+			})
+		})
+	}
+}
+
+// A host that left out probes must not take the time without proofs for a fault.
+func TestLeftOutProbesAreNoFault(t *testing.T) {
+	f := &fakeCluster{primary: "a", position: positionAt(1, 10)}
+	responsible := false
+	runMonitorWith(t, f, func([]catalog.Server) bool { return responsible }, func(t *testing.T, _ *lead.Monitor, _ *catalog.Cache, _ func() time.Duration) {
+		time.Sleep(4900 * time.Millisecond)
+		f.update(func() { responsible = true })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(f.attemptedChanges()), 0)
+	})
+}
--- a/core/lead/search.go
+++ b/core/lead/search.go
@@ -37,9 +37,12 @@
 	if m.searchProbesInFlight > 0 || now < m.nextSearch {
 		return false
 	}
-	if !m.primaryKnown || now-m.provenAt > unprovenThreshold {
-		return true
-	}
+	return !m.primaryKnown || m.unprovenFor(now) > unprovenThreshold || m.otherClaimsPrimary(members)
+}
+
+// otherClaimsPrimary reports whether a server other than the known primary claims to
+// be the primary.
+func (m *Monitor) otherClaimsPrimary(members []catalog.Server) bool {
 	for _, s := range members {
 		if s.ClaimsPrimary && s.ID != m.primary.ID {
 			return true
@@ -51,13 +54,20 @@
 func (m *Monitor) startProbe(ctx context.Context, now time.Duration) {
 	m.probeInFlight, m.probeRequested = true, false
 	m.nextProbe = now + probeInterval
+	if m.unprovenSince == 0 {
+		m.unprovenSince = now
+	}
 	m.probe(ctx, m.primary, now, false)
 }
 
 func (m *Monitor) startSearch(ctx context.Context, members []catalog.Server, now time.Duration) {
-	m.nextSearch = now + searchInterval
-	if m.primaryKnown {
+	switch {
+	case !m.isEngaged(now):
+		m.nextSearch = now + idleProbeInterval
+	case m.primaryKnown:
 		m.nextSearch = now + probeInterval
+	default:
+		m.nextSearch = now + searchInterval
 	}
 	for _, s := range members {
 		if m.primaryKnown && s.ID == m.primary.ID {
@@ -80,6 +90,18 @@
 	}()
 }
 
+// peerQueryDue reports whether other hosts should be queried for their samples: this
+// host has sought a proof for some time.
+func (m *Monitor) peerQueryDue(now time.Duration) bool {
+	if m.config.Peers == nil || m.peerQueryInFlight || now < m.nextPeerQuery {
+		return false
+	}
+	if !m.primaryKnown {
+		return m.isEngaged(now) && now-m.provenAt > peerQueryThreshold
+	}
+	return m.unprovenFor(now) > peerQueryThreshold
+}
+
 // queryPeers queries other hosts for their samples.
 func (m *Monitor) queryPeers(ctx context.Context, now time.Duration) {
 	m.peerQueryInFlight = true
--- a/core/proxy/current.go
+++ b/core/proxy/current.go
@@ -102,6 +102,7 @@
 			return snapshot.Primary, true
 		}
 		r.reason = "no primary"
+		r.monitor.RequestProbe()
 		if !awaitChange(ctx, snapshot) {
 			return catalog.Server{}, false
 		}
