distribution, entry: read the store through relays in each data centre

Cause: every host watched the servers and the configuration in the store.

A copy is current while the relay's own watch of the store is within its time. A host never takes a copy that is older than what it has seen.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"basilmill/core/catalog"
+	"basilmill/core/distribution"
 	"basilmill/core/host"
 	"basilmill/core/link"
 	"basilmill/core/logevent"
@@ -32,7 +33,12 @@
 // Platform holds the services of the platform that a host uses, and the adapters
 // to its protocols.
 type Platform struct {
-	Source           catalog.Source
+	// Source reads the catalogue from the store.
+	Source catalog.Source
+	// Objects, if set, reads the objects of the store, so that hosts can pass them
+	// on, and Catalog decodes the catalogue from them.
+	Objects          distribution.Source
+	Catalog          func(distribution.Source) catalog.Source
 	SavedServerStore catalog.SavedServerStore
 	RecordStore      takeover.RecordStore
 	PromotionService takeover.PromotionService
@@ -63,6 +69,7 @@
 	cache    *catalog.Cache
 	groups   *groups
 	peers    *peers
+	relays   *relays
 	detours  *detours
 	gateways *gateways
 	servers  *link.Registry
@@ -75,6 +82,7 @@
 func New(s settings.Entry, p Platform, log *slog.Logger) *Host {
 	h := &Host{settings: s, platform: p, log: &logevent.Logger{Log: log}, metrics: newMetrics(), cache: &catalog.Cache{}}
 	h.peers = newPeers(h)
+	h.relays = newRelays(h)
 	h.detours = newDetours(h)
 	h.servers = link.NewRegistry(h.cache, p.Dialer(h.detours.dialer.Connect))
 	h.servers.Observer = poolObserver{h.metrics, h.log}
@@ -120,6 +128,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	defer h.gateways.peers.Close()
+	defer h.relays.client.Close()
 	var g run.Group
 	h.addBackground(&g, background, stop, reload)
 	if err := h.addServers(ctx, &g); err != nil {
@@ -138,7 +147,7 @@
 func (h *Host) addBackground(g *run.Group, ctx context.Context, stop func(), reload <-chan settings.Entry) {
 	reporter := newSyncReporter(h)
 	syncer := &catalog.Syncer{
-		Cache: h.cache, Source: h.platform.Source, SavedServerStore: h.platform.SavedServerStore,
+		Cache: h.cache, Source: h.relays.source(), SavedServerStore: h.platform.SavedServerStore, IsSaver: h.relays.follower.IsRelay,
 		OnSourceCall: reporter.observeSourceCall, OnServerChange: reporter.logChange, OnRestore: reporter.logRestored,
 		ConfigTTL: h.settings.ConfigTTL(), ServersTTL: h.settings.ServersTTL(),
 	}
@@ -173,6 +182,7 @@
 	mux.Handle(peer.ProvenPositionHandler(h.peers.latestProof))
 	mux.Handle(h.detours.relay.Handler())
 	mux.Handle(peer.GatewayHandler(&h.gateways.service))
+	mux.Handle(peer.PullHandler(h.info(), &h.relays.relay))
 	return h.addHTTP(ctx, g, h.settings.Operators, mux)
 }
 
@@ -217,6 +227,7 @@
 	started := time.Now()
 	h.detours.relay.Close()
 	h.gateways.service.Close()
+	h.relays.relay.Close()
 	h.callers.drain(listener, h.settings.GraceTime)
 	// Let the statements finish that other hosts have sent through this one.
 	for (h.detours.relay.ActiveWithin(relayIdleThreshold) || h.gateways.service.Active() > 0) && time.Since(started) < h.settings.GraceTime-flushGracePeriod {
--- a/cmd/entry/metrics.go
+++ b/cmd/entry/metrics.go
@@ -25,6 +25,7 @@
 	retries            prometheus.Counter
 	lostCallers        prometheus.Counter
 	peerCalls          *prometheus.CounterVec
+	pulls              *prometheus.CounterVec
 	storeCalls         *prometheus.CounterVec
 	storeDurations     *prometheus.HistogramVec
 	viewConfirmed      *prometheus.GaugeVec
@@ -77,6 +78,7 @@
 		retries:            prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_statement_retries_total", Help: "Attempts beyond the first."}),
 		lostCallers:        prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_callers_lost_total", Help: "Callers' connections that broke."}),
 		peerCalls:          counter("basilmill_peer_questions_total", "Questions to other hosts for a proven position, by answer.", "answer"),
+		pulls:              counter("basilmill_pulls_total", "Pulls of the store's objects from relays, by result.", "result"),
 		storeCalls:         counter("basilmill_store_calls_total", "Calls of the platform's store by method and kind, and by status (0 without an answer).", "call", "status"),
 		storeDurations:     histogram("basilmill_store_call_duration_seconds", "Time of a call of the platform's store; a watch waits for changes.", storeBuckets, "call"),
 		changeDurations:    histogram("basilmill_primary_change_duration_seconds", "Time of an attempt to change a primary.", changeBuckets, "cause", "result"),
--- a/cmd/internal/command/entry.go
+++ b/cmd/internal/command/entry.go
@@ -14,6 +14,7 @@
 
 	"basilmill/cmd/entry"
 	"basilmill/core/catalog"
+	"basilmill/core/distribution"
 	"basilmill/core/link"
 	"basilmill/core/logevent"
 	"basilmill/core/settings"
@@ -47,7 +48,8 @@
 	defer func() { _ = logWriter.Close() }()
 	log := newLogger(logWriter, settings.Log{Format: settings.JSON})
 	host := entry.New(s, entry.Platform{
-		Source: store, SavedServerStore: store, RecordStore: store, Hosts: store, PromotionService: promotions, Connect: platform.Connect,
+		Source: store, Objects: store, Catalog: func(objects distribution.Source) catalog.Source { return platform.Catalog{Objects: objects} },
+		SavedServerStore: store, RecordStore: store, Hosts: store, PromotionService: promotions, Connect: platform.Connect,
 		Dialer: func(connect func(context.Context, catalog.Server) (net.Conn, error)) link.Dialer {
 			return platform.Dialer{Connect: connect}
 		},
--- a/core/catalog/savedservers.go
+++ b/core/catalog/savedservers.go
@@ -100,7 +100,9 @@
 		if !sleep(ctx, saveDelay+rand.N(maxSaveJitterDelay)) {
 			break
 		}
-		saved = s.updateSaved(ctx, saved)
+		if s.IsSaver == nil || s.IsSaver() {
+			saved = s.updateSaved(ctx, saved)
+		}
 	}
 	return nil
 }
--- a/core/catalog/sync.go
+++ b/core/catalog/sync.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"basilmill/core/distribution"
 	"basilmill/core/group"
 	"basilmill/core/retry"
 )
@@ -17,7 +18,7 @@
 
 // ErrHistoryGone is returned by a watch from a revision after which the store no
 // longer keeps all changes. The list must be read again.
-var ErrHistoryGone = errors.New("the store no longer has this history")
+var ErrHistoryGone = distribution.ErrHistoryGone
 
 // ServerChange is the entry of one server in the store, or a change of it. Server
 // is nil if the entry was removed or is invalid.
@@ -86,6 +87,9 @@
 	ConfigTTL, ServersTTL time.Duration
 	// SavedServerStore is only used by SyncSavedServers.
 	SavedServerStore SavedServerStore
+	// IsSaver, if set, reports whether this host keeps the saved servers up to
+	// date. One host of a fleet suffices.
+	IsSaver func() bool
 	// OnRestore, if set, is called with the servers that were added to the
 	// view from the SavedServerStore, because they had no entry.
 	OnRestore func(servers []group.ServerID)
@@ -213,7 +217,7 @@
 	var at Revision
 	for ctx.Err() == nil {
 		next, err := syncStep(ctx, at, timeouts.next, fetch, watch)
-		if s.OnSourceCall != nil && ctx.Err() == nil {
+		if s.OnSourceCall != nil && ctx.Err() == nil && !errors.Is(err, ErrHistoryGone) {
 			s.OnSourceCall(part, next, err)
 		}
 		switch {
--- a/core/distribution/distribution.go
+++ b/core/distribution/distribution.go
@@ -28,10 +28,13 @@
 	Key     Key
 	Version Version
 	Value   []byte
+	// Removed is set if the last change removed the object. Value is then empty.
+	Removed bool
 }
 
 // Update contains the objects that changed after store version After, up to
 // Version: a receiver that was complete up to After is then complete up to Version.
+// If After is zero, it contains all objects that exist.
 type Update struct {
 	After   Version
 	Version Version
@@ -43,8 +46,16 @@
 type Set struct {
 	objects map[Key]Object
 	version Version
+	// removalsSince is the version after which the set knows all removals.
+	removalsSince Version
+	// removed is the number of removed objects in objects.
+	removed int
 }
 
+// maxRemovedObjects bounds the removed objects that a set keeps for receivers that
+// have not heard of their removal.
+const maxRemovedObjects = 1000
+
 // Version returns the store version up to which the set is complete.
 func (s *Set) Version() Version { return s.version }
 
@@ -59,7 +70,7 @@
 		if o.Version <= s.objects[o.Key].Version {
 			continue
 		}
-		s.objects[o.Key] = o
+		s.put(o)
 		changed = append(changed, o)
 	}
 	if u.After <= s.version {
@@ -68,12 +79,57 @@
 	return changed
 }
 
+// Replace applies a list of all objects that exist as of a version of the store. The
+// others of the set are removed.
+func (s *Set) Replace(list Update) {
+	listed := make(map[Key]bool, len(list.Objects))
+	for _, o := range list.Objects {
+		listed[o.Key] = true
+	}
+	if s.version == 0 {
+		s.removalsSince = list.Version
+	}
+	s.Merge(list)
+	for key, o := range s.objects {
+		if !listed[key] && !o.Removed && o.Version <= list.Version {
+			s.put(Object{Key: key, Version: list.Version, Removed: true})
+		}
+	}
+	s.version = max(s.version, list.Version)
+}
+
+// put replaces an object. It drops the removed objects if there are too many.
+func (s *Set) put(o Object) {
+	if s.objects[o.Key].Removed {
+		s.removed--
+	}
+	s.objects[o.Key] = o
+	if !o.Removed {
+		return
+	}
+	s.removed++
+	if s.removed <= maxRemovedObjects {
+		return
+	}
+	for key, old := range s.objects {
+		if old.Removed {
+			s.removalsSince = max(s.removalsSince, old.Version)
+			delete(s.objects, key)
+		}
+	}
+	s.removed = 0
+}
+
 // Since returns the update for a receiver that is complete up to version after. Its
-// objects are ordered by version.
+// objects are ordered by version. It contains all objects that exist if after is
+// zero, or if the set does not know all objects that were removed since.
 func (s *Set) Since(after Version) Update {
+	if after < s.removalsSince {
+		after = 0
+	}
 	u := Update{After: after, Version: max(s.version, after)}
 	for _, o := range s.objects {
-		if o.Version > after {
+		if o.Version > after && (after > 0 || !o.Removed) {
 			u.Objects = append(u.Objects, o)
 		}
 	}
--- /dev/null
+++ b/core/distribution/follower.go
@@ -0,0 +1,211 @@
+package distribution
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"basilmill/core/host"
+	"basilmill/core/placement"
+)
+
+const (
+	// minFollowedHosts is the number of hosts in a data centre from which on they
+	// follow relays. Fewer hosts cost the store little and need not depend on each
+	// other.
+	minFollowedHosts = 2*placement.DefaultRelays + 1
+	// pullWaitTimeout bounds how long a pull waits for a change, and so the time
+	// until a lost relay is noticed.
+	pullWaitTimeout = time.Second
+	// pullReplyTimeout is how long after its wait a relay may take to answer.
+	pullReplyTimeout = 400 * time.Millisecond
+	// listPullTimeout bounds the pull of a list.
+	listPullTimeout = 400 * time.Millisecond
+	// minStoreWait is the least time for which the next relay or the store is
+	// watched after a relay has failed.
+	minStoreWait = 50 * time.Millisecond
+	// relayBackoff is how long a relay is avoided after it failed. It doubles with
+	// each consecutive failure up to maxRelayBackoff.
+	relayBackoff    = time.Second
+	maxRelayBackoff = 30 * time.Second
+	// staleRelayBackoff is how long a relay is avoided that stated that its copy
+	// is not current.
+	staleRelayBackoff = time.Second
+)
+
+// ErrNotCurrent is the reason for avoiding a relay whose copy is not current.
+var ErrNotCurrent = errors.New("the relay's copy is not current")
+
+// RelayNetwork connects a host with the others of its data centre.
+type RelayNetwork interface {
+	// Ranked returns the hosts of the data centre, with this host, in the order in
+	// which they are relays. It is empty while the hosts are not known.
+	Ranked() []host.Info
+	// Pull calls Relay.Pull on a host.
+	Pull(ctx context.Context, info host.Info, kind Kind, after Version, wait time.Duration) (u Update, current bool, err error)
+}
+
+// Follower is the Source of an entry host. Some hosts of each data centre, the relays,
+// read the store; the others follow them, so that the calls of the store do not grow
+// with the hosts. A host without a relay that answers reads the store itself. It is
+// safe for concurrent use.
+type Follower struct {
+	Self    host.ID
+	Store   Source
+	Relay   *Relay
+	Network RelayNetwork
+	// OnAvoid, if set, is called when a relay is avoided. It must not block.
+	OnAvoid func(relay host.ID, kind Kind, cause error)
+
+	mu      sync.Mutex
+	avoided map[host.ID]avoidance
+	// newest holds the highest version that this host has seen of each kind. An
+	// older list would bring removed objects back.
+	newest map[Kind]Version
+}
+
+// avoidance says until when a relay is avoided.
+type avoidance struct {
+	until   time.Time
+	backoff time.Duration
+}
+
+// IsRelay reports whether this host reads the store for others, or for itself because
+// it follows none.
+func (f *Follower) IsRelay() bool {
+	_, self := f.relays()
+	return self
+}
+
+// relays returns the relays to follow, in order of preference, and whether this host
+// is itself a relay: the first ones in rank that are not avoided.
+func (f *Follower) relays() (relays []host.Info, self bool) {
+	ranked := f.Network.Ranked()
+	if len(ranked) < minFollowedHosts {
+		return nil, true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, h := range ranked {
+		switch {
+		case len(relays) == placement.DefaultRelays:
+			return relays, false
+		case h.ID == f.Self:
+			return nil, true
+		case now.Before(f.avoided[h.ID].until):
+		default:
+			relays = append(relays, h)
+		}
+	}
+	return relays, false
+}
+
+// List implements Source.
+func (f *Follower) List(ctx context.Context, kind Kind) (Update, error) {
+	relays, _ := f.relays()
+	for _, relay := range relays {
+		if u, ok := f.pull(ctx, relay, kind, 0, 0, listPullTimeout); ok {
+			return u, nil
+		}
+	}
+	u, err := f.Store.List(ctx, kind)
+	if err != nil {
+		f.Relay.fail(kind)
+		return Update{}, err
+	}
+	f.Relay.replace(kind, u)
+	f.noteVersion(kind, u.Version)
+	return u, nil
+}
+
+// Watch implements Source. It may return earlier than the wait.
+func (f *Follower) Watch(ctx context.Context, kind Kind, after Version, wait time.Duration) (Update, error) {
+	started := time.Now()
+	relays, self := f.relays()
+	pullWait := min(wait, pullWaitTimeout)
+	for _, relay := range relays {
+		u, ok := f.pull(ctx, relay, kind, after, pullWait, pullWait+pullReplyTimeout)
+		if !ok {
+			// The change that this host waits for may already have been made.
+			pullWait = minStoreWait
+			continue
+		}
+		if u.After != after {
+			return Update{}, ErrHistoryGone
+		}
+		return u, nil
+	}
+	if self && !f.Relay.isComplete(kind, after) {
+		// The copy must be complete before others may follow it.
+		return Update{}, ErrHistoryGone
+	}
+	wait = max(wait-time.Since(started), minStoreWait)
+	f.Relay.expect(kind, wait)
+	u, err := f.Store.Watch(ctx, kind, after, wait)
+	if err != nil {
+		f.Relay.fail(kind)
+		return Update{}, err
+	}
+	f.Relay.merge(kind, u)
+	f.noteVersion(kind, u.Version)
+	return u, nil
+}
+
+// pull pulls from a relay. It returns false if the relay is avoided from now on.
+func (f *Follower) pull(ctx context.Context, relay host.Info, kind Kind, after Version, wait, timeout time.Duration) (Update, bool) {
+	pullCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	u, current, err := f.Network.Pull(pullCtx, relay, kind, after, wait)
+	if ctx.Err() != nil {
+		return Update{}, false
+	}
+	if err == nil && (!current || u.Version < f.newestVersion(kind)) {
+		err = ErrNotCurrent
+	}
+	if err != nil {
+		f.avoid(relay.ID, kind, err)
+		return Update{}, false
+	}
+	f.mu.Lock()
+	delete(f.avoided, relay.ID)
+	f.mu.Unlock()
+	f.noteVersion(kind, u.Version)
+	return u, true
+}
+
+// avoid avoids a relay for some time.
+func (f *Follower) avoid(relay host.ID, kind Kind, cause error) {
+	f.mu.Lock()
+	if f.avoided == nil {
+		f.avoided = map[host.ID]avoidance{}
+	}
+	a := f.avoided[relay]
+	if errors.Is(cause, ErrNotCurrent) {
+		a.backoff = staleRelayBackoff
+	} else {
+		a.backoff = min(max(2*a.backoff, relayBackoff), maxRelayBackoff)
+	}
+	a.until = time.Now().Add(a.backoff)
+	f.avoided[relay] = a
+	f.mu.Unlock()
+	if f.OnAvoid != nil {
+		f.OnAvoid(relay, kind, cause)
+	}
+}
+
+func (f *Follower) newestVersion(kind Kind) Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newest[kind]
+}
+
+func (f *Follower) noteVersion(kind Kind, version Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.newest == nil {
+		f.newest = map[Kind]Version{}
+	}
+	f.newest[kind] = max(f.newest[kind], version)
+}
--- /dev/null
+++ b/core/distribution/relay.go
@@ -0,0 +1,144 @@
+package distribution
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// watchReplyTimeout is how long after its wait an answer to a watch of the store may
+// still arrive. Longer than that, the copy does not count as current.
+const watchReplyTimeout = 700 * time.Millisecond
+
+// Relay is a host's copy of objects that it reads from the store, for the hosts that
+// follow it. It is safe for concurrent use.
+type Relay struct {
+	// Clock is a monotonic clock that includes the time the machine is suspended.
+	Clock func() time.Duration
+
+	mu     sync.Mutex
+	copies map[Kind]*relayedCopy
+	closed bool
+}
+
+// relayedCopy is a relay's copy of the objects of one kind.
+type relayedCopy struct {
+	set Set
+	// currentUntil is until when the copy counts as current without another answer
+	// of the store; zero after a failure.
+	currentUntil time.Duration
+	// changed is closed at the next change of the copy.
+	changed chan struct{}
+}
+
+// Pull returns the objects that changed after a version, or all of them if after is
+// zero. It waits up to the given time for the first one. It returns false at once
+// when the copy is not current or older than the version: the receiver must then use
+// another source.
+func (r *Relay) Pull(ctx context.Context, kind Kind, after Version, wait time.Duration) (Update, bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		u, changed, current := r.since(kind, after)
+		if !current || len(u.Objects) > 0 || after == 0 {
+			return u, current
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			u, _, current := r.since(kind, after)
+			return u, current
+		case <-ctx.Done():
+			return Update{}, false
+		}
+	}
+}
+
+// since returns the update after a version, a channel that is closed at the next
+// change, and whether the copy is current.
+func (r *Relay) since(kind Kind, after Version) (u Update, changed <-chan struct{}, current bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.copies[kind]
+	if c == nil || r.closed || r.Clock() > c.currentUntil || c.set.Version() < after {
+		return Update{}, nil, false
+	}
+	return c.set.Since(after), c.changed, true
+}
+
+// Close makes the relay refuse further pulls and ends those that wait, so that the
+// followers of a stopping host use another one.
+func (r *Relay) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	for _, c := range r.copies {
+		c.announce()
+	}
+}
+
+// isComplete reports whether the copy has all changes up to the version.
+func (r *Relay) isComplete(kind Kind, version Version) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.copies[kind]
+	return c != nil && c.set.Version() >= version
+}
+
+// replace notes a list that the store returned.
+func (r *Relay) replace(kind Kind, list Update) {
+	r.change(kind, func(c *relayedCopy) {
+		c.set.Replace(list)
+		c.currentUntil = r.Clock() + watchReplyTimeout
+	})
+}
+
+// expect notes that a watch of the store starts. Unless the call before failed, the
+// copy counts as current until it should be answered.
+func (r *Relay) expect(kind Kind, wait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c := r.copies[kind]; c != nil && c.currentUntil != 0 {
+		c.currentUntil = r.Clock() + wait + watchReplyTimeout
+	}
+}
+
+// merge notes the answer to a watch of the store. A copy that lacks earlier changes
+// is dropped, because it would never be complete again.
+func (r *Relay) merge(kind Kind, u Update) {
+	r.change(kind, func(c *relayedCopy) {
+		if c.set.Version() < u.After {
+			delete(r.copies, kind)
+			return
+		}
+		c.set.Merge(u)
+		c.currentUntil = r.Clock() + watchReplyTimeout
+	})
+}
+
+// fail notes that the store did not answer a call.
+func (r *Relay) fail(kind Kind) {
+	r.change(kind, func(c *relayedCopy) { c.currentUntil = 0 })
+}
+
+// change changes the copy of a kind and wakes the pulls that wait for it.
+func (r *Relay) change(kind Kind, change func(*relayedCopy)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.copies == nil {
+		r.copies = map[Kind]*relayedCopy{}
+	}
+	c := r.copies[kind]
+	if c == nil {
+		c = &relayedCopy{changed: make(chan struct{})}
+		r.copies[kind] = c
+	}
+	change(c)
+	c.announce()
+}
+
+// announce wakes the pulls that wait for a change.
+func (c *relayedCopy) announce() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -53,6 +53,7 @@
 	BackendServerChanged  Number = 5006
 	ServerDetour          Number = 5007
 	GatewayAvoided        Number = 5008
+	RelayAvoided          Number = 5009
 	ProtocolError         Number = 5003
 	AuthenticationFailure Number = 5004
 )
@@ -110,6 +111,7 @@
 	{BackendServerChanged, "BackendServerChanged", slog.LevelInfo, "entry of a backend server changed", "None."},
 	{ServerDetour, "ServerDetour", slog.LevelWarn, "backend server out of direct reach, connection through another host", "Check the network between this host and the backend server."},
 	{GatewayAvoided, "GatewayAvoided", slog.LevelWarn, "gateway to backend servers avoided", "None if the host stops or restarts; else check it, or its path to the server if one is named."},
+	{RelayAvoided, "RelayAvoided", slog.LevelWarn, "relay of the store avoided", "None if the host stops or restarts; else check it, and its path to the store if its copy is not current."},
 }
 
 // Default rate limit of each event number: minBurst events at once, then
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -161,6 +161,7 @@
 		AppliedVersion: int64(pull.AppliedVersion),
 		Applied:        appliedToWire(pull.Applied),
 		HostsDigest:    pull.HostsDigest,
+		Kind:           string(pull.Kind),
 	}
 }
 
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -21,6 +21,8 @@
 // Pull requests the objects of the platform that changed after a version.
 type Pull struct {
 	After distribution.Version
+	// Kind, if set, restricts the reply to the objects of one kind.
+	Kind distribution.Kind
 	// WaitTimeout bounds how long the receiver holds the request open while
 	// nothing has changed. After that time the reply contains no objects.
 	WaitTimeout time.Duration
@@ -194,6 +196,7 @@
 			Name:    o.Key.Name,
 			Version: int64(o.Version),
 			Value:   o.Value,
+			Removed: o.Removed,
 		}
 	}
 	return out
@@ -206,6 +209,7 @@
 			Key:     distribution.Key{Kind: distribution.Kind(o.GetKind()), Name: o.GetName()},
 			Version: distribution.Version(o.GetVersion()),
 			Value:   o.GetValue(),
+			Removed: o.GetRemoved(),
 		}
 	}
 	return out
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -22,6 +22,8 @@
 	// maxPullBytes bounds the objects of one reply to a pull. The remaining ones
 	// are sent with the next pull.
 	maxPullBytes = 4 << 20
+	// maxPullWait bounds how long a pull is held open.
+	maxPullWait = time.Minute
 	// headerTimeout bounds the wait for a request's headers.
 	headerTimeout = 5 * time.Second
 )
@@ -73,13 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := s.handler.Pull(ctx, from, Pull{
-		After:          distribution.Version(request.Msg.GetAfter()),
-		WaitTimeout:    time.Duration(request.Msg.GetWaitMs()) * time.Millisecond,
-		AppliedVersion: distribution.Version(request.Msg.GetAppliedVersion()),
-		Applied:        appliedFromWire(request.Msg.GetApplied()),
-		HostsDigest:    request.Msg.GetHostsDigest(),
-	})
+	reply, err := s.handler.Pull(ctx, from, pullFromWire(request.Msg))
 	if err != nil {
 		return nil, toConnect(err)
 	}
@@ -167,6 +163,17 @@
 	return connect.NewResponse(&peerpb.ConfirmResponse{}), nil
 }
 
+func pullFromWire(w *peerpb.PullRequest) Pull {
+	return Pull{
+		After:          distribution.Version(w.GetAfter()),
+		Kind:           distribution.Kind(w.GetKind()),
+		WaitTimeout:    time.Duration(w.GetWaitMs()) * time.Millisecond,
+		AppliedVersion: distribution.Version(w.GetAppliedVersion()),
+		Applied:        appliedFromWire(w.GetApplied()),
+		HostsDigest:    w.GetHostsDigest(),
+	}
+}
+
 func sender(w *peerpb.Host) (host.Info, error) {
 	from, err := hostFromWire(w)
 	if err != nil {
