link, lead, gateway: tell a server that refuses connections from one out of reach

Cause: the pool passed on only the text of a failed dial. A primary whose process had ended was therefore replaced after 700 ms without a proof instead of 150 ms after the refusal, and a host whose gateway met a refusing server avoided that path and made the next gateways dial it in turn.

Change: ErrServerRefused is kept on the way to the monitor, also from other hosts, and does not make a gateway avoided. A panic of the decoder on an answer closes its connection instead of the process.

Test: TestRefusedConnectionFailsAtOnce, TestRefusalsKeepTheirReason and TestPanicOnAnAnswerClosesTheConnection fail without the change.

--- a/core/gateway/client.go
+++ b/core/gateway/client.go
@@ -101,13 +101,15 @@
 }
 
 // noteRefusal avoids a gateway that stated that it is stopping or has no path to the
-// server.
+// server. It does not avoid one to which the server's machine answers, because other
+// gateways could not do more.
 func (c *Client) noteRefusal(via host.ID, server group.ServerID, err error) {
 	switch {
 	case errors.Is(err, ErrLeaving):
 		c.avoidHost(via, leavingBackoff)
 		c.reportAvoidance(via, "", err.Error())
-	case errors.Is(err, link.ErrNoConnection) && !errors.Is(err, link.ErrQueueTimeout):
+	case errors.Is(err, link.ErrServerRefused), errors.Is(err, link.ErrQueueTimeout):
+	case errors.Is(err, link.ErrNoConnection):
 		c.avoidPath(via, server)
 		c.reportAvoidance(via, server, err.Error())
 	}
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,6 +16,7 @@
 	"basilmill/core/exchange"
 	"basilmill/core/group"
 	"basilmill/core/lead"
+	"basilmill/core/link"
 	"basilmill/core/logevent"
 	"basilmill/core/takeover"
 )
@@ -47,7 +47,7 @@
 	f.mu.Unlock()
 	if s.ID != primary {
 		if primary == "" {
-			return group.Position{}, 0, syscall.ECONNREFUSED
+			return group.Position{}, 0, link.ErrServerRefused
 		}
 		return group.Position{}, 0, &exchange.Error{Code: exchange.ReadOnly}
 	}
--- a/core/lead/search.go
+++ b/core/lead/search.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"syscall"
 	"time"
 
 	"basilmill/core/catalog"
+	"basilmill/core/link"
 )
 
 // updatePrimaryEntry copies changes of the primary's entry. A primary whose entry
@@ -117,4 +117,4 @@
 
 // isConnectionRefused reports whether an error proves that no process listens on
 // the address.
-func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+func isConnectionRefused(err error) bool { return errors.Is(err, link.ErrServerRefused) }
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -206,8 +206,14 @@
 	return maps.Equal(c.sessionState.Values, desired.Values)
 }
 
-// receive delivers answers until the connection closes.
+// receive delivers answers until the connection closes. An answer that makes the
+// stream panic closes it too.
 func (c *Conn) receive() {
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.closeWith(eris.Errorf("panic on an answer: %v", cause))
+		}
+	}()
 	for {
 		answer, err := c.stream.Receive()
 		if err == nil {
--- a/core/link/dial.go
+++ b/core/link/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -105,8 +106,12 @@
 		p.dispatch()
 		return
 	}
+	cause := eris.Wrap(ErrNoConnection, err.Error())
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		cause = ErrServerRefused
+	}
 	for _, w := range p.waiters {
-		w.result <- acquireResult{err: eris.Wrap(ErrNoConnection, err.Error())}
+		w.result <- acquireResult{err: cause}
 	}
 	p.waiters = nil
 }
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -252,6 +252,7 @@
 		started := time.Now()
 		_, err := p.Acquire(context.Background(), link.Request{})
 		assert.Assert(t, errors.Is(err, link.ErrNoConnection))
+		assert.Assert(t, errors.Is(err, link.ErrServerRefused))
 		assert.Equal(t, time.Since(started), time.Duration(0))
 	})
 }
@@ -356,3 +357,26 @@
 type dialerFunc func() (link.Stream, error)
 
 func (f dialerFunc) Dial(context.Context, catalog.Server) (link.Stream, error) { return f() }
+
+// panickingStream panics on the answer to a statement.
+type panickingStream struct{ *fakeStream }
+
+func (s panickingStream) Receive() (exchange.Answer, error) {
+	if _, err := s.fakeStream.Receive(); err != nil {
+		return exchange.Answer{}, err
+	}
+	panic("answer that the decoder did not expect")
+}
+
+// An answer that the decoder did not expect may cost its connection, but not the
+// process.
+func TestPanicOnAnAnswerClosesTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := link.NewConn(panickingStream{newFakeStream(time.Millisecond)}, nil)
+		call := c.Submit(nil, newRead("a"))
+		<-call.Done
+		_, err := call.Answers()
+		assert.Assert(t, errors.Is(err, link.ErrLost))
+		assert.Assert(t, c.Closed())
+	})
+}
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -60,6 +60,10 @@
 // free in time.
 var ErrQueueTimeout = fmt.Errorf("%w: none became free in time", ErrNoConnection)
 
+// ErrServerRefused is the ErrNoConnection of a server whose machine refuses
+// connections, because its process is not running.
+var ErrServerRefused = fmt.Errorf("%w: the server refuses connections", ErrNoConnection)
+
 // Observer receives how long requests wait for connections and hold them. Its
 // methods are called with the pool's mutex held and must not block.
 type Observer interface {
--- a/io/peer/gateway_test.go
+++ b/io/peer/gateway_test.go
@@ -66,14 +66,20 @@
 	pool := link.NewPool(catalog.Server{ID: "s1"}, singleDialer{stream}, 1)
 	t.Cleanup(pool.Close)
 	service := &gateway.Service{Pool: func(id group.ServerID) (link.Source, bool) { return pool, id == "s1" }}
+	return stream, serveHost(t, func(mux *http.ServeMux) { mux.Handle(peer.GatewayHandler(service)) })
+}
+
+// serveHost serves the calls of other hosts with the registered handlers.
+func serveHost(t *testing.T, register func(*http.ServeMux)) host.Info {
+	t.Helper()
 	mux := http.NewServeMux()
-	mux.Handle(peer.GatewayHandler(service))
+	register(mux)
 	server := httptest.NewUnstartedServer(mux)
 	server.Config.Protocols = new(http.Protocols)
 	server.Config.Protocols.SetUnencryptedHTTP2(true)
 	server.Start()
 	t.Cleanup(server.Close)
-	return stream, host.Info{ID: "g1", PeerAddress: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	return host.Info{ID: "g1", PeerAddress: netip.MustParseAddrPort(server.Listener.Addr().String())}
 }
 
 func dialTCP(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
@@ -145,3 +151,35 @@
 	_, err = s.Receive()
 	assert.Assert(t, errors.Is(err, link.ErrNoConnection), "%v", err)
 }
+
+// A gateway must pass on why it has no connection: a host that takes a server that
+// refuses connections for one without a path tries the other gateways in vain.
+func TestRefusalsKeepTheirReason(t *testing.T) {
+	for _, want := range []error{link.ErrServerRefused, link.ErrQueueTimeout, gateway.ErrLeaving, link.ErrNoConnection, link.ErrLost} {
+		service := &gateway.Service{
+			Pool:  func(group.ServerID) (link.Source, bool) { return refusingSource{want}, true },
+			Probe: func(context.Context, group.ServerID) (gateway.Proof, error) { return gateway.Proof{}, want },
+		}
+		info := serveHost(t, func(mux *http.ServeMux) { mux.Handle(peer.GatewayHandler(service)) })
+		client := peer.NewGatewayClient(dialTCP)
+		defer client.Close()
+		s := client.Open(info)
+		assert.NilError(t, s.Send(gateway.Batch{Server: "s1", Statements: []exchange.Statement{{Operation: exchange.Begin}}}))
+		result, err := s.Receive()
+		assert.NilError(t, err)
+		assert.Assert(t, errors.Is(result.Err, want), "%v", result.Err)
+		s.Close()
+		probe, err := client.Probe(context.Background(), info, "s1")
+		assert.NilError(t, err)
+		assert.Assert(t, errors.Is(probe.Err, want), "%v", probe.Err)
+	}
+}
+
+// refusingSource has no connections.
+type refusingSource struct{ err error }
+
+func (s refusingSource) Acquire(context.Context, link.Request) (*link.Lease, error) {
+	return nil, s.err
+}
+
+func (refusingSource) Load() int { return 0 }
--- a/io/peer/pull_test.go
+++ b/io/peer/pull_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -49,17 +48,10 @@
 	started := time.Now()
 	relay := &distribution.Relay{Clock: func() time.Duration { return time.Since(started) }}
 	self := host.Info{ID: "h1", DataCentre: "dc", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1")}
-	mux := http.NewServeMux()
-	mux.Handle(peer.PullHandler(self, relay))
-	server := httptest.NewUnstartedServer(mux)
-	server.Config.Protocols = new(http.Protocols)
-	server.Config.Protocols.SetUnencryptedHTTP2(true)
-	server.Start()
-	defer server.Close()
+	to := serveHost(t, func(mux *http.ServeMux) { mux.Handle(peer.PullHandler(self, relay)) })
 	client := peer.NewClient(func() host.Info { return self }, nil)
 	defer client.Close()
 	pull := func(kind distribution.Kind, after distribution.Version) peer.PullReply {
-		to := host.Info{ID: "h2", PeerAddress: netip.MustParseAddrPort(server.Listener.Addr().String())}
 		reply, _, err := client.Pull(context.Background(), to, peer.Pull{Kind: kind, After: after, WaitTimeout: 10 * time.Millisecond})
 		assert.NilError(t, err)
 		return reply
--- a/io/peer/statement.go
+++ b/io/peer/statement.go
@@ -140,6 +140,8 @@
 		return peerpb.Refusal_REFUSAL_LEAVING
 	case errors.Is(err, link.ErrQueueTimeout):
 		return peerpb.Refusal_REFUSAL_QUEUE_TIMEOUT
+	case errors.Is(err, link.ErrServerRefused):
+		return peerpb.Refusal_REFUSAL_SERVER_REFUSED
 	case errors.Is(err, link.ErrNoConnection):
 		return peerpb.Refusal_REFUSAL_NO_CONNECTION
 	default:
@@ -167,6 +169,8 @@
 		return gateway.ErrLeaving
 	case peerpb.Refusal_REFUSAL_QUEUE_TIMEOUT:
 		return link.ErrQueueTimeout
+	case peerpb.Refusal_REFUSAL_SERVER_REFUSED:
+		return link.ErrServerRefused
 	case peerpb.Refusal_REFUSAL_NO_CONNECTION:
 		return eris.Wrap(link.ErrNoConnection, reason)
 	default:
