proxy: an answer without a position does not lower the session's last commit

Cause: a commit's answer without a position replaced the session's last commit, so that the session's next reads could miss its own earlier writes. Test: TestOwnWritesAreSeenAfterAnAnswerWithoutAPosition fails without the change.

--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -120,6 +120,14 @@
 // that has not been ended.
 func (s *Session) InTransaction() bool { return s.transactionState != exchange.Idle }
 
+// noteCommit notes the position of a commit of the session. An answer may lack the
+// position, and must then not lower what the session's reads must see.
+func (s *Session) noteCommit(position group.Position) {
+	if position.Compare(s.lastCommit) > 0 {
+		s.lastCommit = position
+	}
+}
+
 // request is the execution of one statement.
 type request struct {
 	session   *Session
--- a/core/proxy/write.go
+++ b/core/proxy/write.go
@@ -53,7 +53,7 @@
 		if answer.Failure == nil || !answer.Failure.Code.NotRun() {
 			lease.Release()
 			if answer.Failure == nil {
-				r.session.lastCommit = answer.Position
+				r.session.noteCommit(answer.Position)
 				r.reportProof(sentAt, answer)
 			}
 			return answer
