entry: answer arriving statements while draining, end a panic with its session

Cause: a stopping host closed an idle session although part of a statement had been read or was in its socket; HasPartialMessage had no caller. A panic in one session's goroutine ended the process.

Change: a session that is to be closed is read once more for 20 ms, and for 500 ms if a statement has been read in part. A panic ends its session, is logged (4008) with its stack and counted.

Test: TestDrainAnswersAStatementThatIsArriving and TestPanicEndsOneSession fail without the change.

--- a/cmd/entry/callers.go
+++ b/cmd/entry/callers.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,12 @@
 	// flushGracePeriod is how long before the end of the grace time draining stops,
 	// so that answers that have been written are still delivered.
 	flushGracePeriod = 700 * time.Millisecond
+	// finalReadTimeout is how long a session that is about to be closed is read once
+	// more, for a statement that has arrived but has not been read.
+	finalReadTimeout = 20 * time.Millisecond
+	// partialReadTimeout is how long the rest of a statement that has been read in
+	// part may take to arrive before the session is closed.
+	partialReadTimeout = 500 * time.Millisecond
 	// drainPollInterval is the period between checks of the sessions while
 	// draining, and the pause after a failed accept.
 	drainPollInterval = 50 * time.Millisecond
@@ -77,6 +84,8 @@
 	executing atomic.Bool
 	// inTransaction is set while a transaction is open.
 	inTransaction atomic.Bool
+	// interrupted is set once the read of the idle session has been interrupted.
+	interrupted atomic.Bool
 }
 
 func newCallers(h *Host) *callers {
@@ -162,7 +171,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for s := range c.sessions {
-		if !s.executing.Load() && s.mayClose() {
+		if !s.executing.Load() && s.mayClose() && s.interrupted.CompareAndSwap(false, true) {
 			_ = s.conn.SetReadDeadline(time.Now())
 		}
 	}
@@ -181,17 +190,14 @@
 func (s *session) serve() {
 	defer s.callers.remove(s)
 	defer func() { _ = s.conn.Close() }()
+	defer s.recoverPanic()
 	if !s.start() {
 		return
 	}
 	defer s.proxy.Close()
 	for {
-		statement, err := s.codec.ReadStatement()
+		statement, err := s.readStatement()
 		if err != nil {
-			if errors.Is(err, os.ErrDeadlineExceeded) && !s.mayClose() {
-				_ = s.conn.SetReadDeadline(time.Time{})
-				continue
-			}
 			s.refuse(err)
 			return
 		}
@@ -206,6 +212,43 @@
 	}
 }
 
+// recoverPanic ends a panic with its session, so that the other sessions continue.
+func (s *session) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	s.callers.host.metrics.sessionPanics.Inc()
+	s.callers.host.log.Write(context.Background(), logevent.SessionFailed, slog.String("caller", s.conn.RemoteAddr().String()),
+		slog.Any("panic", cause), slog.String("stack", string(debug.Stack())))
+}
+
+// readStatement reads the next statement. If the read is interrupted because the
+// session may be closed, it returns a statement that has arrived by then, also if that
+// has to be completed first.
+func (s *session) readStatement() (exchange.Statement, error) {
+	for interruptions := 0; ; interruptions++ {
+		statement, err := s.codec.ReadStatement()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return statement, err
+		}
+		partial := s.codec.HasPartialMessage()
+		switch {
+		case !s.mayClose():
+			s.interrupted.Store(false)
+			interruptions = -1
+			_ = s.conn.SetReadDeadline(time.Time{})
+		case partial && interruptions <= 1:
+			interruptions = 1
+			_ = s.conn.SetReadDeadline(time.Now().Add(partialReadTimeout))
+		case interruptions == 0:
+			_ = s.conn.SetReadDeadline(time.Now().Add(finalReadTimeout))
+		default:
+			return statement, err
+		}
+	}
+}
+
 // start reads the startup message and opens the session. It returns false if the
 // connection is to be closed.
 func (s *session) start() bool {
--- a/cmd/entry/entry_test.go
+++ b/cmd/entry/entry_test.go
@@ -17,6 +17,7 @@
 
 	"basilmill/cmd/entry"
 	"basilmill/core/catalog"
+	"basilmill/core/exchange"
 	"basilmill/core/group"
 	corehost "basilmill/core/host"
 	"basilmill/core/link"
@@ -101,6 +102,12 @@
 
 // startHost starts a host and waits until it is ready.
 func startHost(t *testing.T) *host {
+	t.Helper()
+	return startHostWith(t, func(c net.Conn) entry.Codec { return platform.NewCallerCodec(c) })
+}
+
+// startHostWith starts a host with a codec and waits until it is ready.
+func startHostWith(t *testing.T, codec func(net.Conn) entry.Codec) *host {
 	t.Helper()
 	cluster := replicated.New()
 	t.Cleanup(cluster.Stop)
@@ -111,7 +118,7 @@
 	e := entry.New(h.settings, entry.Platform{
 		Source: staticSource{cluster}, SavedServerStore: noSavedServers{}, RecordStore: cluster, Hosts: noHosts{}, PromotionService: cluster,
 		Dialer:    func(func(context.Context, catalog.Server) (net.Conn, error)) link.Dialer { return cluster },
-		Codec:     func(c net.Conn) entry.Codec { return platform.NewCallerCodec(c) },
+		Codec:     codec,
 		Readiness: platform.ReadinessHandler,
 		Reload:    func(settings.Entry) {},
 		Clock:     func() time.Duration { return time.Since(started) },
@@ -278,3 +285,41 @@
 	assert.NilError(t, <-h.done)
 	assert.Assert(t, time.Since(stopped) < gracePeriod, "took %v", time.Since(stopped))
 }
+
+// A statement that a stopping host has read in part when it closes idle sessions must
+// still be answered.
+func TestDrainAnswersAStatementThatIsArriving(t *testing.T) {
+	h := startHost(t)
+	c := h.dial(t, "CONNECT orders u1")
+	assert.Equal(t, c.readLine(), "READY I -")
+	_, err := io.WriteString(c.conn, "QUERY 1 WRITE it")
+	assert.NilError(t, err)
+	h.stop()
+	// Idle sessions are closed after half of the grace time.
+	time.Sleep(gracePeriod/2 + 100*time.Millisecond) // Real sockets do not work with a fake clock.
+	c.send("em data")
+	assert.Assert(t, strings.HasPrefix(c.readLine(), "COMPLETE d"))
+	assert.Assert(t, strings.HasPrefix(c.readLine(), "READY I"))
+	assert.NilError(t, <-h.done)
+}
+
+// panickingCodec panics on one statement.
+type panickingCodec struct{ *platform.CallerCodec }
+
+func (c panickingCodec) ReadStatement() (exchange.Statement, error) {
+	s, err := c.CallerCodec.ReadStatement()
+	if s.Arguments == "poison" {
+		panic("statement that the program did not expect")
+	}
+	return s, err
+}
+
+// A statement that the program did not expect may cost its session, but not the host.
+func TestPanicEndsOneSession(t *testing.T) {
+	h := startHostWith(t, func(c net.Conn) entry.Codec { return panickingCodec{platform.NewCallerCodec(c)} })
+	healthy, poisoned := h.dial(t, "CONNECT orders u1"), h.dial(t, "CONNECT orders u2")
+	assert.Equal(t, healthy.readLine(), "READY I -")
+	assert.Equal(t, poisoned.readLine(), "READY I -")
+	assert.Equal(t, len(poisoned.query("READ poison")), 0)
+	assert.Equal(t, len(healthy.query("READ item")), 3)
+}
--- a/cmd/entry/metrics.go
+++ b/cmd/entry/metrics.go
@@ -24,6 +24,7 @@
 	limitRefusals      *prometheus.CounterVec
 	retries            prometheus.Counter
 	lostCallers        prometheus.Counter
+	sessionPanics      prometheus.Counter
 	peerCalls          *prometheus.CounterVec
 	pulls              *prometheus.CounterVec
 	storeCalls         *prometheus.CounterVec
@@ -77,6 +78,7 @@
 		limitRefusals:      counter("basilmill_connections_refused_total", "Openings that a server refused over its limit, by group.", "group"),
 		retries:            prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_statement_retries_total", Help: "Attempts beyond the first."}),
 		lostCallers:        prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_callers_lost_total", Help: "Callers' connections that broke."}),
+		sessionPanics:      prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_session_panics_total", Help: "Callers' sessions that a fault of the program ended."}),
 		peerCalls:          counter("basilmill_peer_questions_total", "Questions to other hosts for a proven position, by answer.", "answer"),
 		pulls:              counter("basilmill_pulls_total", "Pulls of the store's objects from relays, by result.", "result"),
 		storeCalls:         counter("basilmill_store_calls_total", "Calls of the platform's store by method and kind, and by status (0 without an answer).", "call", "status"),
@@ -87,7 +89,7 @@
 		gatewaysAvoided:    prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_gateways_avoided_total", Help: "Decisions to avoid a gateway to backend servers."}),
 		viewConfirmed:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "basilmill_view_confirmed_timestamp_seconds", Help: "When the store last answered for a part of the view."}, []string{"part"}),
 	}
-	registry.MustRegister(m.retries, m.lostCallers, m.gatewaysAvoided, m.viewConfirmed)
+	registry.MustRegister(m.retries, m.lostCallers, m.sessionPanics, m.gatewaysAvoided, m.viewConfirmed)
 	return m
 }
 
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -46,6 +46,7 @@
 	RequestNotRun         Number = 4004
 	RequestRetried        Number = 4006
 	RequestServed         Number = 4007
+	SessionFailed         Number = 4008
 	ConnectionLimitHit    Number = 4005
 	PeerUnreachable       Number = 5001
 	BackendServerLeaving  Number = 5002
@@ -103,6 +104,7 @@
 	{ConnectionLimitHit, "ConnectionLimitHit", slog.LevelWarn, "backend server refused a connection over its limit", "Compare the group's ConnectionLimit with the server's setting."},
 	{RequestRetried, "RequestRetried", slog.LevelInfo, "request served after more than one attempt", "None unless frequent; the reason says what the earlier attempts met."},
 	{RequestServed, "RequestServed", slog.LevelInfo, "request served", "None."},
+	{SessionFailed, "SessionFailed", slog.LevelError, "session ended by a fault of the program", "Report the stack to the developers. The session's transaction is rolled back; other sessions continue."},
 	{PeerUnreachable, "PeerUnreachable", slog.LevelWarn, "host unreachable", "Check the link between the hosts."},
 	{BackendServerLeaving, "BackendServerLeaving", slog.LevelInfo, "backend server is leaving", "None."},
 	{ProtocolError, "ProtocolError", slog.LevelWarn, "caller violated the protocol", "Check the caller's driver or the source address."},
