dispatch, link: give up a connection when the server answers what was sent later

All 16 connections of the server were silent, and requests waited for a connection and were refused: 1,700 log lines of one group in 8 s, 495 callers refused.

Change: the decisions of the pool are functions of their own (core/dispatch: choice of the connection, dials, window, connections to give up). A connection is given up when the server has answered something on another one that was sent 250 ms later, or four times the latency, unless a commit is awaited on it: commits wait for replicas. Calls that nobody waits for any longer are marked (Lease.Abandon), also through gateways.

--- a/core/gateway/client.go
+++ b/core/gateway/client.go
@@ -223,6 +223,10 @@
 	return call
 }
 
+// Abandon implements link.Channel. The gateway learns from the end of the stream that
+// nobody waits for the answers.
+func (c *channel) Abandon(*link.Call) { c.Close() }
+
 // Close implements link.Channel.
 func (c *channel) Close() {
 	c.mu.Lock()
--- a/core/gateway/service.go
+++ b/core/gateway/service.go
@@ -84,7 +84,7 @@
 		lease.Release()
 		return stream.Send(resultOf(lease, batch, call))
 	case <-ctx.Done():
-		go func() { <-call.Done; lease.Release() }()
+		lease.Abandon(call)
 		return ctx.Err()
 	}
 }
--- a/core/link/commander.go
+++ b/core/link/commander.go
@@ -70,7 +70,7 @@
 		lease.Release()
 		return call.Answers()
 	case <-ctx.Done():
-		go func() { <-call.Done; lease.Release() }()
+		lease.Abandon(call)
 		return nil, ctx.Err()
 	}
 }
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -10,11 +10,13 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"basilmill/core/catalog"
+	"basilmill/core/dispatch"
 	"basilmill/core/exchange"
 )
 
@@ -52,6 +54,11 @@
 	answers    []exchange.Answer
 	err        error
 	sentAt     time.Time
+	// usesSlot is set if a statement needs one of the server's slots, writes if one
+	// may change data, and commits if one is a COMMIT.
+	usesSlot, writes, commits bool
+	// abandoned is set when nobody waits for the answers any longer.
+	abandoned atomic.Bool
 }
 
 // Answers returns the answers to the statements of the batch, in order. It must
@@ -99,6 +106,10 @@
 	sessionState SessionState
 	closed       bool
 	cause        error
+	// answeredSentAt is when the latest answered call was sent that used a slot, and
+	// latency the moving average of the time that such calls took.
+	answeredSentAt time.Time
+	latency        time.Duration
 
 	// The fields below are guarded by the pool's mutex.
 	exclusive      bool
@@ -129,6 +140,7 @@
 	c.sendMu.Lock()
 	defer c.sendMu.Unlock()
 	call := NewCall()
+	call.classify(desired, statements)
 	batch, ok := c.enqueue(call, desired, statements)
 	if !ok {
 		call.Fail(ErrLost)
@@ -140,6 +152,27 @@
 	return call
 }
 
+// classify notes what the statements of the call need and change.
+func (c *Call) classify(desired *SessionState, statements []exchange.Statement) {
+	for _, s := range statements {
+		switch s.Operation {
+		case exchange.Commit:
+			c.usesSlot, c.commits = true, true
+		case exchange.Write:
+			c.usesSlot, c.writes = true, true
+		case exchange.Execute:
+			c.usesSlot = true
+			c.writes = c.writes || desired == nil || desired.Prepared[s.Name].Writes
+		case exchange.Read:
+			c.usesSlot = true
+		default:
+		}
+	}
+}
+
+// Abandon implements Channel.
+func (c *Conn) Abandon(call *Call) { call.abandoned.Store(true) }
+
 // enqueue adds the call to the calls in flight and returns the statements to
 // send. It returns false if the connection has closed.
 func (c *Conn) enqueue(call *Call, desired *SessionState, statements []exchange.Statement) ([]exchange.Statement, bool) {
@@ -242,6 +275,10 @@
 	call.answers = append(call.answers, answer)
 	if len(call.answers) == call.expected {
 		c.calls = c.calls[1:]
+		if call.usesSlot {
+			c.answeredSentAt = call.sentAt
+			c.latency += (time.Since(call.sentAt) - c.latency) / latencySmoothing
+		}
 		close(call.done)
 	}
 	return nil
@@ -280,13 +317,20 @@
 	}
 }
 
-// oldestSentAt returns when the oldest call in flight was sent, and false if there
-// is none.
-func (c *Conn) oldestSentAt() (time.Time, bool) {
+// latencySmoothing is the divisor of the moving average of the latency.
+const latencySmoothing = 8
+
+// state returns the state of the connection. The caller holds the pool's mutex.
+func (c *Conn) state() dispatch.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.calls) == 0 {
-		return time.Time{}, false
+	state := dispatch.Conn{Exclusive: c.exclusive, Sessions: c.sharedSessions, AnsweredSentAt: c.answeredSentAt, Latency: c.latency}
+	if len(c.calls) > 0 {
+		state.OldestSentAt = c.calls[0].sentAt
 	}
-	return c.calls[0].sentAt, true
+	state.AwaitsCommit = slices.ContainsFunc(c.calls, func(call *Call) bool {
+		// Without exclusive use there is no transaction, so that a write commits.
+		return !call.abandoned.Load() && (call.commits || call.writes && !c.exclusive)
+	})
+	return state
 }
--- a/core/link/dial.go
+++ b/core/link/dial.go
@@ -9,42 +9,28 @@
 
 	"github.com/rotisserie/eris"
 
+	"basilmill/core/dispatch"
 	"basilmill/core/exchange"
 )
 
-// saturated reports whether every shared connection has more than
-// saturatedSessions sessions, so that another connection is useful. It returns
-// false while the server refuses connections over its limit.
-func (p *Pool) saturated() bool {
-	if len(p.conns) == 0 || p.serverFull {
-		return false
-	}
-	for _, c := range p.conns {
-		if !c.exclusive && c.sharedSessions <= saturatedSessions {
-			return false
-		}
+// startDials starts the dials that dispatch.Dials demands, unless the backoff after a
+// failed one is not over. The caller holds the pool's mutex.
+func (p *Pool) startDials(states []dispatch.Conn, unserved int) {
+	if p.closed {
+		return
 	}
-	return true
-}
-
-// startDials starts dials within the pool's limit, one for each waiter that no
-// connection can serve, because waiters for exclusive use cannot share one. After
-// a failed or refused dial, only one is in flight. The caller holds the pool's
-// mutex.
-func (p *Pool) startDials(unserved int) {
-	if p.closed || unserved == 0 {
+	dials := dispatch.Dials(states, dispatch.Demand{
+		Unserved: unserved, Dialling: p.dialling, Limit: p.limit, Full: p.serverFull, Failing: p.dialFailing,
+	})
+	if dials == 0 {
 		return
 	}
 	if wait := time.Until(p.backoffUntil); wait > 0 {
 		p.dispatchAfter(wait)
 		return
 	}
-	want := unserved
-	if p.serverFull || p.dialFailing {
-		want = 1
-	}
-	for p.dialling < want && len(p.conns)+p.dialling < p.limit {
-		p.dialling++
+	p.dialling += dials
+	for range dials {
 		go p.dial()
 	}
 }
@@ -67,10 +53,14 @@
 func (p *Pool) dial() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
+	startedAt := time.Now()
 	stream, err := p.dialer.Dial(ctx, p.server)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialling--
+	if err == nil || isOverLimit(err) {
+		p.lastDialServed = startedAt
+	}
 	if err != nil {
 		p.dialFailed(err)
 		return
@@ -90,8 +80,7 @@
 // error, unless the server refused the dial over its connection limit or the pool
 // has other connections. The caller holds the mutex.
 func (p *Pool) dialFailed(err error) {
-	var refusal *exchange.Error
-	if errors.As(err, &refusal) && refusal.Code == exchange.TooManyConnections {
+	if isOverLimit(err) {
 		if p.observer != nil {
 			p.observer.ObserveLimitReached(p.server, len(p.conns), len(p.waiters))
 		}
@@ -116,6 +105,12 @@
 	p.waiters = nil
 }
 
+// isOverLimit reports whether the server refused a connection over its limit.
+func isOverLimit(err error) bool {
+	var refusal *exchange.Error
+	return errors.As(err, &refusal) && refusal.Code == exchange.TooManyConnections
+}
+
 // removeConn removes a closed connection from the pool.
 func (p *Pool) removeConn(c *Conn) {
 	p.mu.Lock()
--- a/core/link/lease.go
+++ b/core/link/lease.go
@@ -16,6 +16,9 @@
 	// up the desired session state if the connection has another one.
 	// Statements that need no session state pass nil.
 	Submit(desired *SessionState, statements ...exchange.Statement) *Call
+	// Abandon states that nobody waits for the answers of a call any longer. The
+	// call must not have been abandoned before.
+	Abandon(call *Call)
 	// Close closes the connection to the backend server, which rolls back an
 	// open transaction. Statements in flight fail with ErrLost.
 	Close()
@@ -80,6 +83,16 @@
 // Release returns the connection to its source. Further calls have no effect.
 func (l *Lease) Release() { l.releaseOnce.Do(l.release) }
 
+// Abandon stops waiting for the answers of a call and releases the lease when they have
+// arrived or the connection has closed.
+func (l *Lease) Abandon(call *Call) {
+	l.Channel.Abandon(call)
+	go func() {
+		<-call.Done
+		l.Release()
+	}()
+}
+
 // ReportAnswer adjusts the source's window to an answer of the server: busy says
 // that the server refused the statement for lack of a free slot.
 func (l *Lease) ReportAnswer(busy bool) {
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"basilmill/core/catalog"
+	"basilmill/core/dispatch"
 )
 
 const (
@@ -30,26 +31,6 @@
 	spareRetention = 16 * time.Millisecond
 	// lastConnRetention is how long the last connection is kept while idle.
 	lastConnRetention = 10 * time.Second
-	// saturatedSessions is the number of sessions on each shared connection above
-	// which another connection is opened.
-	saturatedSessions = 2
-	// maxWindow bounds the sessions of this host that use the server's shared
-	// connections at the same time. Current servers have two or three slots, so a
-	// few hosts with this window keep all of them busy.
-	maxWindow = 8
-	// windowCutInterval is the minimum time between two cuts of the window: about
-	// the time that a server needs to work off its queue.
-	windowCutInterval = 50 * time.Millisecond
-	// windowCutFactor is the factor by which a cut reduces the window.
-	windowCutFactor = 0.7
-	// unresponsiveThreshold is how long the oldest statement in flight on a
-	// connection may be unanswered before the connection is withheld from further
-	// sessions.
-	unresponsiveThreshold = 250 * time.Millisecond
-	// answerTimeout is how long the oldest statement in flight may be unanswered
-	// before the connection is closed. It exceeds every route's statement timeout,
-	// so that no statement is interrupted that a caller still waits for.
-	answerTimeout = 4 * time.Second
 )
 
 // ErrNoConnection is returned for requests that got no connection. No statement
@@ -97,11 +78,10 @@
 	// dialFailing after a dial failed in another way. While one of them is set,
 	// only one dial at a time is in flight.
 	serverFull, dialFailing bool
-	// window bounds the sessions that use shared connections at the same time. It
-	// is cut when the server is busy and grows with each other answer.
-	window        float64
-	lastWindowCut time.Time
-	closed        bool
+	// lastDialServed is when the latest dial was started that the server answered.
+	lastDialServed time.Time
+	window         dispatch.Window
+	closed         bool
 }
 
 // Stats is a snapshot of the counts of one pool, or their sum over several pools.
@@ -127,7 +107,7 @@
 
 // NewPool returns a pool that opens up to limit connections on demand.
 func NewPool(server catalog.Server, dialer Dialer, limit int) *Pool {
-	return &Pool{server: server, dialer: dialer, limit: limit, window: maxWindow}
+	return &Pool{server: server, dialer: dialer, limit: limit}
 }
 
 // SetLimit changes the maximum number of connections of the pool.
@@ -213,30 +193,42 @@
 }
 
 // dispatch grants connections to waiters and starts dials for those that no
-// connection can serve. The window applies to shared requests, except those with
-// a negative priority. The caller holds the mutex.
+// connection can serve. The caller holds the mutex.
 func (p *Pool) dispatch() {
+	conns, states := p.usableConns()
 	unserved := 0
 	inUse := p.sharedSessions()
+	now := time.Now()
 	p.waiters = slices.DeleteFunc(p.waiters, func(w *waiter) bool {
-		if !w.Exclusive && w.Priority >= 0 && inUse >= int(p.window) {
+		request := dispatch.Request{Exclusive: w.Exclusive, Urgent: w.Priority < 0}
+		if !p.window.Allows(request, inUse) {
 			return false
 		}
-		c := p.chooseConn(w)
-		if c == nil {
+		i := dispatch.Choose(states, request, func(i int) bool { return conns[i].matches(w.Desired) }, now)
+		if i < 0 {
 			unserved++
 			return false
 		}
-		p.grant(w, c)
+		p.grant(w, conns[i])
+		states[i].Exclusive, states[i].Sessions = conns[i].exclusive, conns[i].sharedSessions
 		if !w.Exclusive {
 			inUse++
 		}
 		return true
 	})
-	if unserved == 0 && p.saturated() {
-		unserved = 1
+	p.startDials(states, unserved)
+}
+
+// usableConns returns the connections that have not been closed, and their states. The
+// caller holds the mutex.
+func (p *Pool) usableConns() (conns []*Conn, states []dispatch.Conn) {
+	for _, c := range p.conns {
+		if !c.Closed() {
+			conns = append(conns, c)
+			states = append(states, c.state())
+		}
 	}
-	p.startDials(unserved)
+	return conns, states
 }
 
 // grant gives the connection to the waiter. The caller holds the mutex.
@@ -269,20 +261,11 @@
 	p.dispatch()
 }
 
-// adjustWindow adjusts the window to an answer of the server. The window grows by
-// about one per window of answers and is cut by a factor when the server is busy
-// (additive increase, multiplicative decrease).
+// adjustWindow adjusts the window to an answer of the server.
 func (p *Pool) adjustWindow(busy bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !busy {
-		p.window = min(p.window+1/p.window, maxWindow)
-		return
-	}
-	if now := time.Now(); now.Sub(p.lastWindowCut) > windowCutInterval {
-		p.lastWindowCut = now
-		p.window = max(p.window*windowCutFactor, 1)
-	}
+	p.window.Observe(busy, time.Now())
 }
 
 // observeWait reports the end of a wait to the observer.
@@ -292,51 +275,28 @@
 	}
 }
 
-// chooseConn returns the connection with the fewest sessions that the waiter can
-// use, or nil. Of equal ones it prefers one with the desired session state.
-func (p *Pool) chooseConn(w *waiter) *Conn {
-	var best *Conn
-	for _, c := range p.conns {
-		if c.exclusive || c.Closed() || isUnresponsive(c) {
-			continue
-		}
-		if w.Exclusive && c.sharedSessions > 0 {
-			continue
-		}
-		if best == nil || c.sharedSessions < best.sharedSessions || c.sharedSessions == best.sharedSessions && !best.matches(w.Desired) && c.matches(w.Desired) {
-			best = c
-		}
-	}
-	return best
-}
-
-// isUnresponsive reports whether the oldest statement in flight has been
-// unanswered for too long.
-func isUnresponsive(c *Conn) bool {
-	since, waiting := c.oldestSentAt()
-	return waiting && time.Since(since) > unresponsiveThreshold
-}
-
 // Prune closes connections that have been idle for longer than their retention,
-// and connections on which a statement has been unanswered for answerTimeout. With
-// keepLast, the last connection is kept for lastConnRetention. Prune is to be
-// called regularly.
+// and connections on which an answer was lost. With keepLast, the last connection is
+// kept for lastConnRetention. Prune is to be called regularly.
 func (p *Pool) Prune(keepLast bool) {
 	p.mu.Lock()
 	var ending []*Conn
 	now := time.Now()
-	for _, c := range p.conns {
-		if since, waiting := c.oldestSentAt(); waiting {
-			if now.Sub(since) > answerTimeout {
-				ending = append(ending, c)
-			}
+	conns, states := p.usableConns()
+	service := dispatch.ServiceOf(states)
+	if p.lastDialServed.After(service.LastServed) {
+		service.LastServed = p.lastDialServed
+	}
+	for i, c := range conns {
+		if dispatch.IsLost(states[i], service, now) {
+			ending = append(ending, c)
 			continue
 		}
-		if c.exclusive || c.sharedSessions > 0 {
+		if c.exclusive || c.sharedSessions > 0 || !states[i].OldestSentAt.IsZero() {
 			continue
 		}
 		retention := spareRetention * time.Duration(p.limit)
-		if keepLast && len(p.conns)-len(ending) == 1 {
+		if keepLast && len(conns)-len(ending) == 1 {
 			retention = lastConnRetention
 		}
 		if now.Sub(c.idleSince) > retention {
@@ -386,7 +346,7 @@
 	defer p.mu.Unlock()
 	var s Stats
 	s.Open, s.Waiting = len(p.conns), len(p.waiters)
-	s.Shared, s.Window = p.sharedSessions(), int(p.window)
+	s.Shared, s.Window = p.sharedSessions(), p.window.Size()
 	for _, c := range p.conns {
 		if c.exclusive {
 			s.Exclusive++
--- a/core/proxy/current.go
+++ b/core/proxy/current.go
@@ -51,7 +51,7 @@
 	case <-call.Done:
 		lease.Release()
 	case <-ctx.Done():
-		go func() { <-call.Done; lease.Release() }()
+		lease.Abandon(call)
 		r.reason = "no answer in time"
 		return exchange.ErrorAnswer(exchange.TimedOut, r.reason, exchange.Idle), returnAnswer
 	}
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -60,6 +60,8 @@
 	return call
 }
 
+func (*fakeServers) Abandon(*link.Call) {}
+
 func (*fakeServers) Close() {}
 
 // An answer without a position must not lower what the session's next reads must see.
--- a/core/proxy/read.go
+++ b/core/proxy/read.go
@@ -199,7 +199,7 @@
 	case <-call.Done:
 		lease.Release()
 	case <-ctx.Done():
-		go func() { <-call.Done; lease.Release() }()
+		lease.Abandon(call)
 		result.next = giveUp
 		return
 	}
--- a/core/proxy/write.go
+++ b/core/proxy/write.go
@@ -47,7 +47,7 @@
 		if pending != nil {
 			// The connection stays open because it is shared with other
 			// sessions. The lease is held until the answer arrives.
-			go func() { <-pending; lease.Release() }()
+			lease.Abandon(pending)
 			return answer
 		}
 		if answer.Failure == nil || !answer.Failure.Code.NotRun() {
@@ -76,15 +76,15 @@
 
 // runStatement sends one statement and returns its answer. The answer is InDoubt
 // when the connection was lost or ctx ended first. Then pending is not nil, and
-// it is closed when the answer has arrived or the connection has closed. The
-// error is set if the statement was not sent.
-func (r *request) runStatement(ctx context.Context, lease *link.Lease, desired *link.SessionState, statement exchange.Statement) (answer exchange.Answer, pending <-chan struct{}, err error) {
+// it is the call, which ends when the answer has arrived or the connection has closed.
+// The error is set if the statement was not sent.
+func (r *request) runStatement(ctx context.Context, lease *link.Lease, desired *link.SessionState, statement exchange.Statement) (answer exchange.Answer, pending *link.Call, err error) {
 	call := lease.Submit(desired, statement)
 	stall := time.NewTimer(stallThreshold)
 	defer stall.Stop()
-	inDoubt := func(reason string) (exchange.Answer, <-chan struct{}, error) {
+	inDoubt := func(reason string) (exchange.Answer, *link.Call, error) {
 		r.reason = reason
-		return exchange.ErrorAnswer(exchange.InDoubt, reason, exchange.Idle), call.Done, nil
+		return exchange.ErrorAnswer(exchange.InDoubt, reason, exchange.Idle), call, nil
 	}
 	for {
 		select {
