gateway: a malformed result of a gateway does not end the process

Cause: the answers of a gateway were used without a check of their number. A result without an answer to each statement made the goroutine of a read or of a monitor panic, which ended the whole host. A probe result without a position counted as a proof.

Change: such a result is ErrMalformedResult, an ErrLost: reads are repeated elsewhere, writes are in doubt.

Ruled out: the handlers of a host; net/http recovers their panics, and batches without statements were refused before.

Test: TestResultWithoutAllAnswersProvesNothing panicked with index out of range.

--- a/core/gateway/client.go
+++ b/core/gateway/client.go
@@ -97,6 +97,9 @@
 	}
 	c.answered(via.ID)
 	c.noteRefusal(via.ID, server.ID, result.Err)
+	if result.Err == nil && result.Proof.Position.IsZero() {
+		return Proof{}, ErrMalformedResult
+	}
 	return result.Proof, result.Err
 }
 
@@ -291,5 +294,10 @@
 	}
 	c.client.answered(c.via.ID)
 	c.client.noteRefusal(c.via.ID, c.server, result.Err)
+	if result.Err == nil && len(result.Answers) != len(batch.Statements) {
+		c.client.avoidPath(c.via.ID, c.server)
+		c.client.reportAvoidance(c.via.ID, c.server, ErrMalformedResult.Error())
+		return nil, ErrMalformedResult
+	}
 	return result.Answers, result.Err
 }
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -26,6 +26,9 @@
 // server.
 var ErrUnknownServer = fmt.Errorf("%w: the server is not known", link.ErrNoConnection)
 
+// ErrMalformedResult is the link.ErrLost of a result that does not answer what was sent.
+var ErrMalformedResult = fmt.Errorf("%w: malformed result of the gateway", link.ErrLost)
+
 // Batch is a batch of statements for a gateway, which sends them in one flush.
 type Batch struct {
 	// Server, Exclusive, Priority and MaxWait apply to the first batch of a
