dispatch, link: order late requests behind the others and refuse the hopeless at once

Cause: a request that got no connection within a quarter of the objective was refused, although its answer could still have been in time, or late and welcome.

Change (core/dispatch, queue.go): a request waits until its answer can't be in time any more, and then behind those that can. It is refused at once when the pace of the queue shows that its time will not suffice, when it is overtaken by later requests in an overload, and after a quarter of the objective when open transactions hold all connections without using them. A stall is told from an overload: callers outwait it.

--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -33,6 +33,8 @@
 type Conn struct {
 	// Exclusive is set while a session has exclusive use of the connection.
 	Exclusive bool
+	// QuietSince is when the connection was granted or answered a statement last.
+	QuietSince time.Time
 	// Sessions is the number of sessions that share the connection.
 	Sessions int
 	// OldestSentAt is when the oldest unanswered statement was sent; zero if all
--- a/core/gateway/client.go
+++ b/core/gateway/client.go
@@ -213,7 +213,7 @@
 func (c *channel) Submit(desired *link.SessionState, statements ...exchange.Statement) *link.Call {
 	call := link.NewCall()
 	batch := Batch{
-		Server: c.server, Exclusive: c.request.Exclusive, Priority: c.request.Priority, MaxWait: c.request.MaxWait, WaitLimit: c.waitLimit,
+		Server: c.server, Exclusive: c.request.Exclusive, Priority: c.request.Priority, TimeForAnswer: c.request.TimeForAnswer, WaitLimit: c.waitLimit,
 		Desired: desired, Statements: statements,
 	}
 	c.mu.Lock()
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -31,12 +31,12 @@
 
 // Batch is a batch of statements for a gateway, which sends them in one flush.
 type Batch struct {
-	// Server, Exclusive, Priority and MaxWait apply to the first batch of a
+	// Server, Exclusive, Priority and TimeForAnswer apply to the first batch of a
 	// stream. They have the meaning of link.Request.
-	Server    group.ServerID
-	Exclusive bool
-	Priority  int
-	MaxWait   time.Duration
+	Server        group.ServerID
+	Exclusive     bool
+	Priority      int
+	TimeForAnswer time.Duration
 	// WaitLimit also applies to the first batch. It bounds the wait for a
 	// connection in any case, so that the refusal arrives while the caller still
 	// waits; zero means no bound.
--- a/core/gateway/service.go
+++ b/core/gateway/service.go
@@ -62,7 +62,7 @@
 		ctx = limited
 	}
 	return source.Acquire(ctx, link.Request{
-		Exclusive: first.Exclusive, Desired: first.Desired, Priority: first.Priority, MaxWait: first.MaxWait,
+		Exclusive: first.Exclusive, Desired: first.Desired, Priority: first.Priority, TimeForAnswer: first.TimeForAnswer,
 	})
 }
 
--- a/core/gateway/service_test.go
+++ b/core/gateway/service_test.go
@@ -114,7 +114,7 @@
 				continue
 			}
 			ctx, cancel := context.WithTimeout(context.Background(), statementTimeout)
-			lease, err := client.Source(server).Acquire(ctx, link.Request{MaxWait: 75 * time.Millisecond})
+			lease, err := client.Source(server).Acquire(ctx, link.Request{TimeForAnswer: 75 * time.Millisecond})
 			assert.NilError(t, err)
 			_, err = link.Run(ctx, lease, nil, exchange.Statement{ID: "w1", Operation: exchange.Write, Arguments: "item data"})
 			assert.Check(t, errors.Is(err, link.ErrNoConnection), "%v", err)
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -110,10 +110,13 @@
 	// latency the moving average of the time that such calls took.
 	answeredSentAt time.Time
 	latency        time.Duration
+	// answeredAt is when the last answer arrived.
+	answeredAt time.Time
 
 	// The fields below are guarded by the pool's mutex.
 	exclusive      bool
 	sharedSessions int
+	grantedAt      time.Time
 	idleSince      time.Time
 }
 
@@ -272,6 +275,7 @@
 	if len(call.answers) < call.setupCount && (answer.Failure != nil || answer.Digest != "" || len(answer.Rows) > 0) {
 		return eris.New("received an unexpected answer to a session setup statement")
 	}
+	c.answeredAt = time.Now()
 	call.answers = append(call.answers, answer)
 	if len(call.answers) == call.expected {
 		c.calls = c.calls[1:]
@@ -325,6 +329,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	state := dispatch.Conn{Exclusive: c.exclusive, Sessions: c.sharedSessions, AnsweredSentAt: c.answeredSentAt, Latency: c.latency}
+	state.QuietSince = c.grantedAt
+	if c.answeredAt.After(c.grantedAt) {
+		state.QuietSince = c.answeredAt
+	}
 	if len(c.calls) > 0 {
 		state.OldestSentAt = c.calls[0].sentAt
 	}
--- a/core/link/lease.go
+++ b/core/link/lease.go
@@ -46,10 +46,10 @@
 	Desired *SessionState
 	// Priority orders waiting requests; lower ones are served first.
 	Priority int
-	// MaxWait bounds the wait for a connection; zero means no bound. It does
-	// not apply while there is no open connection, because a server at its
-	// limit frees the connections of lost hosts within seconds.
-	MaxWait time.Duration
+	// TimeForAnswer is the time in which the request's answer is still in time; zero
+	// if there is no such limit. A request that can't be answered in time any more
+	// waits behind the others until its context ends.
+	TimeForAnswer time.Duration
 }
 
 // Lease is the right to use a connection until Release, either exclusively or
--- a/core/link/lost_test.go
+++ b/core/link/lost_test.go
@@ -75,7 +75,7 @@
 			wait.Go(func() {
 				ctx, cancel := context.WithTimeout(ctx, statementTimeout)
 				defer cancel()
-				lease, err := p.Acquire(ctx, link.Request{MaxWait: patience})
+				lease, err := p.Acquire(ctx, link.Request{TimeForAnswer: patience})
 				if err != nil {
 					refused.Add(1)
 					return
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"basilmill/core/catalog"
 	"basilmill/core/dispatch"
 )
@@ -81,6 +79,7 @@
 	// lastDialServed is when the latest dial was started that the server answered.
 	lastDialServed time.Time
 	window         dispatch.Window
+	pace           dispatch.Pace
 	closed         bool
 }
 
@@ -95,6 +94,7 @@
 // waiter is a request that waits for a connection.
 type waiter struct {
 	Request
+	position   dispatch.Position
 	enqueuedAt time.Time
 	result     chan acquireResult
 }
@@ -118,51 +118,107 @@
 	p.dispatch()
 }
 
-// Acquire implements Source. Waiting requests are served in ascending order of
-// their priority.
+// Acquire implements Source. Waiting requests are served in the order of their
+// dispatch.Position. A request that will not be served before ctx ends is refused at
+// once.
 func (p *Pool) Acquire(ctx context.Context, request Request) (*Lease, error) {
-	if request.MaxWait > 0 && p.hasConnection() {
-		limited, cancel := context.WithTimeout(ctx, request.MaxWait)
-		defer cancel()
-		ctx = limited
+	w := &waiter{Request: request, position: dispatch.Position{Priority: request.Priority}, result: make(chan acquireResult, 1)}
+	patience, err := p.enqueue(ctx, w)
+	if err != nil {
+		return nil, err
+	}
+	var held, late <-chan time.Time
+	if request.TimeForAnswer > 0 {
+		heldTimer, lateTimer := time.NewTimer(dispatch.HeldPatience(request.TimeForAnswer)), time.NewTimer(patience)
+		defer heldTimer.Stop()
+		defer lateTimer.Stop()
+		held, late = heldTimer.C, lateTimer.C
 	}
-	lease, err := p.acquire(ctx, &waiter{Request: request})
-	if err != nil && ctx.Err() != nil {
+	for {
+		select {
+		case r := <-w.result:
+			return r.lease, r.err
+		case <-held:
+			if !p.isHeld() {
+				continue
+			}
+		case <-late:
+			if p.postpone(ctx, w) {
+				continue
+			}
+		case <-ctx.Done():
+		}
+		p.cancelWait(w)
 		return nil, ErrQueueTimeout
 	}
-	return lease, err
 }
 
-// hasConnection reports whether a connection is open.
-func (p *Pool) hasConnection() bool {
+// isHeld reports whether callers hold all connections without using them.
+func (p *Pool) isHeld() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.conns) > 0
+	_, states := p.usableConns()
+	return dispatch.IsHeld(states, time.Now())
 }
 
-// acquire queues the waiter and waits for its result.
-func (p *Pool) acquire(ctx context.Context, w *waiter) (*Lease, error) {
-	w.result = make(chan acquireResult, 1)
-	w.enqueuedAt = time.Now()
+// enqueue adds a waiter to the queue, unless it is hopeless, and returns how long it
+// waits before it is late.
+func (p *Pool) enqueue(ctx context.Context, w *waiter) (patience time.Duration, err error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.closed {
-		p.mu.Unlock()
-		return nil, ErrNoConnection
+		return 0, ErrNoConnection
 	}
-	at := slices.IndexFunc(p.waiters, func(o *waiter) bool { return o.Priority > w.Priority })
+	w.enqueuedAt = time.Now()
+	p.pace.Enqueued(len(p.waiters), w.enqueuedAt)
+	if !p.insert(ctx, w) {
+		p.observeWait(w, false)
+		return 0, ErrQueueTimeout
+	}
+	p.dispatch()
+	_, states := p.usableConns()
+	return dispatch.Patience(w.TimeForAnswer, dispatch.ServiceOf(states)), nil
+}
+
+// insert inserts a waiter behind those that are served before it. It returns false if it
+// is hopeless. Without an open connection, a request waits in any case, because a server
+// at its limit frees the connections of lost hosts within seconds. The caller holds the
+// mutex.
+func (p *Pool) insert(ctx context.Context, w *waiter) bool {
+	at := slices.IndexFunc(p.waiters, func(o *waiter) bool { return o.position.Compare(w.position) > 0 })
 	if at < 0 {
 		at = len(p.waiters)
 	}
+	if deadline, ok := ctx.Deadline(); ok && w.Priority >= 0 && len(p.conns) > 0 && p.pace.IsHopeless(at, time.Until(deadline)) {
+		return false
+	}
 	p.waiters = slices.Insert(p.waiters, at, w)
-	p.dispatch()
-	p.mu.Unlock()
-	select {
-	case r := <-w.result:
-		return r.lease, r.err
-	case <-ctx.Done():
-		p.cancelWait(w)
-		return nil, eris.Wrap(ErrNoConnection, ctx.Err().Error())
+	return true
+}
+
+// postpone makes a waiter late, so that it is served after the others. It returns false
+// if it would not be served before its context ends.
+func (p *Pool) postpone(ctx context.Context, w *waiter) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	i := slices.Index(p.waiters, w)
+	if i < 0 {
+		return true // The result has just been sent.
+	}
+	p.waiters = slices.Delete(p.waiters, i, i+1)
+	w.position.Late = true
+	inTime := 0
+	for _, o := range p.waiters {
+		if !o.position.Late {
+			inTime++
+		}
+	}
+	if !p.pace.IsStarved(inTime, w.enqueuedAt) && p.insert(ctx, w) {
+		return true
 	}
+	p.observeWait(w, false)
+	w.result <- acquireResult{}
+	return false
 }
 
 // cancelWait removes a waiter from the queue. If it has just been granted a
@@ -240,6 +296,8 @@
 	}
 	p.observeWait(w, true)
 	grantedAt := time.Now()
+	c.grantedAt = grantedAt
+	p.pace.Granted(w.position, grantedAt)
 	lease := NewLease(c, func() { p.release(c, w.Exclusive, grantedAt) })
 	lease.reportAnswer = p.adjustWindow
 	w.result <- acquireResult{lease: lease}
--- a/core/proxy/read.go
+++ b/core/proxy/read.go
@@ -28,10 +28,6 @@
 	// unanswered read is also sent to a second server, if the hedge budget allows
 	// it.
 	hedgeDivisor = 3
-	// queueDivisor gives the fraction of the latency objective for which a
-	// request may wait for a connection. A refusal after a quarter of the
-	// objective counts as late.
-	queueDivisor = 4
 )
 
 // readStale serves a read that may miss recent commits. It runs on any server
@@ -155,14 +151,16 @@
 	}
 }
 
-// acquire takes a connection to a server. The wait is bounded to a fraction of
-// the latency objective, so that a refused caller still has time to retry.
+// acquire takes a connection to a server.
 func (r *request) acquire(ctx context.Context, server catalog.Server, exclusive bool, desired *link.SessionState) (*link.Lease, error) {
 	return r.session.proxy.config.Sources(server).Acquire(ctx, link.Request{
-		Exclusive: exclusive, Desired: desired, Priority: r.route.Priority, MaxWait: r.route.TargetLatency / queueDivisor,
+		Exclusive: exclusive, Desired: desired, Priority: r.route.Priority, TimeForAnswer: max(r.route.TargetLatency-time.Since(r.started), minTimeForAnswer),
 	})
 }
 
+// minTimeForAnswer is the TimeForAnswer of a request that is late already.
+const minTimeForAnswer = time.Millisecond
+
 // readResult is the result of one attempt of a read.
 type readResult struct {
 	server  group.ServerID
--- a/io/peer/gateway_test.go
+++ b/io/peer/gateway_test.go
@@ -92,7 +92,7 @@
 	client := peer.NewGatewayClient(dialTCP)
 	defer client.Close()
 	var batch gateway.Batch
-	batch.Server, batch.Exclusive, batch.Priority, batch.MaxWait, batch.WaitLimit = "s1", true, 2, time.Second, 2*time.Second
+	batch.Server, batch.Exclusive, batch.Priority, batch.TimeForAnswer, batch.WaitLimit = "s1", true, 2, time.Second, 2*time.Second
 	var want []exchange.Answer
 	for operation := exchange.Begin; operation <= exchange.Demote; operation++ {
 		s := exchange.Statement{ID: "q1", Operation: operation, Name: "n", Value: "v", Arguments: "item data", MinPosition: group.Position{Term: 2, Offset: 7}, Term: 3}
--- a/io/peer/statement.go
+++ b/io/peer/statement.go
@@ -54,7 +54,7 @@
 
 func encodeBatch(b gateway.Batch) *peerpb.Batch {
 	m := &peerpb.Batch{
-		Server: string(b.Server), Exclusive: b.Exclusive, Priority: int32(b.Priority), MaxWaitMicroseconds: b.MaxWait.Microseconds(), //nolint:gosec // priorities are small
+		Server: string(b.Server), Exclusive: b.Exclusive, Priority: int32(b.Priority), MaxWaitMicroseconds: b.TimeForAnswer.Microseconds(), //nolint:gosec // priorities are small
 		WaitLimitMicroseconds: b.WaitLimit.Microseconds(),
 	}
 	if b.Desired != nil {
@@ -75,7 +75,7 @@
 func decodeBatch(m *peerpb.Batch) (gateway.Batch, error) {
 	b := gateway.Batch{
 		Server: group.ServerID(m.GetServer()), Exclusive: m.GetExclusive(), Priority: int(m.GetPriority()),
-		MaxWait: time.Duration(m.GetMaxWaitMicroseconds()) * time.Microsecond, WaitLimit: time.Duration(m.GetWaitLimitMicroseconds()) * time.Microsecond,
+		TimeForAnswer: time.Duration(m.GetMaxWaitMicroseconds()) * time.Microsecond, WaitLimit: time.Duration(m.GetWaitLimitMicroseconds()) * time.Microsecond,
 	}
 	if desired := m.GetDesired(); desired != nil {
 		b.Desired = &link.SessionState{Values: desired.GetValues(), Prepared: map[string]exchange.PreparedStatement{}}
