lead: probe an idle group on demand

Change: a host that is not responsible for a group probes it each 3 s, and at once when a request waits for a proof; its gateway has one of 250 ms at most. A host that becomes responsible probes at once, and notices it within a second.

Ruled out: no probes without demand at all, or each 10 s: TestChangeIsLeftToResponsibleHosts/gone and /unresponsive fail, because others must act in the end when the responsible hosts don't.

Test: TestHostThatIsNotResponsibleCostsLittle, now 11 probes in 30 s, failed with 30. TestLeftOutProbesAreNoFault had a data race of its own, and now also shows that a host that has become responsible probes five times a second.

--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -30,10 +30,17 @@
 	probeInterval = 200 * time.Millisecond
 	// probeTimeout bounds a probe: ten round trips between regions.
 	probeTimeout = 400 * time.Millisecond
-	// idleProbeInterval is the time between two probes or searches of a host that
-	// is not responsible for the group, while no request waits for one. It is
-	// less than the maximum ages of reads, so that most find a position.
-	idleProbeInterval = time.Second
+	// idleProbeInterval is the time between two probes of a host that is not
+	// responsible for the group, while no request waits for one. A request that
+	// waits costs a round trip to a gateway, which has a recent proof. Together with
+	// standbyDelay it bounds the time until a change that the responsible hosts
+	// don't make is made by others.
+	idleProbeInterval = 3 * time.Second
+	// idleSearchInterval is the time between two searches of such a host.
+	idleSearchInterval = time.Second
+	// responsibilityCheckInterval is the longest time between two checks whether the
+	// host has become responsible, for example because a gateway was lost.
+	responsibilityCheckInterval = time.Second
 	// searchInterval is the time between two searches while no primary is known.
 	searchInterval = 60 * time.Millisecond
 	// requestRetention is how long after a request for a probe a host searches as
@@ -315,7 +322,7 @@
 func (m *Monitor) startDueWork(ctx context.Context) {
 	now := m.config.Clock()
 	m.updateMembers(now)
-	m.responsible = m.config.Responsible == nil || m.config.Responsible(m.members)
+	m.updateResponsible(now)
 	m.updatePrimaryEntry(m.members)
 	if m.primaryKnown && !m.probeInFlight && (m.probeRequested || now >= m.nextProbe) {
 		m.startProbe(ctx, now)
@@ -337,6 +344,16 @@
 	}
 }
 
+// updateResponsible notes whether this host is responsible for the group. A host that has
+// become responsible probes at once.
+func (m *Monitor) updateResponsible(now time.Duration) {
+	before := m.responsible
+	m.responsible = m.config.Responsible == nil || m.config.Responsible(m.members)
+	if m.responsible && !before {
+		m.nextProbe = min(m.nextProbe, now)
+	}
+}
+
 // updateMembers notes the group's servers if the view has changed.
 func (m *Monitor) updateMembers(now time.Duration) {
 	view := m.config.Cache.View()
@@ -358,7 +375,7 @@
 	if m.isUnsettled(now) {
 		return unsettledInterval
 	}
-	due := now + idleProbeInterval
+	due := now + responsibilityCheckInterval
 	switch {
 	case !m.primaryKnown:
 		if m.searchProbesInFlight == 0 {
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -284,9 +284,9 @@
 		time.Sleep(seconds * time.Second)
 		assert.Assert(t, m.Snapshot().PrimaryKnown)
 		f.update(func() {
-			assert.Assert(t, f.probes <= seconds+1, "%d probes", f.probes)
+			assert.Assert(t, f.probes <= seconds/3+1, "%d probes", f.probes)
 			assert.Equal(t, f.commands+f.peerQueries+f.recordReads, 0)
-			assert.Assert(t, f.clockReadings.Load() <= 10*seconds, "%d readings of the clock", f.clockReadings.Load())
+			assert.Assert(t, f.clockReadings.Load() <= 5*seconds, "%d readings of the clock", f.clockReadings.Load())
 		})
 	})
 }
@@ -351,11 +351,14 @@
 // A host that left out probes must not take the time without proofs for a fault.
 func TestLeftOutProbesAreNoFault(t *testing.T) {
 	f := &fakeCluster{primary: "a", position: positionAt(1, 10)}
-	responsible := false
-	runMonitorWith(t, f, func([]catalog.Server) bool { return responsible }, func(t *testing.T, _ *lead.Monitor, _ *catalog.Cache, _ func() time.Duration) {
+	var responsible atomic.Bool
+	runMonitorWith(t, f, func([]catalog.Server) bool { return responsible.Load() }, func(t *testing.T, _ *lead.Monitor, _ *catalog.Cache, _ func() time.Duration) {
 		time.Sleep(4900 * time.Millisecond)
-		f.update(func() { responsible = true })
+		responsible.Store(true)
+		f.update(func() { f.probes = 0 })
 		time.Sleep(3 * time.Second)
 		assert.Equal(t, len(f.attemptedChanges()), 0)
+		// A second to notice it, and then five probes a second.
+		f.update(func() { assert.Assert(t, f.probes >= 9, "%d probes", f.probes) })
 	})
 }
--- a/core/lead/search.go
+++ b/core/lead/search.go
@@ -63,7 +63,7 @@
 func (m *Monitor) startSearch(ctx context.Context, members []catalog.Server, now time.Duration) {
 	switch {
 	case !m.isEngaged(now):
-		m.nextSearch = now + idleProbeInterval
+		m.nextSearch = now + idleSearchInterval
 	case m.primaryKnown:
 		m.nextSearch = now + probeInterval
 	default:
