--- a/core/distribution/follower_test.go
+++ b/core/distribution/follower_test.go
@@ -365,3 +365,45 @@
 	assert.Equal(t, s.Since(12).After, distribution.Version(0))
 	assert.DeepEqual(t, s.Since(12).Objects, []distribution.Object{object("c", 15, false)})
 }
+
+// A host that restarts knows nothing of what was removed before. It must not take it back
+// from relays that have been cut off from the store meanwhile.
+func TestRestartedHostDoesNotUseWhatWasRemoved(t *testing.T) {
+	for name, cut := range map[string]func(*fakeStore, host.ID){
+		"silent":  func(s *fakeStore, id host.ID) { s.silent[id] = true },
+		"failing": func(s *fakeStore, id host.ID) { s.failing[id] = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startFleet(t, 12)
+				time.Sleep(10 * time.Second)
+				for _, info := range f.hosts[:2] {
+					f.store.update(func() { cut(f.store, info.ID) })
+				}
+				f.store.write("first", true)
+				time.Sleep(configTTL)
+				id := f.hosts[11].ID
+				f.nodes[id].cancel()
+				restarted := &node{fleet: f, id: id}
+				started := time.Now()
+				restarted.relay.Clock = func() time.Duration { return time.Hour + time.Since(started) }
+				restarted.follower = distribution.Follower{Self: id, Store: view{f.store, id}, Relay: &restarted.relay, Network: restarted}
+				ctx, cancel := context.WithCancel(context.Background())
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					restarted.run(ctx)
+				}()
+				for range 30 {
+					time.Sleep(100 * time.Millisecond)
+					assert.Equal(t, restarted.has("first"), distribution.Version(0))
+				}
+				restarted.mu.Lock()
+				assert.Assert(t, len(restarted.lists) > 0, "no list was read")
+				restarted.mu.Unlock()
+				cancel()
+				<-done
+			})
+		})
+	}
+}
