distribution, entry: leave the store alone during an outage

Cause: during an outage no relay has a current copy, so that every host called the store itself, 24 times in 6 s for each kind (TestOutageOfTheStoreCausesNoHerd before the change).

Change: after a failed call of its own, a host that is not one of the two first in rank leaves the store alone for 0.5 s, doubled up to 4 s, with jitter, and asks the other hosts meanwhile. The list of hosts is read again after 1 to 10 s instead of 0.3 s.

Ruled out: relays that wait as well; the others would hear of the end of the outage late.

Test: TestOutageOfTheStoreCausesNoHerd: at most 5 calls of a host in 6 s, and a change right after the outage reaches 100 hosts in the promised time.

--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -27,8 +27,8 @@
 	// maxHostListInterval while the list stays the same.
 	minHostListInterval = time.Second
 	maxHostListInterval = 10 * time.Second
-	// hostListRetryInterval is the time until the list is read again after a
-	// failure.
+	// hostListRetryInterval is the time until the first list is requested again
+	// after a failure.
 	hostListRetryInterval = 300 * time.Millisecond
 	// storeTimeout bounds a call of the store.
 	storeTimeout = time.Second
@@ -177,8 +177,10 @@
 	defer p.mu.Unlock()
 	p.refreshing = false
 	switch {
-	case err != nil:
+	case err != nil && p.version == 0:
 		p.refreshInterval = hostListRetryInterval
+	case err != nil:
+		p.refreshInterval = min(max(2*p.refreshInterval, minHostListInterval), maxHostListInterval)
 	case p.version == 0 || !slices.Equal(hosts, p.hosts):
 		if p.version == 0 {
 			close(p.listed)
--- a/core/distribution/follower.go
+++ b/core/distribution/follower.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +34,18 @@
 	// staleRelayBackoff is how long a relay is avoided that stated that its copy
 	// is not current.
 	staleRelayBackoff = time.Second
+	// storeBackoff is how long a host that is no relay leaves the store alone after a
+	// call of its own failed. It doubles with each consecutive failure up to
+	// maxStoreBackoff. Relays keep trying, so that the others hear from them when an
+	// outage is over.
+	storeBackoff    = 500 * time.Millisecond
+	maxStoreBackoff = 4 * time.Second
 )
 
+// ErrStoreBackoff is returned when no relay has a current copy and the store did not
+// answer this host shortly before.
+var ErrStoreBackoff = errors.New("no relay is current and the store did not answer before")
+
 // ErrNotCurrent is the reason for avoiding a relay whose copy is not current.
 var ErrNotCurrent = errors.New("the relay's copy is not current")
 
@@ -63,6 +75,8 @@
 	// newest holds the highest version that this host has seen of each kind. An
 	// older list would bring removed objects back.
 	newest map[Kind]Version
+	// store says until when the store is left alone after failed calls.
+	store map[Kind]avoidance
 }
 
 // avoidance says until when a relay is avoided.
@@ -110,7 +124,11 @@
 			return u, nil
 		}
 	}
+	if !f.mayCallStore(kind) {
+		return Update{}, ErrStoreBackoff
+	}
 	u, err := f.Store.List(ctx, kind)
+	f.noteStoreCall(kind, err)
 	if err != nil {
 		f.Relay.fail(kind)
 		return Update{}, err
@@ -141,9 +159,13 @@
 		// The copy must be complete before others may follow it.
 		return Update{}, ErrHistoryGone
 	}
+	if !f.mayCallStore(kind) {
+		return Update{}, ErrStoreBackoff
+	}
 	wait = max(wait-time.Since(started), minStoreWait)
 	f.Relay.expect(kind, wait)
 	u, err := f.Store.Watch(ctx, kind, after, wait)
+	f.noteStoreCall(kind, err)
 	if err != nil {
 		f.Relay.fail(kind)
 		return Update{}, err
@@ -195,6 +217,39 @@
 	}
 }
 
+// isDesignated reports whether this host is one of the first in rank.
+func (f *Follower) isDesignated() bool {
+	ranked := f.Network.Ranked()
+	return len(ranked) < minFollowedHosts ||
+		slices.ContainsFunc(ranked[:placement.DefaultRelays], func(h host.Info) bool { return h.ID == f.Self })
+}
+
+// mayCallStore reports whether this host may call the store. It may not for some time
+// after failed calls, unless others depend on it.
+func (f *Follower) mayCallStore(kind Kind) bool {
+	if f.isDesignated() {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !time.Now().Before(f.store[kind].until)
+}
+
+// noteStoreCall notes the result of a call of the store.
+func (f *Follower) noteStoreCall(kind Kind, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil || errors.Is(err, ErrHistoryGone) {
+		delete(f.store, kind)
+		return
+	}
+	if f.store == nil {
+		f.store = map[Kind]avoidance{}
+	}
+	backoff := min(max(2*f.store[kind].backoff, storeBackoff), maxStoreBackoff)
+	f.store[kind] = avoidance{until: time.Now().Add(backoff/2 + rand.N(backoff/2)), backoff: backoff}
+}
+
 func (f *Follower) newestVersion(kind Kind) Version {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/distribution/follower_test.go
+++ b/core/distribution/follower_test.go
@@ -407,3 +407,34 @@
 		})
 	}
 }
+
+// An outage of the store must not make every host call it again and again: the calls of a
+// host that is no relay stay few, and all hosts hear of a change soon after the outage.
+func TestOutageOfTheStoreCausesNoHerd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, outage = 100, 6 * time.Second
+		f := startFleet(t, hosts)
+		time.Sleep(10 * time.Second)
+		setFailing := func(failing bool) {
+			f.store.update(func() {
+				for _, info := range f.hosts {
+					f.store.failing[info.ID] = failing
+				}
+				clear(f.store.calls)
+			})
+		}
+		setFailing(true)
+		time.Sleep(outage)
+		f.store.update(func() {
+			for _, info := range f.hosts[placement.DefaultRelays:] {
+				assert.Check(t, f.store.calls[info.ID] <= 5, "%d calls of %s", f.store.calls[info.ID], info.ID)
+			}
+		})
+		setFailing(false)
+		f.store.write("added", false)
+		time.Sleep(configTTL)
+		for _, n := range f.nodes {
+			assert.Check(t, n.has("added") > 0, "%s", n.id)
+		}
+	})
+}
