--- a/core/distribution/follower_test.go
+++ b/core/distribution/follower_test.go
@@ -45,7 +45,7 @@
 }
 
 // write changes an object, or removes it.
-func (s *fakeStore) write(name string, removed bool) distribution.Version {
+func (s *fakeStore) write(name string, removed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	version := s.set.Version() + 1
@@ -54,7 +54,6 @@
 	}}})
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return version
 }
 
 func (s *fakeStore) update(change func()) {
