--- a/core/dispatch/dispatch.go
+++ b/core/dispatch/dispatch.go
@@ -5,6 +5,8 @@
 //
 // It answers these loads:
 //
+//   - More requests than can be answered in time: Position and Pace decide who is
+//     served first, who waits and who is refused at once.
 //   - More requests than the server can serve at the same time: Window bounds the
 //     requests in flight by the server's own refusals.
 //   - Transactions beside single statements: Choose spreads the single statements over
