lead: only the gateways to the primary monitor a group

Change: while a primary is known that stays, the gateways to it are responsible, one in each data centre; without one the gateways to all servers are.

Test: TestGatewaysToReplicasAreResponsibleWithoutAPrimary fails without the change.

--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -182,11 +182,10 @@
 	// DataCentre is the data centre of this host. Its replicas are audited
 	// more often than the others.
 	DataCentre host.DataCentre
-	// Responsible, if set, reports whether this host monitors the group, with the
-	// given servers, for other hosts too. A host that is not responsible probes
-	// rarely and on request, leaves audits to the responsible ones, and attempts
-	// a change only if they have not made it within standbyDelay.
-	Responsible func(members []catalog.Server) bool
+	// Responsible, if set, reports whether this host monitors the group because it
+	// holds connections to one of the servers. Other hosts probe rarely and leave
+	// changes of primary to those that do.
+	Responsible func(servers []catalog.Server) bool
 	// Clock returns a monotonic time that also advances while the machine is
 	// suspended.
 	Clock func() time.Duration
@@ -344,11 +343,16 @@
 	}
 }
 
-// updateResponsible notes whether this host is responsible for the group. A host that has
-// become responsible probes at once.
+// updateResponsible notes whether this host is responsible for the group: it is the
+// gateway to the primary, or to any server while there is no primary that stays. A host
+// that has become responsible probes at once.
 func (m *Monitor) updateResponsible(now time.Duration) {
 	before := m.responsible
-	m.responsible = m.config.Responsible == nil || m.config.Responsible(m.members)
+	servers := m.members
+	if m.primaryKnown && !m.primary.Leaving {
+		servers = []catalog.Server{m.primary}
+	}
+	m.responsible = m.config.Responsible == nil || m.config.Responsible(servers)
 	if m.responsible && !before {
 		m.nextProbe = min(m.nextProbe, now)
 	}
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -362,3 +363,25 @@
 		f.update(func() { assert.Assert(t, f.probes >= 9, "%d probes", f.probes) })
 	})
 }
+
+// While a primary is known, the gateways to the other servers leave the group to those to
+// the primary. When it is gone, they search for its replacement like these.
+func TestGatewaysToReplicasAreResponsibleWithoutAPrimary(t *testing.T) {
+	f := &fakeCluster{primary: "a", position: positionAt(1, 10)}
+	gatewayToReplica := func(servers []catalog.Server) bool {
+		return slices.ContainsFunc(servers, func(s catalog.Server) bool { return s.ID == "b" })
+	}
+	runMonitorWith(t, f, gatewayToReplica, func(t *testing.T, m *lead.Monitor, _ *catalog.Cache, _ func() time.Duration) {
+		time.Sleep(5 * time.Second)
+		f.update(func() { f.probes, f.commands = 0, 0 })
+		time.Sleep(9 * time.Second)
+		f.update(func() {
+			assert.Assert(t, f.probes <= 4, "%d probes", f.probes)
+			assert.Equal(t, f.commands, 0)
+			f.primary = ""
+		})
+		m.ReportNotPrimary("a")
+		time.Sleep(time.Second)
+		assert.Assert(t, len(f.attemptedChanges()) > 0)
+	})
+}
