--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -182,9 +182,10 @@
 	// DataCentre is the data centre of this host. Its replicas are audited
 	// more often than the others.
 	DataCentre host.DataCentre
-	// Responsible, if set, reports whether this host monitors the group because it
-	// holds connections to one of the servers. Other hosts probe rarely and leave
-	// changes of primary to those that do.
+	// Responsible, if set, reports whether this host monitors the group for other
+	// hosts too, because it holds connections to one of the servers. Other hosts
+	// probe rarely and on request, leave audits to the responsible ones, and attempt
+	// a change only if these have not made it within standbyDelay.
 	Responsible func(servers []catalog.Server) bool
 	// Clock returns a monotonic time that also advances while the machine is
 	// suspended.
