peer, gateway: uncompressed answers, TCP keep-alive in place of pings

Cause: a profile of 30 hosts in one process (scratch copy, 20 groups, real sockets) shows where an idle host's time goes: HTTP/2 pings each 500 ms on every connection to a gateway, from both sides, which grows with the hosts of a data centre; and a gzip writer of 0.8 MB for every answer of a few dozen bytes, which a small process collects and allocates again.

Change: hosts request uncompressed answers. Pings are sent after 5 s. A gateway that is avoided gets a new connection (Network.Reconnect), so that a connection that is silent for good is replaced within the backoff of 250 ms, before after 1.5 s. The registry looks for obsolete pools when the view has changed.

Ruled out: no pings at all; an unacknowledged answer would keep a lost host's lease.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -5,6 +5,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -13,11 +14,13 @@
 	"net/netip"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
+	"golang.org/x/sys/unix"
 
 	"basilmill/core/catalog"
 	"basilmill/core/distribution"
@@ -186,16 +189,31 @@
 	return h.addHTTP(ctx, g, h.settings.Operators, mux)
 }
 
-// listen opens a TCP listener with keep-alive on its connections.
+// listen opens a TCP listener. Its connections end when the peer has been unreachable
+// for unreachableTimeout, idle or not.
 func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
-	keepAlive := net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2}
-	return (&net.ListenConfig{KeepAliveConfig: keepAlive}).Listen(ctx, "tcp", address.String())
+	config := net.ListenConfig{
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: 2},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			var optionErr error
+			// Accepted connections inherit the option.
+			err := raw.Control(func(fd uintptr) {
+				optionErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unreachableTimeout/time.Millisecond))
+			})
+			return cmp.Or(err, optionErr)
+		},
+	}
+	return config.Listen(ctx, "tcp", address.String())
 }
 
-// keepAliveInterval is the period of keep-alive probes on an idle connection, and
-// the idle time before the first one. The connections of a lost host or caller
-// are closed after three periods, as on backend servers.
-const keepAliveInterval = time.Second
+const (
+	// keepAliveInterval is the period of keep-alive probes on an idle connection, and
+	// the idle time before the first one.
+	keepAliveInterval = time.Second
+	// unreachableTimeout is how long data may stay unacknowledged. Backend servers
+	// close the connections of an unreachable peer after the same time.
+	unreachableTimeout = 3 * time.Second
+)
 
 // headerTimeout bounds the wait for the headers of an HTTP request.
 const headerTimeout = 2 * time.Second
@@ -240,6 +258,7 @@
 func (h *Host) pruneLoop(ctx context.Context) error {
 	ticker := time.NewTicker(pruneInterval)
 	defer ticker.Stop()
+	var pruned *catalog.View
 	for {
 		select {
 		case <-ctx.Done():
@@ -249,8 +268,11 @@
 				h.log.Write(ctx, logevent.BackendServerGone, slog.String("server", string(id)), slog.String("why", "no entry"))
 			}
 			h.servers.Prune(h.gateways.client.IsGateway)
-			h.gateways.prune(h.cache.View())
-			h.proxy.Prune(h.cache.View())
+			if view := h.cache.View(); view != pruned {
+				h.gateways.prune(view)
+				h.proxy.Prune(view)
+				pruned = view
+			}
 		}
 	}
 }
--- a/core/gateway/choose.go
+++ b/core/gateway/choose.go
@@ -30,6 +30,8 @@
 	// noPathBackoff is how long a host is avoided for a server to which it has no
 	// connection.
 	noPathBackoff = time.Second
+	// standbyHosts is the number of hosts after the gateway that take its place first.
+	standbyHosts = 2
 	// hostListTimeout is how long after its first request this host waits for the
 	// list of hosts before it opens connections without it. The list is usually
 	// known within 100 ms of the start, unless the store is unavailable.
@@ -91,6 +93,19 @@
 	limit := c.connectionLimit(server)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	r := c.ranked(server, hosts, version, limit)
+	now := time.Now()
+	for _, h := range r {
+		if h.ID == c.Self.ID || c.isAvailable(h.ID, server.ID, now) {
+			return h
+		}
+	}
+	return c.Self
+}
+
+// ranked returns the hosts that share connections to a server with this host, in the
+// order in which they are chosen. The caller holds the mutex.
+func (c *Client) ranked(server catalog.Server, hosts []host.Info, version int64, limit int) []host.Info {
 	r, ok := c.rankings[server.ID]
 	if !ok || r.version != version || r.limit != limit {
 		r = ranking{version: version, limit: limit, hosts: rank(c.Self, hosts, server.ID, limit)}
@@ -99,13 +114,39 @@
 		}
 		c.rankings[server.ID] = r
 	}
-	now := time.Now()
-	for _, h := range r.hosts {
-		if h.ID == c.Self.ID || c.isAvailable(h.ID, server.ID, now) {
-			return h
+	return r.hosts
+}
+
+// IsStandby reports whether this host is one of the next in rank after the gateway to a
+// server.
+func (c *Client) IsStandby(server catalog.Server) bool {
+	hosts, version := c.Network.Hosts()
+	limit := c.connectionLimit(server)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ranked := c.ranked(server, hosts, version, limit)
+	return slices.ContainsFunc(ranked[:min(len(ranked), standbyHosts+1)], func(h host.Info) bool { return h.ID == c.Self.ID })
+}
+
+// Elsewhere returns the gateways to a server of the hosts that do not share connections
+// with this one, as far as this host can tell.
+func (c *Client) Elsewhere(server catalog.Server) (gateways []host.Info) {
+	hosts, _ := c.Network.Hosts()
+	limit := c.connectionLimit(server)
+	covered := map[host.ID]bool{}
+	cover := func(sharing []host.Info) {
+		for _, h := range sharing {
+			covered[h.ID] = true
 		}
 	}
-	return c.Self
+	cover(sharingHosts(c.Self, hosts, limit))
+	for _, h := range hosts {
+		if !covered[h.ID] {
+			gateways = append(gateways, rank(h, hosts, server.ID, limit)[0])
+			cover(sharingHosts(h, hosts, limit))
+		}
+	}
+	return gateways
 }
 
 // connectionLimit returns the connection limit of a server, zero if it is unknown.
@@ -186,10 +227,12 @@
 
 // failed notes that a batch got no answer, because the host could not be reached or
 // the stream was closed. The host is avoided unless this host closed the stream
-// while others were being answered.
-func (c *Client) failed(id host.ID, closedHere bool, cause error) {
-	if c.backOff(id, closedHere) {
-		c.reportAvoidance(id, "", cause.Error())
+// while others were being answered. Its connection may be silent for good while new
+// ones work, so that it gets a new one for when it is used again.
+func (c *Client) failed(via host.Info, closedHere bool, cause error) {
+	if c.backOff(via.ID, closedHere) {
+		c.Network.Reconnect(via)
+		c.reportAvoidance(via.ID, "", cause.Error())
 	}
 }
 
--- a/core/gateway/choose_test.go
+++ b/core/gateway/choose_test.go
@@ -23,6 +23,8 @@
 
 func (fixedNetwork) Open(host.Info) gateway.Stream { return nil }
 
+func (fixedNetwork) Reconnect(host.Info) {}
+
 func (fixedNetwork) Probe(context.Context, host.Info, group.ServerID) (gateway.ProbeResult, error) {
 	return gateway.ProbeResult{}, nil
 }
@@ -57,3 +59,49 @@
 		}
 	}
 }
+
+// However many hosts share a gateway, two of them stand by for it.
+func TestTwoHostsStandByForAGateway(t *testing.T) {
+	for _, n := range []int{1, 2, 10, 100} {
+		var hosts []host.Info
+		for i := range n {
+			hosts = append(hosts, host.Info{ID: host.ID(fmt.Sprint("h", i)), DataCentre: "dc"})
+		}
+		server := catalog.Server{ID: "s", Group: "g"}
+		gateways, standby := 0, 0
+		for _, self := range hosts {
+			cache := &catalog.Cache{}
+			cache.SetConfig(&catalog.Config{Version: 1, Groups: map[group.ID]catalog.Group{"g": {ID: "g", ConnectionLimit: 3}}})
+			c := &gateway.Client{Self: self, Cache: cache, Network: fixedNetwork(hosts)}
+			switch {
+			case c.IsGateway(server):
+				gateways++
+			case c.IsStandby(server):
+				standby++
+			}
+		}
+		assert.Equal(t, gateways, 1)
+		assert.Equal(t, standby, min(2, n-1))
+	}
+}
+
+// The hosts that hold connections to a server elsewhere have the newest proofs of it.
+func TestGatewaysElsewhereHoldConnections(t *testing.T) {
+	var hosts []host.Info
+	for i := range 30 {
+		hosts = append(hosts, host.Info{ID: host.ID(fmt.Sprint("h", i)), DataCentre: host.DataCentre(fmt.Sprint("dc", i%3))})
+	}
+	for limit, want := range map[int]int{60: 29, 6: 2, 1: 0} {
+		cache := &catalog.Cache{}
+		cache.SetConfig(&catalog.Config{Version: 1, Groups: map[group.ID]catalog.Group{"g": {ID: "g", ConnectionLimit: limit}}})
+		for i := range 24 {
+			server := catalog.Server{ID: group.ServerID(fmt.Sprint("s", i)), Group: "g"}
+			found := (&gateway.Client{Self: hosts[0], Cache: cache, Network: fixedNetwork(hosts)}).Elsewhere(server)
+			assert.Equal(t, len(found), want, "limit %d", limit)
+			for _, h := range found {
+				assert.Assert(t, (&gateway.Client{Self: h, Cache: cache, Network: fixedNetwork(hosts)}).IsGateway(server))
+				assert.Assert(t, h.ID != hosts[0].ID)
+			}
+		}
+	}
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -39,6 +39,12 @@
 	clients map[netip.AddrPort]peerpbconnect.PeerServiceClient
 }
 
+// withoutCompression makes a client request uncompressed answers. Most are a few dozen
+// bytes, and the state of a compressor is a large part of a host's memory.
+func withoutCompression() connect.ClientOption {
+	return connect.WithAcceptCompression("gzip", nil, nil)
+}
+
 // DialFunc opens a connection to another host.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -70,7 +76,7 @@
 	defer c.mu.Unlock()
 	client, ok := c.clients[h.PeerAddress]
 	if !ok {
-		client = peerpbconnect.NewPeerServiceClient(c.http, "http://"+h.PeerAddress.String())
+		client = peerpbconnect.NewPeerServiceClient(c.http, "http://"+h.PeerAddress.String(), withoutCompression())
 		c.clients[h.PeerAddress] = client
 	}
 	return client
--- a/io/peer/gateway.go
+++ b/io/peer/gateway.go
@@ -25,9 +25,14 @@
 	// usually in the same data centre and at most in the same deployment.
 	gatewayDialTimeout = 250 * time.Millisecond
 	// gatewayPingInterval and gatewayPingTimeout detect a connection on which
-	// nothing arrives any more, on both sides.
-	gatewayPingInterval = 500 * time.Millisecond
+	// nothing arrives any more, on both sides. A host has connections to most others
+	// of its data centre, most of them idle. They are therefore left to the keep-alive
+	// of TCP, and a host that waits for a gateway opens another connection with
+	// Reconnect.
+	gatewayPingInterval = 5 * time.Second
 	gatewayPingTimeout  = time.Second
+	// gatewayIdleRetention is how long an unused connection stays open.
+	gatewayIdleRetention = 30 * time.Second
 )
 
 // GatewayPings configures an HTTP/2 connection between a host and its gateway.
@@ -46,42 +51,65 @@
 // GatewayClient opens streams to the gateways on other hosts. It keeps one HTTP/2
 // connection to each.
 type GatewayClient struct {
-	http *http.Client
+	connect func(context.Context, netip.AddrPort) (net.Conn, error)
 
-	mu      sync.Mutex
-	clients map[netip.AddrPort]peerpbconnect.GatewayClient
+	mu    sync.Mutex
+	peers map[netip.AddrPort]gatewayPeer
+}
+
+// gatewayPeer is the connection to one gateway.
+type gatewayPeer struct {
+	transport *http.Transport
+	client    peerpbconnect.GatewayClient
 }
 
 // NewGatewayClient returns a client that opens connections with connect.
-func NewGatewayClient(connectTo func(context.Context, netip.AddrPort) (net.Conn, error)) *GatewayClient {
+func NewGatewayClient(connect func(context.Context, netip.AddrPort) (net.Conn, error)) *GatewayClient {
+	return &GatewayClient{connect: connect, peers: map[netip.AddrPort]gatewayPeer{}}
+}
+
+func (c *GatewayClient) newPeer(address netip.AddrPort) gatewayPeer {
 	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			conn, err := dialGateway(ctx, connectTo, address)
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, gatewayDialTimeout)
+			defer cancel()
+			conn, err := c.connect(ctx, address)
 			if err != nil {
 				return nil, gatewayUnreachableError{err}
 			}
 			return conn, nil
 		},
-		IdleConnTimeout: idleRetention,
+		IdleConnTimeout: gatewayIdleRetention,
 		Protocols:       new(http.Protocols),
 		HTTP2:           GatewayPings(),
 	}
 	transport.Protocols.SetUnencryptedHTTP2(true)
-	return &GatewayClient{http: &http.Client{Transport: transport}, clients: map[netip.AddrPort]peerpbconnect.GatewayClient{}}
+	return gatewayPeer{
+		transport: transport,
+		client:    peerpbconnect.NewGatewayClient(&http.Client{Transport: transport}, "http://"+address.String(), withoutCompression()),
+	}
 }
 
-func dialGateway(ctx context.Context, connectTo func(context.Context, netip.AddrPort) (net.Conn, error), address string) (net.Conn, error) {
-	target, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, err
+// Close closes the idle connections.
+func (c *GatewayClient) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.peers {
+		p.transport.CloseIdleConnections()
 	}
-	ctx, cancel := context.WithTimeout(ctx, gatewayDialTimeout)
-	defer cancel()
-	return connectTo(ctx, target)
 }
 
-// Close closes the idle connections.
-func (c *GatewayClient) Close() { c.http.CloseIdleConnections() }
+// Reconnect makes later calls to a host use a new connection, because the present one
+// may be silent for good. Calls in flight continue on it.
+func (c *GatewayClient) Reconnect(info host.Info) {
+	c.mu.Lock()
+	p, ok := c.peers[info.PeerAddress]
+	delete(c.peers, info.PeerAddress)
+	c.mu.Unlock()
+	if ok {
+		p.transport.CloseIdleConnections()
+	}
+}
 
 // Open returns a stream to the gateway on a host.
 func (c *GatewayClient) Open(info host.Info) gateway.Stream {
@@ -92,12 +120,12 @@
 func (c *GatewayClient) client(address netip.AddrPort) peerpbconnect.GatewayClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	client, ok := c.clients[address]
+	p, ok := c.peers[address]
 	if !ok {
-		client = peerpbconnect.NewGatewayClient(c.http, "http://"+address.String())
-		c.clients[address] = client
+		p = c.newPeer(address)
+		c.peers[address] = p
 	}
-	return client
+	return p.client
 }
 
 // gatewayStream implements gateway.Stream.
--- a/io/peer/provenposition.go
+++ b/io/peer/provenposition.go
@@ -54,7 +54,7 @@
 // Get returns the proven position of the host at the address for a group, and
 // false if the host has none.
 func (c ProvenPositionClient) Get(ctx context.Context, address netip.AddrPort, id group.ID) (p ProvenPosition, known bool, err error) {
-	client := peerpbconnect.NewBeliefsClient(c.HTTP, "http://"+address.String())
+	client := peerpbconnect.NewBeliefsClient(c.HTTP, "http://"+address.String(), withoutCompression())
 	response, err := client.Position(ctx, connect.NewRequest(&peerpb.BeliefRequest{Group: string(id)}))
 	if err != nil {
 		return ProvenPosition{}, false, eris.Wrapf(err, "get the proven position of the host at %s", address)
