lead, entry: only standby hosts probe without a request

Change: the two hosts next in rank after the gateway to the primary stand by: they probe each 3 s and make a change that the responsible hosts don't make. The others probe when a request waits for a proof, and each 30 s. A host without a proof queries the gateways to the primary in other data centres, and one host at random, in place of four at random: most hosts now have no recent proof. Pools ask who the gateway is only for the last connection.

Ruled out: no standby hosts, that is 30 s for all: TestChangeIsLeftToResponsibleHosts.

--- a/cmd/entry/groups.go
+++ b/cmd/entry/groups.go
@@ -84,7 +84,7 @@
 	}
 	return lead.New(lead.Config{
 		Group: id, Cache: h.cache, Client: h.gateways, PrimaryChanger: timedPrimaryChanger{runner, h.metrics}, Clock: h.platform.Clock, Log: h.log,
-		DataCentre: h.settings.DataCentre, Peers: h.peers, Responsible: h.gateways.client.IsGatewayToAny,
+		DataCentre: h.settings.DataCentre, Peers: h.peers, Responsible: h.gateways.client.IsGatewayToAny, Standby: h.gateways.client.IsStandby,
 	})
 }
 
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -90,9 +90,7 @@
 func (p *peers) Positions(ctx context.Context, id group.ID) []lead.Sample {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	hosts := p.otherHosts(ctx)
-	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
-	hosts = hosts[:min(len(hosts), maxQueriedPeers)]
+	hosts := p.queriedHosts(ctx, id)
 	samples := make([]lead.Sample, len(hosts))
 	var wait sync.WaitGroup
 	for i, info := range hosts {
@@ -108,6 +106,30 @@
 	return found
 }
 
+// queriedHosts returns some other hosts: one at random, because it may have reached a
+// primary that this host does not know, and otherwise gateways to the primary, which
+// have the newest proofs.
+func (p *peers) queriedHosts(ctx context.Context, id group.ID) []host.Info {
+	others := p.otherHosts(ctx)
+	shuffle(others)
+	var gateways []host.Info
+	if monitor := p.host.groups.monitor(id); monitor != nil {
+		gateways = p.host.gateways.client.Elsewhere(monitor.Snapshot().Primary)
+	}
+	shuffle(gateways)
+	hosts := slices.Clone(others[:min(len(others), 1)])
+	for _, h := range append(gateways, others...) {
+		if len(hosts) < maxQueriedPeers && !slices.Contains(hosts, h) {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+func shuffle(hosts []host.Info) {
+	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+}
+
 // queryPeer queries one host. The returned age counts from before the query was
 // sent, so that the proof is never taken to be newer than it is. The sample is
 // zero if the host has no proof or does not answer.
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -30,12 +30,13 @@
 	probeInterval = 200 * time.Millisecond
 	// probeTimeout bounds a probe: ten round trips between regions.
 	probeTimeout = 400 * time.Millisecond
-	// idleProbeInterval is the time between two probes of a host that is not
-	// responsible for the group, while no request waits for one. A request that
-	// waits costs a round trip to a gateway, which has a recent proof. Together with
-	// standbyDelay it bounds the time until a change that the responsible hosts
-	// don't make is made by others.
-	idleProbeInterval = 3 * time.Second
+	// standbyProbeInterval is the time between two probes of a standby host, while no
+	// request waits for one. Together with standbyDelay it bounds the time until a
+	// change that the responsible hosts don't make is made by others.
+	standbyProbeInterval = 3 * time.Second
+	// idleProbeInterval is that of all other hosts. A request that waits costs them a
+	// round trip to a gateway, which has a recent proof.
+	idleProbeInterval = 30 * time.Second
 	// idleSearchInterval is the time between two searches of such a host.
 	idleSearchInterval = time.Second
 	// responsibilityCheckInterval is the longest time between two checks whether the
@@ -187,6 +188,10 @@
 	// probe rarely and on request, leave audits to the responsible ones, and attempt
 	// a change only if these have not made it within standbyDelay.
 	Responsible func(servers []catalog.Server) bool
+	// Standby, if set, reports whether this host is to notice that the responsible ones
+	// don't act. Without it, every host is. Standby hosts probe now and then without a
+	// request, so that the probes of a group do not grow with the hosts.
+	Standby func(primary catalog.Server) bool
 	// Clock returns a monotonic time that also advances while the machine is
 	// suspended.
 	Clock func() time.Duration
@@ -416,10 +421,14 @@
 
 // probeInterval returns the time from a proof to the next probe.
 func (m *Monitor) probeInterval() time.Duration {
-	if m.responsible {
+	switch {
+	case m.responsible:
 		return probeInterval
+	case m.config.Standby == nil || m.config.Standby(m.primary):
+		return standbyProbeInterval
+	default:
+		return idleProbeInterval
 	}
-	return idleProbeInterval
 }
 
 // unprovenFor returns for how long this host has sought a newer proof of the
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -115,6 +115,12 @@
 
 // runMonitorWith is runMonitor with the given Config.Responsible.
 func runMonitorWith(t *testing.T, f *fakeCluster, responsible func([]catalog.Server) bool, test func(t *testing.T, m *lead.Monitor, cache *catalog.Cache, clock func() time.Duration)) {
+	t.Helper()
+	runMonitorConfig(t, f, lead.Config{Responsible: responsible}, test)
+}
+
+// runMonitorConfig is runMonitor with the given Responsible and Standby.
+func runMonitorConfig(t *testing.T, f *fakeCluster, config lead.Config, test func(t *testing.T, m *lead.Monitor, cache *catalog.Cache, clock func() time.Duration)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
@@ -124,7 +130,7 @@
 			cache.PutServer(catalog.Server{ID: id, Group: "g", ClaimsPrimary: id == "a"})
 		}
 		m := lead.New(lead.Config{
-			Group: "g", Cache: cache, Client: f, PrimaryChanger: f, Peers: f, Clock: clock, Responsible: responsible,
+			Group: "g", Cache: cache, Client: f, PrimaryChanger: f, Peers: f, Clock: clock, Responsible: config.Responsible, Standby: config.Standby,
 			Log: &logevent.Logger{Log: slog.New(slog.NewTextHandler(io.Discard, nil))},
 		})
 		ctx, cancel := context.WithCancel(context.Background())
@@ -292,6 +298,32 @@
 	})
 }
 
+// Most hosts of a large fleet are neither responsible nor standby. Without requests, they
+// must not add to the probes of a group. With one, they must find the primary, and have
+// it changed in the end.
+func TestHostThatIsNotStandbyProbesOnRequest(t *testing.T) {
+	f := &fakeCluster{primary: "a", position: positionAt(1, 10)}
+	config := lead.Config{Responsible: notResponsible, Standby: func(catalog.Server) bool { return false }}
+	runMonitorConfig(t, f, config, func(t *testing.T, m *lead.Monitor, _ *catalog.Cache, clock func() time.Duration) {
+		time.Sleep(time.Second)
+		f.update(func() { f.probes, f.commands, f.peerQueries, f.recordReads = 0, 0, 0, 0 })
+		time.Sleep(25 * time.Second)
+		f.update(func() { assert.Equal(t, f.probes+f.commands+f.peerQueries+f.recordReads, 0) })
+		m.RequestProbe()
+		time.Sleep(time.Millisecond)
+		_, ok := m.Snapshot().OldestSampleSince(clock() - 5*time.Millisecond)
+		assert.Assert(t, ok)
+		f.update(func() { f.unreachable = true })
+		time.Sleep(10 * time.Second)
+		assert.Equal(t, len(f.attemptedChanges()), 0)
+		m.RequestProbe()
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, len(f.attemptedChanges()), 0)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, len(f.attemptedChanges()) > 0)
+	})
+}
+
 // A host that is responsible probes five times a second, and has nothing else to do
 // between the probes.
 func TestSettledMonitorWakesOnlyForDueWork(t *testing.T) {
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -302,7 +302,7 @@
 			lease.Release()
 		}
 		time.Sleep(time.Second)
-		p.Prune(true)
+		p.Prune(func() bool { return true })
 		assert.Equal(t, p.Stats().Open, 1)
 	})
 }
@@ -345,7 +345,7 @@
 		assert.NilError(t, err)
 		call := lease.Submit(nil, newRead("x"))
 		time.Sleep(10 * time.Second)
-		p.Prune(true)
+		p.Prune(func() bool { return true })
 		<-call.Done
 		_, err = call.Answers()
 		assert.Assert(t, errors.Is(err, link.ErrLost))
--- a/core/link/lost_test.go
+++ b/core/link/lost_test.go
@@ -66,7 +66,7 @@
 		go func() {
 			for ctx.Err() == nil {
 				time.Sleep(100 * time.Millisecond)
-				p.Prune(true)
+				p.Prune(func() bool { return true })
 			}
 		}()
 		var refused, answered, lost atomic.Int64
@@ -134,7 +134,7 @@
 			assert.NilError(t, err)
 			other.Release()
 			time.Sleep(100 * time.Millisecond)
-			p.Prune(true)
+			p.Prune(func() bool { return true })
 		}
 		<-write.Done
 		answers, err := write.Answers()
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -334,9 +334,9 @@
 }
 
 // Prune closes connections that have been idle for longer than their retention,
-// and connections on which an answer was lost. With keepLast, the last connection is
-// kept for lastConnRetention. Prune is to be called regularly.
-func (p *Pool) Prune(keepLast bool) {
+// and connections on which an answer was lost. If keepLast returns true, the last
+// connection is kept for lastConnRetention. Prune is to be called regularly.
+func (p *Pool) Prune(keepLast func() bool) {
 	p.mu.Lock()
 	var ending []*Conn
 	now := time.Now()
@@ -353,11 +353,9 @@
 		if c.exclusive || c.sharedSessions > 0 || !states[i].OldestSentAt.IsZero() {
 			continue
 		}
-		retention := spareRetention * time.Duration(p.limit)
-		if keepLast && len(conns)-len(ending) == 1 {
-			retention = lastConnRetention
-		}
-		if now.Sub(c.idleSince) > retention {
+		idleFor := now.Sub(c.idleSince)
+		isLast := len(conns)-len(ending) == 1
+		if idleFor > lastConnRetention || idleFor > spareRetention*time.Duration(p.limit) && (!isLast || !keepLast()) {
 			ending = append(ending, c)
 		}
 	}
--- a/core/link/registry.go
+++ b/core/link/registry.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"basilmill/core/catalog"
@@ -18,6 +20,9 @@
 
 	mu    sync.Mutex
 	pools map[poolKey]*Pool
+	// prunedFor is the view for which the pools of absent servers were last removed;
+	// nil if a pool was created since.
+	prunedFor *catalog.View
 }
 
 // poolKey identifies one process of a backend server, so that a server that was
@@ -55,6 +60,7 @@
 	p := NewPool(server, r.dialer, limit)
 	p.observer = r.Observer
 	r.pools[key] = p
+	r.prunedFor = nil
 	return p
 }
 
@@ -62,27 +68,38 @@
 // no longer in the catalogue. The last connection to a server is kept for longer if
 // keepLast returns true. Prune is to be called regularly.
 func (r *Registry) Prune(keepLast func(catalog.Server) bool) {
-	present := map[poolKey]bool{}
-	for _, server := range r.cache.View().Servers {
-		present[keyOf(server)] = true
+	for _, p := range r.removeObsolete() {
+		p.Close()
 	}
 	r.mu.Lock()
-	var current, obsolete []*Pool
-	for key, p := range r.pools {
-		if present[key] {
-			current = append(current, p)
-			continue
-		}
-		obsolete = append(obsolete, p)
-		delete(r.pools, key)
-	}
+	current := slices.Collect(maps.Values(r.pools))
 	r.mu.Unlock()
 	for _, p := range current {
-		p.Prune(keepLast(p.server))
+		p.Prune(func() bool { return keepLast(p.server) })
 	}
-	for _, p := range obsolete {
-		p.Close()
+}
+
+// removeObsolete removes and returns the pools of servers that are no longer in the
+// catalogue.
+func (r *Registry) removeObsolete() (obsolete []*Pool) {
+	view := r.cache.View()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if view == r.prunedFor {
+		return nil
+	}
+	r.prunedFor = view
+	present := map[poolKey]bool{}
+	for _, server := range view.Servers {
+		present[keyOf(server)] = true
+	}
+	for key, p := range r.pools {
+		if !present[key] {
+			obsolete = append(obsolete, p)
+			delete(r.pools, key)
+		}
 	}
+	return obsolete
 }
 
 // Stats returns the sum of the counts of all pools.
