distribution, entry: the list of hosts goes through relays, starting hosts leave watches to them

Cause: each host read the whole list of hosts in the store, an entry for each of N hosts: N squared (the bold row of docs/platform.md, section 9).

Change: distribution.Directory: relays list the hosts in the store, the others pull from them what has changed. It is refreshed each 5 s at most, 10 s before, because it now takes two steps. A host waits up to a second for the first list before it watches, and reads the list again after 300 ms, because the first one lacks hosts that start at the same time.

A watch of the kind in the store: every registration at a start would wake every relay.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -86,6 +86,7 @@
 	h := &Host{settings: s, platform: p, log: &logevent.Logger{Log: log}, metrics: newMetrics(), cache: &catalog.Cache{}}
 	h.peers = newPeers(h)
 	h.relays = newRelays(h)
+	h.peers.directory = distribution.Directory{Kind: kindHosts, Follower: &h.relays.follower, List: p.Hosts.ListHosts}
 	h.detours = newDetours(h)
 	h.servers = link.NewRegistry(h.cache, p.Dialer(h.detours.dialer.Connect))
 	h.servers.Observer = poolObserver{h.metrics, h.log}
--- a/cmd/entry/entry_test.go
+++ b/cmd/entry/entry_test.go
@@ -17,6 +17,7 @@
 
 	"basilmill/cmd/entry"
 	"basilmill/core/catalog"
+	"basilmill/core/distribution"
 	"basilmill/core/exchange"
 	"basilmill/core/group"
 	corehost "basilmill/core/host"
@@ -60,7 +61,11 @@
 
 func (noHosts) RegisterHost(context.Context, corehost.Info) error { return nil }
 
-func (noHosts) ListHosts(context.Context, bool) ([]corehost.Info, error) { return nil, nil }
+func (noHosts) ListHosts(context.Context, bool) (distribution.Update, error) {
+	return distribution.Update{Version: 1}, nil
+}
+
+func (noHosts) DecodeHost(distribution.Object) (corehost.Info, bool) { return corehost.Info{}, false }
 
 // noSavedServers is a store of saved servers that stays empty.
 type noSavedServers struct{}
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"basilmill/core/distribution"
 	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/lead"
@@ -26,10 +27,12 @@
 	// it has changed, because hosts often start together. It doubles up to
 	// maxHostListInterval while the list stays the same.
 	minHostListInterval = time.Second
-	maxHostListInterval = 10 * time.Second
-	// hostListRetryInterval is the time until the first list is requested again
-	// after a failure.
-	hostListRetryInterval = 300 * time.Millisecond
+	maxHostListInterval = 5 * time.Second
+	// firstHostListInterval is the time until the first list is requested again: after
+	// a failure, and because it may lack hosts that start at the same time.
+	firstHostListInterval = 300 * time.Millisecond
+	// hostListReadTimeout bounds a read of the list: two pulls and a call of the store.
+	hostListReadTimeout = 2 * time.Second
 	// storeTimeout bounds a call of the store.
 	storeTimeout = time.Second
 )
@@ -38,9 +41,11 @@
 type Hosts interface {
 	// RegisterHost creates or replaces the entry of this host.
 	RegisterHost(ctx context.Context, info host.Info) error
-	// ListHosts returns the registered hosts, with allowStale as of some seconds
+	// ListHosts returns the entries of all hosts, with allowStale as of some seconds
 	// ago at most.
-	ListHosts(ctx context.Context, allowStale bool) ([]host.Info, error)
+	ListHosts(ctx context.Context, allowStale bool) (distribution.Update, error)
+	// DecodeHost decodes an entry. It returns false if that is not possible.
+	DecodeHost(entry distribution.Object) (info host.Info, ok bool)
 }
 
 // peers queries the other hosts for the positions that they have proven. It also
@@ -48,6 +53,8 @@
 type peers struct {
 	host   *Host
 	client peer.ProvenPositionClient
+	// directory is the list of hosts in the store. Only refresh uses it.
+	directory distribution.Directory
 
 	// listed is closed when the first list has been read.
 	listed chan struct{}
@@ -190,32 +197,47 @@
 // refresh reads the list. If that fails, the old list stays in use, and the error
 // is not logged because syncReporter logs that the store is unavailable.
 func (p *peers) refresh() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-	defer cancel()
-	_, known := p.knownHosts()
-	hosts, err := p.host.platform.Hosts.ListHosts(ctx, known != 0)
+	hosts, err := p.listHosts()
 	slices.SortFunc(hosts, func(a, b host.Info) int { return cmp.Compare(a.ID, b.ID) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refreshing = false
 	switch {
 	case err != nil && p.version == 0:
-		p.refreshInterval = hostListRetryInterval
+		p.refreshInterval = firstHostListInterval
 	case err != nil:
 		p.refreshInterval = min(max(2*p.refreshInterval, minHostListInterval), maxHostListInterval)
-	case p.version == 0 || !slices.Equal(hosts, p.hosts):
-		if p.version == 0 {
-			close(p.listed)
-		}
+	case p.version == 0:
+		p.hosts, p.version = hosts, 1
+		p.refreshInterval = firstHostListInterval
+		time.AfterFunc(firstHostListInterval, func() { p.knownHosts() })
+		close(p.listed)
+	case !slices.Equal(hosts, p.hosts):
 		p.hosts = hosts
 		p.version++
 		p.refreshInterval = minHostListInterval
 	default:
-		p.refreshInterval = min(2*p.refreshInterval, maxHostListInterval)
+		p.refreshInterval = min(max(2*p.refreshInterval, minHostListInterval), maxHostListInterval)
 	}
 	p.nextRefresh = time.Now().Add(p.refreshInterval)
 }
 
+// kindHosts is the kind of the hosts' entries.
+const kindHosts distribution.Kind = "hosts"
+
+// listHosts returns the registered hosts. Entries that cannot be decoded are skipped.
+func (p *peers) listHosts() (hosts []host.Info, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), hostListReadTimeout)
+	defer cancel()
+	entries, err := p.directory.Refresh(ctx)
+	for _, entry := range entries {
+		if info, ok := p.host.platform.Hosts.DecodeHost(entry); ok {
+			hosts = append(hosts, info)
+		}
+	}
+	return hosts, err
+}
+
 // latestProof returns the newest position of a group's primary that this host has
 // proven. It returns false if there is none.
 func (p *peers) latestProof(id group.ID) (peer.ProvenPosition, bool) {
--- a/cmd/entry/relays.go
+++ b/cmd/entry/relays.go
@@ -67,6 +67,9 @@
 	return r.ranked
 }
 
+// AwaitRanked implements distribution.RelayNetwork.
+func (r *relays) AwaitRanked(ctx context.Context) error { return r.host.peers.awaitHosts(ctx) }
+
 // rank returns the hosts of this host's data centre, with this host, in the order in
 // which they are relays.
 func (r *relays) rank(hosts []host.Info) []host.Info {
--- a/core/distribution/follower.go
+++ b/core/distribution/follower.go
@@ -40,6 +40,9 @@
 	// outage is over.
 	storeBackoff    = 500 * time.Millisecond
 	maxStoreBackoff = 4 * time.Second
+	// rankedTimeout is how long a host that starts waits for the list of hosts before it
+	// watches the store as if it were alone.
+	rankedTimeout = time.Second
 )
 
 // ErrStoreBackoff is returned when no relay has a current copy and the store did not
@@ -54,6 +57,8 @@
 	// Ranked returns the hosts of the data centre, with this host, in the order in
 	// which they are relays. It is empty while the hosts are not known.
 	Ranked() []host.Info
+	// AwaitRanked waits until the hosts are known. The error is that of ctx.
+	AwaitRanked(ctx context.Context) error
 	// Pull calls Relay.Pull on a host.
 	Pull(ctx context.Context, info host.Info, kind Kind, after Version, wait time.Duration) (u Update, current bool, err error)
 }
@@ -133,7 +138,7 @@
 		f.Relay.fail(kind)
 		return Update{}, err
 	}
-	f.Relay.replace(kind, u)
+	f.Relay.replace(kind, u, watchReplyTimeout)
 	f.noteVersion(kind, u.Version)
 	return u, nil
 }
@@ -141,6 +146,7 @@
 // Watch implements Source. It may return earlier than the wait.
 func (f *Follower) Watch(ctx context.Context, kind Kind, after Version, wait time.Duration) (Update, error) {
 	started := time.Now()
+	f.awaitRanked(ctx, min(wait, rankedTimeout))
 	relays, self := f.relays()
 	pullWait := min(wait, pullWaitTimeout)
 	for _, relay := range relays {
@@ -175,6 +181,16 @@
 	return u, nil
 }
 
+// awaitRanked waits for the list of hosts. Without one in time, this host goes on alone.
+func (f *Follower) awaitRanked(ctx context.Context, timeout time.Duration) {
+	if len(f.Network.Ranked()) > 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	_ = f.Network.AwaitRanked(ctx)
+}
+
 // pull pulls from a relay. It returns false if the relay is avoided from now on.
 func (f *Follower) pull(ctx context.Context, relay host.Info, kind Kind, after Version, wait, timeout time.Duration) (Update, bool) {
 	pullCtx, cancel := context.WithTimeout(ctx, timeout)
--- a/core/distribution/follower_test.go
+++ b/core/distribution/follower_test.go
@@ -135,6 +135,9 @@
 	hosts []host.Info
 	nodes map[host.ID]*node
 
+	// knownAt is when the hosts learn of each other.
+	knownAt time.Time
+
 	mu     sync.Mutex
 	frozen map[host.ID]bool
 }
@@ -153,7 +156,22 @@
 }
 
 // Ranked implements distribution.RelayNetwork.
-func (n *node) Ranked() []host.Info { return n.fleet.hosts }
+func (n *node) Ranked() []host.Info {
+	if time.Now().Before(n.fleet.knownAt) {
+		return nil
+	}
+	return n.fleet.hosts
+}
+
+// AwaitRanked implements distribution.RelayNetwork.
+func (n *node) AwaitRanked(ctx context.Context) error {
+	select {
+	case <-time.After(time.Until(n.fleet.knownAt)):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
 
 // Pull implements distribution.RelayNetwork.
 func (n *node) Pull(ctx context.Context, info host.Info, k distribution.Kind, after distribution.Version, wait time.Duration) (distribution.Update, bool, error) {
@@ -223,7 +241,13 @@
 // the relays.
 func startFleet(t *testing.T, count int) *fleet {
 	t.Helper()
-	f := &fleet{store: newFakeStore(), nodes: map[host.ID]*node{}, frozen: map[host.ID]bool{}}
+	return startUnacquaintedFleet(t, count, 0)
+}
+
+// startUnacquaintedFleet starts hosts that learn of each other after the given time.
+func startUnacquaintedFleet(t *testing.T, count int, knownAfter time.Duration) *fleet {
+	t.Helper()
+	f := &fleet{store: newFakeStore(), nodes: map[host.ID]*node{}, frozen: map[host.ID]bool{}, knownAt: time.Now().Add(knownAfter)}
 	f.store.write("first", false)
 	for i := range count {
 		f.hosts = append(f.hosts, host.Info{ID: host.ID(fmt.Sprint("h", i)), DataCentre: "dc"})
@@ -273,6 +297,30 @@
 	return calls
 }
 
+// When all hosts start together, as after a loss of power, each reads the list and leaves
+// the rest to the relays, although it does not know them at first. A host that doesn't
+// learn of the others watches the store itself.
+func TestStartingHostsLeaveWatchesToTheRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startUnacquaintedFleet(t, 30, 100*time.Millisecond)
+		time.Sleep(10 * time.Second)
+		f.store.update(func() {
+			for _, h := range f.hosts[2:] {
+				assert.Equal(t, f.store.calls[h.ID], 1, "%s", h.ID)
+			}
+		})
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := startUnacquaintedFleet(t, 30, time.Hour)
+		time.Sleep(3 * time.Second)
+		f.store.write("change", false)
+		time.Sleep(100 * time.Millisecond)
+		for _, n := range f.nodes {
+			assert.Assert(t, n.has("change") > 0, "%s", n.id)
+		}
+	})
+}
+
 // The calls of the store must not grow with the hosts.
 func TestStoreCallsDoNotGrowWithTheHosts(t *testing.T) {
 	small, large := storeCalls(t, 30), storeCalls(t, 300)
--- a/core/distribution/relay.go
+++ b/core/distribution/relay.go
@@ -85,11 +85,11 @@
 	return c != nil && c.set.Version() >= version
 }
 
-// replace notes a list that the store returned.
-func (r *Relay) replace(kind Kind, list Update) {
+// replace notes a list that the store returned. It counts as current for the TTL.
+func (r *Relay) replace(kind Kind, list Update, ttl time.Duration) {
 	r.change(kind, func(c *relayedCopy) {
 		c.set.Replace(list)
-		c.currentUntil = r.Clock() + watchReplyTimeout
+		c.currentUntil = r.Clock() + ttl
 	})
 }
 
