lead, peer: many hosts that start together do not flood their gateways

Each host searched for the primary of all 20 groups, with three probes each 60 ms and group while a request waits; the gateways, with 0.19 cores, were kept busy by probes that nobody waited for any more.

Change: a host that neither is responsible nor stands by searches only while a request waits. Those that are not responsible ask first the servers that claim to be the primary, and double the time between searches up to a second. Requests that wait renew their request for a proof each second.

--- a/core/gateway/choose.go
+++ b/core/gateway/choose.go
@@ -227,12 +227,10 @@
 
 // failed notes that a batch got no answer, because the host could not be reached or
 // the stream was closed. The host is avoided unless this host closed the stream
-// while others were being answered. Its connection may be silent for good while new
-// ones work, so that it gets a new one for when it is used again.
-func (c *Client) failed(via host.Info, closedHere bool, cause error) {
-	if c.backOff(via.ID, closedHere) {
-		c.Network.Reconnect(via)
-		c.reportAvoidance(via.ID, "", cause.Error())
+// while others were being answered.
+func (c *Client) failed(id host.ID, closedHere bool, cause error) {
+	if c.backOff(id, closedHere) {
+		c.reportAvoidance(id, "", cause.Error())
 	}
 }
 
--- a/core/gateway/client.go
+++ b/core/gateway/client.go
@@ -92,7 +92,7 @@
 	c.began(via.ID)
 	result, err := c.Network.Probe(ctx, via, server.ID)
 	if err != nil {
-		c.failed(via, ctx.Err() != nil, err)
+		c.failed(via.ID, ctx.Err() != nil, err)
 		return Proof{}, err
 	}
 	c.answered(via.ID)
@@ -286,7 +286,7 @@
 		c.mu.Lock()
 		closedHere := c.closedHere
 		c.mu.Unlock()
-		c.client.failed(c.via, closedHere, err)
+		c.client.failed(c.via.ID, closedHere, err)
 		if errors.Is(err, link.ErrNoConnection) {
 			return nil, err
 		}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -91,9 +91,6 @@
 	AwaitHosts(ctx context.Context) error
 	// Open returns a stream to a host. It does not block.
 	Open(info host.Info) Stream
-	// Reconnect makes later calls to a host use a new connection. Calls in flight
-	// continue on the present one.
-	Reconnect(info host.Info)
 	// Probe requests the result of a probe of a server from a host.
 	Probe(ctx context.Context, info host.Info, server group.ServerID) (ProbeResult, error)
 }
--- a/core/lead/change.go
+++ b/core/lead/change.go
@@ -60,7 +60,9 @@
 // responsible hosts for standbyDelay.
 func (m *Monitor) startDueChange(ctx context.Context, now time.Duration) {
 	request, due := m.dueChange(m.members, now)
-	if !due {
+	// A host that does not search cannot tell that there is no primary.
+	searches := m.primaryKnown || m.isInvolved(now)
+	if !due || !searches {
 		m.changeDueSince = 0
 		return
 	}
--- a/core/lead/event.go
+++ b/core/lead/event.go
@@ -19,7 +19,7 @@
 	now := m.config.Clock()
 	m.probeRequested = true
 	if !m.isEngaged(now) && !m.primaryKnown {
-		m.nextSearch = now
+		m.nextSearch, m.futileSearches = now, 0
 	}
 	m.requestedUntil = now + requestRetention
 }
@@ -100,6 +100,7 @@
 	m.departures.noteProof(at, position)
 	m.provenAt = max(m.provenAt, at)
 	m.unprovenSince = 0
+	m.futileSearches = 0
 	m.nextProbe = max(m.nextProbe, at+m.probeInterval())
 	m.addSample(Sample{At: at, Position: position})
 	m.publish()
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -37,13 +37,17 @@
 	// idleProbeInterval is that of all other hosts. A request that waits costs them a
 	// round trip to a gateway, which has a recent proof.
 	idleProbeInterval = 30 * time.Second
-	// idleSearchInterval is the time between two searches of such a host.
+	// idleSearchInterval is the time between two searches of a standby host, and the
+	// longest one of a host for which a request waits.
 	idleSearchInterval = time.Second
 	// responsibilityCheckInterval is the longest time between two checks whether the
 	// host has become responsible, for example because a gateway was lost.
 	responsibilityCheckInterval = time.Second
 	// searchInterval is the time between two searches while no primary is known.
 	searchInterval = 60 * time.Millisecond
+	// maxSearchDoublings bounds the doublings of an interval, so that it does not
+	// overflow.
+	maxSearchDoublings = 8
 	// requestRetention is how long after a request for a probe a host searches as
 	// often as a responsible one. It exceeds the statement timeouts.
 	requestRetention = 2 * time.Second
@@ -228,8 +232,10 @@
 	probeInFlight  bool
 	probeRequested bool // a probe is due as soon as the current one ends
 	nextProbe      time.Duration
-	// searchProbesInFlight counts the unfinished probes of the current search.
+	// searchProbesInFlight counts the unfinished probes of the current search, and
+	// futileSearches the searches since the last proof.
 	searchProbesInFlight int
+	futileSearches       int
 	nextSearch           time.Duration
 	// attemptInFlight is set while an attempt runs or the record is read.
 	attemptInFlight bool
@@ -372,7 +378,7 @@
 	}
 	members := view.Members(m.config.Group)
 	if !m.primaryKnown && !slices.Equal(members, m.members) {
-		m.nextSearch = now
+		m.nextSearch, m.futileSearches = now, 0
 	}
 	m.view, m.members = view, members
 	m.departures.note(members, now)
@@ -388,7 +394,7 @@
 	due := now + responsibilityCheckInterval
 	switch {
 	case !m.primaryKnown:
-		if m.searchProbesInFlight == 0 {
+		if m.searchProbesInFlight == 0 && m.isInvolved(now) {
 			due = min(due, m.nextSearch)
 		}
 	case !m.probeInFlight:
@@ -419,12 +425,24 @@
 // it is responsible, or a request waits.
 func (m *Monitor) isEngaged(now time.Duration) bool { return m.responsible || now < m.requestedUntil }
 
+// isInvolved reports whether this host has to find the primary of the group at all.
+// After a start of many hosts, the others would add a search each for every group to the
+// load of the few that hold connections.
+func (m *Monitor) isInvolved(now time.Duration) bool {
+	return m.isEngaged(now) || slices.ContainsFunc(m.members, m.isStandby)
+}
+
+// isStandby reports whether this host stands by for the gateway to a server.
+func (m *Monitor) isStandby(s catalog.Server) bool {
+	return m.config.Standby == nil || m.config.Standby(s)
+}
+
 // probeInterval returns the time from a proof to the next probe.
 func (m *Monitor) probeInterval() time.Duration {
 	switch {
 	case m.responsible:
 		return probeInterval
-	case m.config.Standby == nil || m.config.Standby(m.primary):
+	case m.isStandby(m.primary):
 		return standbyProbeInterval
 	default:
 		return idleProbeInterval
--- a/core/lead/search.go
+++ b/core/lead/search.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"basilmill/core/catalog"
@@ -37,7 +38,10 @@
 	if m.searchProbesInFlight > 0 || now < m.nextSearch {
 		return false
 	}
-	return !m.primaryKnown || m.unprovenFor(now) > unprovenThreshold || m.otherClaimsPrimary(members)
+	if !m.primaryKnown {
+		return m.isInvolved(now)
+	}
+	return m.unprovenFor(now) > unprovenThreshold || m.otherClaimsPrimary(members)
 }
 
 // otherClaimsPrimary reports whether a server other than the known primary claims to
@@ -60,22 +64,41 @@
 	m.probe(ctx, m.primary, now, false)
 }
 
+// startSearch probes the servers that may be the primary. A host that is not
+// responsible leaves more and more time between searches: all that it learns comes from
+// a few hosts, which many search at the same time.
 func (m *Monitor) startSearch(ctx context.Context, members []catalog.Server, now time.Duration) {
+	interval := searchInterval
 	switch {
 	case !m.isEngaged(now):
-		m.nextSearch = now + idleSearchInterval
+		interval = idleSearchInterval
 	case m.primaryKnown:
-		m.nextSearch = now + probeInterval
-	default:
-		m.nextSearch = now + searchInterval
+		interval = probeInterval
 	}
-	for _, s := range members {
-		if m.primaryKnown && s.ID == m.primary.ID {
-			continue
-		}
+	if !m.responsible {
+		interval = min(interval<<min(m.futileSearches, maxSearchDoublings), idleSearchInterval)
+	}
+	m.nextSearch = now + interval
+	for _, s := range m.searchCandidates(members) {
 		m.searchProbesInFlight++
 		m.probe(ctx, s, now, true)
 	}
+	m.futileSearches++
+}
+
+// searchCandidates returns the servers to probe: those other than the known primary. A
+// host that is not responsible relies on the servers' own claims in every other search.
+func (m *Monitor) searchCandidates(members []catalog.Server) (candidates []catalog.Server) {
+	for _, s := range members {
+		if !m.primaryKnown || s.ID != m.primary.ID {
+			candidates = append(candidates, s)
+		}
+	}
+	claims := func(s catalog.Server) bool { return s.ClaimsPrimary }
+	if !m.responsible && m.futileSearches%2 == 0 && slices.ContainsFunc(candidates, claims) {
+		candidates = slices.DeleteFunc(candidates, func(s catalog.Server) bool { return !claims(s) })
+	}
+	return candidates
 }
 
 func (m *Monitor) probe(ctx context.Context, s catalog.Server, now time.Duration, search bool) {
--- a/core/proxy/current.go
+++ b/core/proxy/current.go
@@ -102,13 +102,25 @@
 			return snapshot.Primary, true
 		}
 		r.reason = "no primary"
-		r.monitor.RequestProbe()
-		if !awaitChange(ctx, snapshot) {
+		if !r.awaitProof(ctx, snapshot) {
 			return catalog.Server{}, false
 		}
 	}
 }
 
+// proofRequestInterval is the time between two requests for a proof of a request that
+// waits for one. It is shorter than the time for which the monitor remembers one.
+const proofRequestInterval = time.Second
+
+// awaitProof requests a proof of the primary and waits for a newer snapshot, or until it
+// is time to request one again. It returns false when ctx ends first.
+func (r *request) awaitProof(ctx context.Context, snapshot *lead.Snapshot) bool {
+	r.monitor.RequestProbe()
+	waitCtx, cancel := context.WithTimeout(ctx, proofRequestInterval)
+	defer cancel()
+	return awaitChange(waitCtx, snapshot) || ctx.Err() == nil
+}
+
 // hasRecentProof reports whether the primary has been proven within
 // primaryProofTTL.
 func (r *request) hasRecentProof(snapshot *lead.Snapshot) bool {
--- a/core/proxy/read.go
+++ b/core/proxy/read.go
@@ -86,8 +86,7 @@
 			}
 			return true
 		}
-		r.monitor.RequestProbe()
-		if !awaitChange(ctx, snapshot) {
+		if !r.awaitProof(ctx, snapshot) {
 			return false
 		}
 	}
--- a/io/peer/gateway.go
+++ b/io/peer/gateway.go
@@ -25,12 +25,12 @@
 	// usually in the same data centre and at most in the same deployment.
 	gatewayDialTimeout = 250 * time.Millisecond
 	// gatewayPingInterval and gatewayPingTimeout detect a connection on which
-	// nothing arrives any more, on both sides. A host has connections to most others
-	// of its data centre, most of them idle. They are therefore left to the keep-alive
-	// of TCP, and a host that waits for a gateway opens another connection with
-	// Reconnect.
+	// nothing arrives any more, on both sides. An unreachable host is noticed earlier
+	// by the keep-alive of TCP. The host at the other end answers pings itself and may
+	// have to catch up with its work first, for example after it has started together
+	// with all others: it must not lose its connections then.
 	gatewayPingInterval = 5 * time.Second
-	gatewayPingTimeout  = time.Second
+	gatewayPingTimeout  = 5 * time.Second
 	// gatewayIdleRetention is how long an unused connection stays open.
 	gatewayIdleRetention = 30 * time.Second
 )
@@ -51,29 +51,17 @@
 // GatewayClient opens streams to the gateways on other hosts. It keeps one HTTP/2
 // connection to each.
 type GatewayClient struct {
-	connect func(context.Context, netip.AddrPort) (net.Conn, error)
+	http *http.Client
 
-	mu    sync.Mutex
-	peers map[netip.AddrPort]gatewayPeer
-}
-
-// gatewayPeer is the connection to one gateway.
-type gatewayPeer struct {
-	transport *http.Transport
-	client    peerpbconnect.GatewayClient
+	mu      sync.Mutex
+	clients map[netip.AddrPort]peerpbconnect.GatewayClient
 }
 
 // NewGatewayClient returns a client that opens connections with connect.
-func NewGatewayClient(connect func(context.Context, netip.AddrPort) (net.Conn, error)) *GatewayClient {
-	return &GatewayClient{connect: connect, peers: map[netip.AddrPort]gatewayPeer{}}
-}
-
-func (c *GatewayClient) newPeer(address netip.AddrPort) gatewayPeer {
+func NewGatewayClient(connectTo func(context.Context, netip.AddrPort) (net.Conn, error)) *GatewayClient {
 	transport := &http.Transport{
-		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, gatewayDialTimeout)
-			defer cancel()
-			conn, err := c.connect(ctx, address)
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			conn, err := dialGateway(ctx, connectTo, address)
 			if err != nil {
 				return nil, gatewayUnreachableError{err}
 			}
@@ -84,32 +72,21 @@
 		HTTP2:           GatewayPings(),
 	}
 	transport.Protocols.SetUnencryptedHTTP2(true)
-	return gatewayPeer{
-		transport: transport,
-		client:    peerpbconnect.NewGatewayClient(&http.Client{Transport: transport}, "http://"+address.String(), withoutCompression()),
-	}
+	return &GatewayClient{http: &http.Client{Transport: transport}, clients: map[netip.AddrPort]peerpbconnect.GatewayClient{}}
 }
 
-// Close closes the idle connections.
-func (c *GatewayClient) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, p := range c.peers {
-		p.transport.CloseIdleConnections()
+func dialGateway(ctx context.Context, connectTo func(context.Context, netip.AddrPort) (net.Conn, error), address string) (net.Conn, error) {
+	target, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, gatewayDialTimeout)
+	defer cancel()
+	return connectTo(ctx, target)
 }
 
-// Reconnect makes later calls to a host use a new connection, because the present one
-// may be silent for good. Calls in flight continue on it.
-func (c *GatewayClient) Reconnect(info host.Info) {
-	c.mu.Lock()
-	p, ok := c.peers[info.PeerAddress]
-	delete(c.peers, info.PeerAddress)
-	c.mu.Unlock()
-	if ok {
-		p.transport.CloseIdleConnections()
-	}
-}
+// Close closes the idle connections.
+func (c *GatewayClient) Close() { c.http.CloseIdleConnections() }
 
 // Open returns a stream to the gateway on a host.
 func (c *GatewayClient) Open(info host.Info) gateway.Stream {
@@ -120,12 +97,12 @@
 func (c *GatewayClient) client(address netip.AddrPort) peerpbconnect.GatewayClient {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	p, ok := c.peers[address]
+	client, ok := c.clients[address]
 	if !ok {
-		p = c.newPeer(address)
-		c.peers[address] = p
+		client = peerpbconnect.NewGatewayClient(c.http, "http://"+address.String(), withoutCompression())
+		c.clients[address] = client
 	}
-	return p.client
+	return client
 }
 
 // gatewayStream implements gateway.Stream.
--- a/io/peer/pull_test.go
+++ b/io/peer/pull_test.go
@@ -37,6 +37,8 @@
 // noRelays is a network without other hosts.
 type noRelays struct{}
 
+func (noRelays) AwaitRanked(context.Context) error { return nil }
+
 func (noRelays) Ranked() []host.Info { return nil }
 
 func (noRelays) Pull(context.Context, host.Info, distribution.Kind, distribution.Version, time.Duration) (distribution.Update, bool, error) {
