--- a/io/peer/gateway_connection_test.go
+++ b/io/peer/gateway_connection_test.go
@@ -103,7 +103,9 @@
 			started := time.Now()
 			client := &gateway.Client{Self: self, Cache: cache, Network: network, Pools: func(catalog.Server) link.Source { return nil }, Prober: &gateway.Prober{
 				Clock: func() time.Duration { return time.Since(started) },
-				Probe: func(context.Context, catalog.Server) (group.Position, error) { return group.Position{}, link.ErrNoConnection },
+				Probe: func(context.Context, catalog.Server) (group.Position, error) {
+					return group.Position{}, link.ErrNoConnection
+				},
 			}}
 			if !client.IsGateway(catalog.Server{ID: "s", Group: "g"}) {
 				test(t, client, network)
