peer, gateway, lead: one dial a gateway, no search of hosts that know no others

A host made 59 dials for its first 59 probes, because http.Transport opens a connection for each call that is made before the first one is open. Until it knew the other hosts, each host took itself for a standby of all gateways and searched for all 20 primaries. And gateway.Client.Elsewhere, of 'only standby hosts probe without a request', took 2.3 MB and milliseconds for each query while no primary was known.

Change: MaxConnsPerHost is 1 for calls between hosts. IsStandby is false while the hosts are not known. Elsewhere is linear, and used with a known primary only. A host without a known primary queries others after 400 ms of a request's wait, and each query that finds nothing newer doubles the time to the next, up to 1.2 s.

Tests: TestCallsShareAConnectionThatIsBeingOpened (50 connections before), TestStartingHostDoesNotStandBy.

--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -121,7 +121,9 @@
 	shuffle(others)
 	var gateways []host.Info
 	if monitor := p.host.groups.monitor(id); monitor != nil {
-		gateways = p.host.gateways.client.Elsewhere(monitor.Snapshot().Primary)
+		if snapshot := monitor.Snapshot(); snapshot.PrimaryKnown {
+			gateways = p.host.gateways.client.Elsewhere(snapshot.Primary)
+		}
 	}
 	shuffle(gateways)
 	hosts := slices.Clone(others[:min(len(others), 1)])
--- a/core/gateway/choose.go
+++ b/core/gateway/choose.go
@@ -118,9 +118,12 @@
 }
 
 // IsStandby reports whether this host is one of the next in rank after the gateway to a
-// server.
+// server. It returns false while the other hosts are not known.
 func (c *Client) IsStandby(server catalog.Server) bool {
 	hosts, version := c.Network.Hosts()
+	if version == 0 {
+		return false
+	}
 	limit := c.connectionLimit(server)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -132,20 +135,16 @@
 // with this one, as far as this host can tell.
 func (c *Client) Elsewhere(server catalog.Server) (gateways []host.Info) {
 	hosts, _ := c.Network.Hosts()
-	limit := c.connectionLimit(server)
-	covered := map[host.ID]bool{}
-	cover := func(sharing []host.Info) {
-		for _, h := range sharing {
-			covered[h.ID] = true
-		}
-	}
-	cover(sharingHosts(c.Self, hosts, limit))
+	shareOf := shares(c.Self, hosts, c.connectionLimit(server))
+	sharing := map[string][]host.Info{}
 	for _, h := range hosts {
-		if !covered[h.ID] {
-			gateways = append(gateways, rank(h, hosts, server.ID, limit)[0])
-			cover(sharingHosts(h, hosts, limit))
+		if share := shareOf(h); share != shareOf(c.Self) {
+			sharing[share] = append(sharing[share], h)
 		}
 	}
+	for _, hosts := range sharing {
+		gateways = append(gateways, placement.Rank("server", string(server.ID), hosts)[0])
+	}
 	return gateways
 }
 
@@ -175,26 +174,37 @@
 	return placement.Rank("server", string(server), sharingHosts(self, hosts, limit))
 }
 
-// sharingHosts returns the hosts that share connections with this host: the smallest
-// of the host itself, its data centre, its region and the deployment with which the
-// limit suffices for one gateway in each.
+// sharingHosts returns the hosts that share connections with this host.
 func sharingHosts(self host.Info, hosts []host.Info, limit int) []host.Info {
-	others := slices.DeleteFunc(slices.Clone(hosts), func(h host.Info) bool { return h.ID == self.ID })
-	dataCentres, regions := map[host.DataCentre]bool{self.DataCentre: true}, map[host.Region]bool{self.Region: true}
-	for _, h := range others {
-		dataCentres[h.DataCentre], regions[h.Region] = true, true
+	shareOf := shares(self, hosts, limit)
+	sharing := []host.Info{self}
+	for _, h := range hosts {
+		if h.ID != self.ID && shareOf(h) == shareOf(self) {
+			sharing = append(sharing, h)
+		}
+	}
+	return sharing
+}
+
+// shares returns a function that names the share of a server's connections that a host
+// uses: the smallest of the host itself, its data centre, its region and the deployment
+// with which the limit suffices for one gateway in each.
+func shares(self host.Info, hosts []host.Info, limit int) func(host.Info) string {
+	ids, dataCentres, regions := map[host.ID]bool{self.ID: true}, map[host.DataCentre]bool{self.DataCentre: true}, map[host.Region]bool{self.Region: true}
+	for _, h := range hosts {
+		ids[h.ID], dataCentres[h.DataCentre], regions[h.Region] = true, true, true
 	}
 	gateways := limit / minConnections
 	switch {
-	case limit == 0 || len(others)+1 <= gateways:
-		others = nil
+	case limit == 0 || len(ids) <= gateways:
+		return func(h host.Info) string { return string(h.ID) }
 	case len(dataCentres) <= gateways:
-		others = slices.DeleteFunc(others, func(h host.Info) bool { return h.DataCentre != self.DataCentre })
+		return func(h host.Info) string { return string(h.DataCentre) }
 	case len(regions) <= gateways:
-		others = slices.DeleteFunc(others, func(h host.Info) bool { return h.Region != self.Region })
+		return func(h host.Info) string { return string(h.Region) }
 	default:
+		return func(host.Info) string { return "" }
 	}
-	return append(others, self)
 }
 
 // began notes that a batch is being sent to a host.
--- a/core/gateway/choose_test.go
+++ b/core/gateway/choose_test.go
@@ -103,3 +103,15 @@
 		}
 	}
 }
+
+// unknownNetwork is a network whose hosts are not known yet.
+type unknownNetwork struct{ fixedNetwork }
+
+func (unknownNetwork) Hosts() (hosts []host.Info, version int64) { return nil, 0 }
+
+// A host that does not know the others yet must not take itself for a standby of every
+// gateway: when all hosts start together, each would search for every primary.
+func TestStartingHostDoesNotStandBy(t *testing.T) {
+	c := &gateway.Client{Self: host.Info{ID: "h"}, Cache: &catalog.Cache{}, Network: unknownNetwork{}}
+	assert.Assert(t, !c.IsStandby(catalog.Server{ID: "s"}))
+}
--- a/core/lead/event.go
+++ b/core/lead/event.go
@@ -18,8 +18,11 @@
 func (probeRequestEvent) apply(m *Monitor) {
 	now := m.config.Clock()
 	m.probeRequested = true
-	if !m.isEngaged(now) && !m.primaryKnown {
-		m.nextSearch, m.futileSearches = now, 0
+	if !m.isEngaged(now) {
+		m.engagedAt = now
+		if !m.primaryKnown {
+			m.nextSearch, m.futileSearches = now, 0
+		}
 	}
 	m.requestedUntil = now + requestRetention
 }
@@ -100,7 +103,7 @@
 	m.departures.noteProof(at, position)
 	m.provenAt = max(m.provenAt, at)
 	m.unprovenSince = 0
-	m.futileSearches = 0
+	m.futileSearches, m.futilePeerQueries = 0, 0
 	m.nextProbe = max(m.nextProbe, at+m.probeInterval())
 	m.addSample(Sample{At: at, Position: position})
 	m.publish()
@@ -118,6 +121,7 @@
 		m.departures.noteProof(s.At, s.Position)
 		m.addSample(s)
 		m.publish()
+		m.futilePeerQueries = 0
 	}
 }
 
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -88,6 +88,9 @@
 	peerQueryThreshold = 400 * time.Millisecond
 	// peerQueryInterval is the time between two queries to the other hosts.
 	peerQueryInterval = 150 * time.Millisecond
+	// maxPeerQueryInterval is the longest one. It doubles with each query that finds
+	// nothing newer.
+	maxPeerQueryInterval = 1200 * time.Millisecond
 	// trafficProofInterval is the least time between two samples taken from
 	// the answers to callers' statements.
 	trafficProofInterval = 50 * time.Millisecond
@@ -218,6 +221,8 @@
 	// requestedUntil is until when the host searches as often as a responsible
 	// one, because a request waits for a proof.
 	requestedUntil time.Duration
+	// engagedAt is when the first of these requests was made.
+	engagedAt time.Duration
 
 	primary      catalog.Server
 	primaryKnown bool
@@ -248,6 +253,8 @@
 	auditInFlight     bool
 	peerQueryInFlight bool
 	nextPeerQuery     time.Duration
+	// futilePeerQueries counts the queries since the last that found newer samples.
+	futilePeerQueries int
 	auditCount        int
 	lastSuspended     map[group.ServerID]bool
 	// leftoverSuspensions is set if the last audit found replicas that an
--- a/core/lead/search.go
+++ b/core/lead/search.go
@@ -120,7 +120,7 @@
 		return false
 	}
 	if !m.primaryKnown {
-		return m.isEngaged(now) && now-m.provenAt > peerQueryThreshold
+		return m.isEngaged(now) && now-max(m.provenAt, m.engagedAt) > peerQueryThreshold
 	}
 	return m.unprovenFor(now) > peerQueryThreshold
 }
@@ -128,7 +128,8 @@
 // queryPeers queries other hosts for their samples.
 func (m *Monitor) queryPeers(ctx context.Context, now time.Duration) {
 	m.peerQueryInFlight = true
-	m.nextPeerQuery = now + peerQueryInterval
+	m.nextPeerQuery = now + min(peerQueryInterval<<min(m.futilePeerQueries, maxSearchDoublings), maxPeerQueryInterval)
+	m.futilePeerQueries++
 	go func() {
 		samples := m.config.Peers.Positions(ctx, m.config.Group)
 		select {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -57,6 +57,9 @@
 	transport := &http.Transport{
 		DialContext:     dial,
 		IdleConnTimeout: idleRetention,
+		// Without a limit, each call that is made before the connection is open opens
+		// another one.
+		MaxConnsPerHost: 1,
 		Protocols:       new(http.Protocols),
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}
--- a/io/peer/gateway.go
+++ b/io/peer/gateway.go
@@ -68,6 +68,9 @@
 			return conn, nil
 		},
 		IdleConnTimeout: gatewayIdleRetention,
+		// Without a limit, each call that is made before the connection is open opens
+		// another one.
+		MaxConnsPerHost: 1,
 		Protocols:       new(http.Protocols),
 		HTTP2:           GatewayPings(),
 	}
--- a/io/peer/gateway_connection_test.go
+++ b/io/peer/gateway_connection_test.go
@@ -157,6 +157,20 @@
 	})
 }
 
+// A host makes many calls as soon as it starts. They must share one connection, also while
+// it is being opened.
+func TestCallsShareAConnectionThatIsBeingOpened(t *testing.T) {
+	withGateway(t, func(t *testing.T, client *gateway.Client, network *gatewayNetwork) {
+		network.pipes.SetLatency("dc", "dc", 20*time.Millisecond)
+		var wait sync.WaitGroup
+		for range 50 {
+			wait.Go(func() { assert.Check(t, probe(client)) })
+		}
+		wait.Wait()
+		assert.Equal(t, len(network.conns), 1)
+	})
+}
+
 // A host has connections to most other hosts of its data centre. What an idle one costs
 // grows with the fleet, so it may cost two messages in five seconds at most.
 func TestIdleConnectionIsQuiet(t *testing.T) {
