--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -118,7 +118,17 @@
 	return c
 }
 
-// Stop ends replication and closes all connections.
+// isStopped reports whether Stop has been called.
+func (c *Cluster) isStopped() bool {
+	select {
+	case <-c.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+// Stop ends replication and closes all connections. Later ones are refused.
 func (c *Cluster) Stop() {
 	close(c.stopped)
 	c.mu.Lock()
--- a/standin/replicated/stream.go
+++ b/standin/replicated/stream.go
@@ -25,7 +25,7 @@
 	c.mu.Lock()
 	s := c.servers[server.ID]
 	switch {
-	case s == nil || !s.up:
+	case s == nil || !s.up || c.isStopped():
 		c.mu.Unlock()
 		return nil, syscall.ECONNREFUSED
 	case s.unreachable:
