--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -48,8 +48,8 @@
 	// maxSearchDoublings bounds the doublings of an interval, so that it does not
 	// overflow.
 	maxSearchDoublings = 8
-	// requestRetention is how long after a request for a probe a host searches as
-	// often as a responsible one. It exceeds the statement timeouts.
+	// requestRetention is how long after a request for a probe a host searches.
+	// Requests that wait for longer renew theirs.
 	requestRetention = 2 * time.Second
 	// standbyDelay is how long a host that is not responsible leaves a due change
 	// to those that are. It exceeds the duration of most changes.
