lead: one backoff for searches and queries, and tests of both

Cause: reading the change as a newcomer. The doubling of an interval stood twice, with a bound on the shift that needed explaining; the backoff of queries of other hosts and the preference for servers that claim to be the primary had no test.

Change: backedOff has the doubling; no interval is another. Tests: TestFutileQueriesOfOtherHostsBackOff (64 queries in 10 s without the backoff), TestOutdatedClaimDoesNotHideThePrimary (not found if only claims are followed). Ruled out: one place for the TCP user timeout, which platform and cmd/entry both set: the adapter would have to be used by cmd/entry, or decide for the product.

--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -45,9 +45,6 @@
 	responsibilityCheckInterval = time.Second
 	// searchInterval is the time between two searches while no primary is known.
 	searchInterval = 60 * time.Millisecond
-	// maxSearchDoublings bounds the doublings of an interval, so that it does not
-	// overflow.
-	maxSearchDoublings = 8
 	// requestRetention is how long after a request for a probe a host searches.
 	// Requests that wait for longer renew theirs.
 	requestRetention = 2 * time.Second
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -326,6 +326,41 @@
 	})
 }
 
+// A host that seeks a primary in vain must not query the other hosts at full pace: all of
+// them do so after a start. What they know must still reach it within a second or so.
+func TestFutileQueriesOfOtherHostsBackOff(t *testing.T) {
+	f := &fakeCluster{position: positionAt(1, 10)}
+	config := lead.Config{Responsible: notResponsible, Standby: func(catalog.Server) bool { return false }}
+	runMonitorConfig(t, f, config, func(t *testing.T, m *lead.Monitor, _ *catalog.Cache, clock func() time.Duration) {
+		request := func(seconds int) {
+			for range seconds {
+				m.RequestProbe()
+				time.Sleep(time.Second)
+			}
+		}
+		request(10)
+		f.update(func() {
+			assert.Assert(t, f.peerQueries >= 5 && f.peerQueries <= 15, "%d queries in 10 s", f.peerQueries)
+			f.peerSamples = []lead.Sample{{At: clock(), Position: positionAt(1, 20)}}
+		})
+		request(2)
+		assert.Equal(t, m.Snapshot().Term(), group.Term(1))
+	})
+}
+
+// A host that is not responsible asks first the servers that claim to be the primary. An
+// outdated claim, as during an outage of the store, must not keep it from the others.
+func TestOutdatedClaimDoesNotHideThePrimary(t *testing.T) {
+	f := &fakeCluster{primary: "b", position: positionAt(2, 10)}
+	config := lead.Config{Responsible: notResponsible, Standby: func(catalog.Server) bool { return false }}
+	runMonitorConfig(t, f, config, func(t *testing.T, m *lead.Monitor, _ *catalog.Cache, _ func() time.Duration) {
+		m.RequestProbe()
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, m.Snapshot().PrimaryKnown)
+		assert.Equal(t, m.Snapshot().Primary.ID, group.ServerID("b"))
+	})
+}
+
 // A host that is responsible probes five times a second, and has nothing else to do
 // between the probes.
 func TestSettledMonitorWakesOnlyForDueWork(t *testing.T) {
--- a/core/lead/search.go
+++ b/core/lead/search.go
@@ -76,7 +76,7 @@
 		interval = probeInterval
 	}
 	if !m.responsible {
-		interval = min(interval<<min(m.futileSearches, maxSearchDoublings), idleSearchInterval)
+		interval = backedOff(interval, m.futileSearches, idleSearchInterval)
 	}
 	m.nextSearch = now + interval
 	for _, s := range m.searchCandidates(members) {
@@ -128,7 +128,7 @@
 // queryPeers queries other hosts for their samples.
 func (m *Monitor) queryPeers(ctx context.Context, now time.Duration) {
 	m.peerQueryInFlight = true
-	m.nextPeerQuery = now + min(peerQueryInterval<<min(m.futilePeerQueries, maxSearchDoublings), maxPeerQueryInterval)
+	m.nextPeerQuery = now + backedOff(peerQueryInterval, m.futilePeerQueries, maxPeerQueryInterval)
 	m.futilePeerQueries++
 	go func() {
 		samples := m.config.Peers.Positions(ctx, m.config.Group)
@@ -139,6 +139,14 @@
 	}()
 }
 
+// backedOff returns the interval, doubled for each futile attempt up to the longest one.
+func backedOff(interval time.Duration, futile int, longest time.Duration) time.Duration {
+	for ; futile > 0 && interval < longest; futile-- {
+		interval *= 2
+	}
+	return min(interval, longest)
+}
+
 // isConnectionRefused reports whether an error proves that no process listens on
 // the address.
 func isConnectionRefused(err error) bool { return errors.Is(err, link.ErrServerRefused) }
