distribution, entry: show the era of the store with what a host believes

Cause: nothing in the logs or metrics says which history of the store a revision belongs to, so a restored store cannot be told from a running one, and an object that a relay's copy leaves out as older is not reported at all.

Change: the store's client notes the era that each answer states (distribution.Eras). Events StoreRestored and ObjectIgnored, the era beside every revision in the logs, metrics store_era, view_revision and objects_ignored_total. No decision depends on them yet.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -46,6 +46,8 @@
 	RecordStore      takeover.RecordStore
 	PromotionService takeover.PromotionService
 	Hosts            Hosts
+	// Eras, if set, tracks the era of the store as its answers state it.
+	Eras *distribution.Eras
 	// Connect opens a connection to an address.
 	Connect func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Dialer returns the dialer for backend servers. It speaks their protocol on
@@ -84,6 +86,10 @@
 // New assembles a host. It serves nothing before Run.
 func New(s settings.Entry, p Platform, log *slog.Logger) *Host {
 	h := &Host{settings: s, platform: p, log: &logevent.Logger{Log: log}, metrics: newMetrics(), cache: &catalog.Cache{}}
+	if h.platform.Eras == nil {
+		h.platform.Eras = new(distribution.Eras)
+	}
+	h.platform.Eras.OnRise = h.logRestored
 	h.peers = newPeers(h)
 	h.relays = newRelays(h)
 	h.peers.directory = distribution.Directory{Kind: kindHosts, Follower: &h.relays.follower, List: p.Hosts.ListHosts}
@@ -107,6 +113,18 @@
 	h.metrics.storeDurations.WithLabelValues(call).Observe(elapsed.Seconds())
 }
 
+// era returns the newest era of the store that this host has seen.
+func (h *Host) era() distribution.Era {
+	era, _ := h.platform.Eras.Newest()
+	return era
+}
+
+// logRestored logs that the store was restored, with what this host believed before.
+func (h *Host) logRestored(before, now distribution.Era) {
+	h.log.Write(context.Background(), logevent.StoreRestored, slog.Int64("era_before", int64(before)), slog.Int64("era", int64(now)),
+		slog.Int64("configuration", int64(h.cache.View().ConfigVersion())), slog.Int("servers", len(h.cache.View().Servers)))
+}
+
 // info returns the identity, location and peer address of this host.
 func (h *Host) info() host.Info {
 	return host.Info{ID: h.settings.HostID, DataCentre: h.settings.DataCentre, Region: h.settings.Region, PeerAddress: h.settings.Operators}
--- a/cmd/entry/groups.go
+++ b/cmd/entry/groups.go
@@ -111,6 +111,6 @@
 		errorText = s.Err.Error()
 	}
 	g.host.log.Write(context.Background(), logevent.ChangeStep, slog.String("group", string(id)), slog.String("step", s.Name),
-		slog.String("server", string(s.Server)), slog.Int64("epoch", int64(s.Epoch)), slog.String("received", s.Status.ReceivedPosition.String()),
+		slog.String("server", string(s.Server)), slog.Int64("epoch", int64(s.Epoch)), slog.Int64("era", int64(g.host.era())), slog.String("received", s.Status.ReceivedPosition.String()),
 		slog.Int64("term", int64(s.Status.Term)), slog.String("error", errorText))
 }
--- a/cmd/entry/metrics.go
+++ b/cmd/entry/metrics.go
@@ -27,9 +27,11 @@
 	sessionPanics      prometheus.Counter
 	peerCalls          *prometheus.CounterVec
 	pulls              *prometheus.CounterVec
+	objectsIgnored     *prometheus.CounterVec
 	storeCalls         *prometheus.CounterVec
 	storeDurations     *prometheus.HistogramVec
 	viewConfirmed      *prometheus.GaugeVec
+	viewRevision       *prometheus.GaugeVec
 	changeDurations    *prometheus.HistogramVec
 	changeSteps        *prometheus.CounterVec
 	detours            *prometheus.CounterVec
@@ -81,6 +83,7 @@
 		sessionPanics:      prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_session_panics_total", Help: "Callers' sessions that a fault of the program ended."}),
 		peerCalls:          counter("basilmill_peer_questions_total", "Questions to other hosts for a proven position, by answer.", "answer"),
 		pulls:              counter("basilmill_pulls_total", "Pulls of the store's objects from relays, by result.", "result"),
+		objectsIgnored:     counter("basilmill_objects_ignored_total", "Objects of the store that the copy for other hosts left out, because it held a newer version.", "kind"),
 		storeCalls:         counter("basilmill_store_calls_total", "Calls of the platform's store by method and kind, and by status (0 without an answer).", "call", "status"),
 		storeDurations:     histogram("basilmill_store_call_duration_seconds", "Time of a call of the platform's store; a watch waits for changes.", storeBuckets, "call"),
 		changeDurations:    histogram("basilmill_primary_change_duration_seconds", "Time of an attempt to change a primary.", changeBuckets, "cause", "result"),
@@ -88,8 +91,9 @@
 		detours:            counter("basilmill_detours_total", "Connections to backend servers opened through other hosts, by result.", "result"),
 		gatewaysAvoided:    prometheus.NewCounter(prometheus.CounterOpts{Name: "basilmill_gateways_avoided_total", Help: "Decisions to avoid a gateway to backend servers."}),
 		viewConfirmed:      prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "basilmill_view_confirmed_timestamp_seconds", Help: "When the store last answered for a part of the view."}, []string{"part"}),
+		viewRevision:       prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "basilmill_view_revision", Help: "Revision of the store up to which a part of the view is complete."}, []string{"part"}),
 	}
-	registry.MustRegister(m.retries, m.lostCallers, m.sessionPanics, m.gatewaysAvoided, m.viewConfirmed)
+	registry.MustRegister(m.retries, m.lostCallers, m.sessionPanics, m.gatewaysAvoided, m.viewConfirmed, m.viewRevision)
 	return m
 }
 
@@ -159,6 +163,7 @@
 	gauge("basilmill_relayed_connections", "Connections passed on for other hosts.", func() float64 { return float64(h.detours.relay.OpenConnections()) })
 	gauge("basilmill_gateway_streams", "Streams of other hosts that use or wait for a connection of this host.", func() float64 { return float64(h.gateways.service.Active()) })
 	gauge("basilmill_connection_waiters", "Requests that wait for a connection.", poolStat(func(s link.Stats) float64 { return float64(s.Waiting) }))
+	gauge("basilmill_store_era", "Era of the store that this host has seen; it rises with each restoration from a copy.", func() float64 { return float64(h.era()) })
 	gauge("basilmill_configuration_version", "Version of the configuration in force.", func() float64 {
 		if config := h.cache.View().Config; config != nil {
 			return float64(config.Version)
--- a/cmd/entry/relays.go
+++ b/cmd/entry/relays.go
@@ -35,6 +35,7 @@
 func newRelays(h *Host) *relays {
 	r := &relays{host: h}
 	r.relay.Clock = h.platform.Clock
+	r.relay.OnIgnore = r.observeIgnored
 	r.client = peer.NewClient(h.info, func(ctx context.Context, _, address string) (net.Conn, error) {
 		target, err := netip.ParseAddrPort(address)
 		if err != nil {
@@ -97,6 +98,13 @@
 	return reply.Update, reply.Current, err
 }
 
+// observeIgnored counts and logs that the copy for other hosts leaves an object out.
+func (r *relays) observeIgnored(ignored distribution.Object, held distribution.Version) {
+	r.host.metrics.objectsIgnored.WithLabelValues(string(ignored.Key.Kind)).Inc()
+	r.host.log.Write(context.Background(), logevent.ObjectIgnored, slog.String("kind", string(ignored.Key.Kind)), slog.String("object", ignored.Key.Name),
+		slog.Int64("revision", int64(ignored.Version)), slog.Int64("held", int64(held)), slog.Int64("era", int64(r.host.era())))
+}
+
 // observeAvoidance logs that a relay is avoided.
 func (r *relays) observeAvoidance(relay host.ID, kind distribution.Kind, cause error) {
 	r.host.log.Write(context.Background(), logevent.RelayAvoided, slog.String("relay", string(relay)),
--- a/cmd/entry/report.go
+++ b/cmd/entry/report.go
@@ -32,8 +32,9 @@
 	defer r.mu.Unlock()
 	if err == nil {
 		r.host.metrics.viewConfirmed.WithLabelValues(part).SetToCurrentTime()
+		r.host.metrics.viewRevision.WithLabelValues(part).Set(float64(at))
 	}
-	attrs := []slog.Attr{slog.String("part", part), slog.Int64("revision", int64(at))}
+	attrs := []slog.Attr{slog.String("part", part), slog.Int64("revision", int64(at)), slog.Int64("era", int64(r.host.era()))}
 	ctx := context.Background()
 	switch {
 	case err != nil && !r.failing[part]:
@@ -53,10 +54,10 @@
 func (r *syncReporter) logChange(c catalog.ServerChange, at catalog.Revision) {
 	if c.Err != nil {
 		r.host.log.Write(context.Background(), logevent.ObjectInvalid, slog.String("server", string(c.ID)),
-			slog.Int64("revision", int64(at)), slog.String("error", c.Err.Error()))
+			slog.Int64("revision", int64(at)), slog.Int64("era", int64(r.host.era())), slog.String("error", c.Err.Error()))
 		return
 	}
-	attrs := []slog.Attr{slog.String("server", string(c.ID)), slog.Int64("revision", int64(at)), slog.Bool("removed", c.Server == nil)}
+	attrs := []slog.Attr{slog.String("server", string(c.ID)), slog.Int64("revision", int64(at)), slog.Int64("era", int64(r.host.era())), slog.Bool("removed", c.Server == nil)}
 	if c.Server != nil {
 		attrs = append(attrs, slog.String("group", string(c.Server.Group)), slog.Bool("leaving", c.Server.Leaving), slog.Bool("primary", c.Server.ClaimsPrimary))
 	}
--- a/cmd/internal/command/entry.go
+++ b/cmd/internal/command/entry.go
@@ -49,7 +49,7 @@
 	log := newLogger(logWriter, settings.Log{Format: settings.JSON})
 	host := entry.New(s, entry.Platform{
 		Source: store, Objects: store, Catalog: func(objects distribution.Source) catalog.Source { return platform.Catalog{Objects: objects} },
-		SavedServerStore: store, RecordStore: store, Hosts: store, PromotionService: promotions, Connect: platform.Connect,
+		SavedServerStore: store, RecordStore: store, Hosts: store, Eras: &store.Eras, PromotionService: promotions, Connect: platform.Connect,
 		Dialer: func(connect func(context.Context, catalog.Server) (net.Conn, error)) link.Dialer {
 			return platform.Dialer{Connect: connect}
 		},
--- a/core/distribution/distribution.go
+++ b/core/distribution/distribution.go
@@ -4,6 +4,7 @@
 package distribution
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"strings"
@@ -79,6 +80,18 @@
 	return changed
 }
 
+// outdated returns the objects of an update that the set holds in a newer version, or in
+// the same version with another value, so that Merge ignores them.
+func (s *Set) outdated(u Update) (objects []Object) {
+	for _, o := range u.Objects {
+		held, ok := s.objects[o.Key]
+		if ok && (o.Version < held.Version || o.Version == held.Version && !held.Removed && !bytes.Equal(o.Value, held.Value)) {
+			objects = append(objects, o)
+		}
+	}
+	return objects
+}
+
 // Replace applies a list of all objects that exist as of a version of the store. The
 // others of the set are removed.
 func (s *Set) Replace(list Update) {
--- a/core/distribution/relay.go
+++ b/core/distribution/relay.go
@@ -15,6 +15,10 @@
 type Relay struct {
 	// Clock is a monotonic clock that includes the time the machine is suspended.
 	Clock func() time.Duration
+	// OnIgnore, if set, is called with an object that the store returned and that the
+	// copy leaves out, because it holds the object in the version held. It must not
+	// block.
+	OnIgnore func(ignored Object, held Version)
 
 	mu     sync.Mutex
 	copies map[Kind]*relayedCopy
@@ -88,6 +92,7 @@
 // replace notes a list that the store returned. It counts as current for the TTL.
 func (r *Relay) replace(kind Kind, list Update, ttl time.Duration) {
 	r.change(kind, func(c *relayedCopy) {
+		r.reportIgnored(c, list)
 		c.set.Replace(list)
 		c.currentUntil = r.Clock() + ttl
 	})
@@ -111,11 +116,22 @@
 			delete(r.copies, kind)
 			return
 		}
+		r.reportIgnored(c, u)
 		c.set.Merge(u)
 		c.currentUntil = r.Clock() + watchReplyTimeout
 	})
 }
 
+// reportIgnored reports the objects of an update that the copy is about to ignore.
+func (r *Relay) reportIgnored(c *relayedCopy, u Update) {
+	if r.OnIgnore == nil {
+		return
+	}
+	for _, o := range c.set.outdated(u) {
+		r.OnIgnore(o, c.set.objects[o.Key].Version)
+	}
+}
+
 // fail notes that the store did not answer a call.
 func (r *Relay) fail(kind Kind) {
 	r.change(kind, func(c *relayedCopy) { c.currentUntil = 0 })
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -28,6 +28,8 @@
 	ConfigurationApplied  Number = 2004
 	ConfigurationStale    Number = 2005
 	HostListChanged       Number = 2006
+	StoreRestored         Number = 2007
+	ObjectIgnored         Number = 2008
 	PrimarySuspected      Number = 3001
 	SuspicionWithdrawn    Number = 3002
 	ChangeDecided         Number = 3003
@@ -85,6 +87,8 @@
 	{ConfigurationApplied, "ConfigurationApplied", slog.LevelInfo, "configuration applied", "None."},
 	{ConfigurationStale, "ConfigurationStale", slog.LevelWarn, "no contact with the platform or a relay within the promised time", "Check the links of the host; it serves its last configuration."},
 	{HostListChanged, "HostListChanged", slog.LevelInfo, "host list changed", "None."},
+	{StoreRestored, "StoreRestored", slog.LevelWarn, "platform's store was restored from a copy", "Expect changes of the last seconds to be written again; compare the era and the configuration version of all hosts."},
+	{ObjectIgnored, "ObjectIgnored", slog.LevelWarn, "object ignored, because a newer version is known", "None for a late answer. If it repeats, compare the era and the revision with the store's."},
 	{PrimarySuspected, "PrimarySuspected", slog.LevelWarn, "primary suspected", "None unless it repeats without a change; then check the links to the primary."},
 	{SuspicionWithdrawn, "SuspicionWithdrawn", slog.LevelInfo, "suspicion withdrawn", "None."},
 	{ChangeDecided, "ChangeDecided", slog.LevelWarn, "change of primary decided", "None; find out why the old primary was lost."},
