e2e, standin: play a store that is restored from a copy, tests listed as red

What callers saw: configurations that had been replaced stayed in force (CONFIG on the grown sites); the users also see two holders with one fence (ONE).

The stand-ins learn to be restored: standin/objectstore is the users' object store over HTTP, with pages, conditional updates, watches, eras, outages and Restore, and runs under the virtual clock; standin/replicated restores the record of a group. e2e/restored runs the part of an entry host that follows the store, with the real client and decoders, for 4 hosts (each reads the store) and 12 (two relays).

--- /dev/null
+++ b/e2e/restored/fleet_test.go
@@ -0,0 +1,178 @@
+package restored_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"basilmill/core/catalog"
+	"basilmill/core/distribution"
+	"basilmill/core/host"
+	"basilmill/core/placement"
+	"basilmill/platform"
+	"basilmill/standin/objectstore"
+)
+
+const (
+	// hop is the one-way delay between two hosts.
+	hop = time.Millisecond
+	// configTime is the time within which a confirmed change must be in force.
+	configTime = 3 * time.Second
+	// calmTime is the time for which a host must have been undisturbed for configTime
+	// to count.
+	calmTime = 4 * time.Second
+	// aloneHosts and fleetHosts are numbers of hosts of a data centre with which each
+	// host reads the store itself, and with which two of them do so for the others.
+	aloneHosts, fleetHosts = 4, 12
+)
+
+// fleet is a number of hosts of one data centre that follow a store.
+type fleet struct {
+	store *objectstore.Server
+	hosts []host.Info
+	nodes map[host.ID]*node
+	wait  sync.WaitGroup
+	stop  context.CancelFunc
+}
+
+// node is the part of an entry host that follows the store.
+type node struct {
+	fleet     *fleet
+	client    *platform.StoreClient
+	cache     catalog.Cache
+	relay     distribution.Relay
+	follower  distribution.Follower
+	directory distribution.Directory
+
+	mu sync.Mutex
+	// listed are the hosts of the last list.
+	listed []distribution.Object
+}
+
+// Ranked implements distribution.RelayNetwork.
+func (n *node) Ranked() []host.Info { return n.fleet.hosts }
+
+// AwaitRanked implements distribution.RelayNetwork.
+func (*node) AwaitRanked(context.Context) error { return nil }
+
+// Pull implements distribution.RelayNetwork.
+func (n *node) Pull(ctx context.Context, info host.Info, kind distribution.Kind, after distribution.Version, wait time.Duration) (distribution.Update, bool, error) {
+	time.Sleep(hop)
+	u, current := n.fleet.nodes[info.ID].relay.Pull(ctx, kind, after, wait)
+	time.Sleep(hop)
+	return u, current, ctx.Err()
+}
+
+// newFleet returns hosts that have not been started.
+func newFleet(count int) *fleet {
+	f := &fleet{store: &objectstore.Server{}, nodes: map[host.ID]*node{}}
+	for i := range count {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7440)
+		f.hosts = append(f.hosts, host.Info{ID: host.ID(fmt.Sprint("h", i)), DataCentre: "dc", PeerAddress: address})
+	}
+	f.hosts = placement.Relays("dc", f.hosts, count)
+	started := time.Now()
+	for _, info := range f.hosts {
+		n := &node{fleet: f, client: platform.NewStoreClient(netip.MustParseAddrPort("10.9.0.1:80"))}
+		n.client.SetTransport(f.store)
+		n.relay.Clock = func() time.Duration { return time.Hour + time.Since(started) }
+		n.follower = distribution.Follower{Self: info.ID, Store: n.client, Relay: &n.relay, Network: n}
+		n.directory = distribution.Directory{Kind: "hosts", Follower: &n.follower, List: n.client.ListHosts}
+		f.nodes[info.ID] = n
+	}
+	return f
+}
+
+// start starts the hosts.
+func (f *fleet) start() {
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	for _, n := range f.nodes {
+		syncer := &catalog.Syncer{
+			Cache: &n.cache, Source: platform.Catalog{Objects: &n.follower}, ConfigTTL: calmTime, ServersTTL: 7 * time.Second,
+			SavedServerStore: n.client, IsSaver: n.follower.IsRelay,
+		}
+		f.wait.Go(func() { _ = syncer.SyncServers(ctx) })
+		f.wait.Go(func() { _ = syncer.SyncConfig(ctx) })
+		f.wait.Go(func() { _ = syncer.SyncSavedServers(ctx) })
+		f.wait.Go(func() { n.listHosts(ctx) })
+		f.wait.Go(func() { n.expire(ctx) })
+	}
+}
+
+// listHosts refreshes the list of hosts until ctx ends.
+func (n *node) listHosts(ctx context.Context) {
+	for sleep(ctx, time.Second) {
+		if entries, err := n.directory.Refresh(ctx); err == nil {
+			n.mu.Lock()
+			n.listed = entries
+			n.mu.Unlock()
+		}
+	}
+}
+
+// expire drops servers without an entry until ctx ends.
+func (n *node) expire(ctx context.Context) {
+	for sleep(ctx, 100*time.Millisecond) {
+		n.cache.Expire()
+	}
+}
+
+// sleep waits for a time. It returns false if ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// runFleet runs a test with a fleet under the virtual clock.
+func runFleet(t *testing.T, count int, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(count)
+		f.writeConfig(5)
+		f.writeServer("a", 1, "ready")
+		f.writeServer("b", 1, "ready")
+		f.start()
+		defer func() {
+			f.stop()
+			f.wait.Wait()
+			// Calls in flight end after their delay.
+			time.Sleep(time.Minute)
+		}()
+		time.Sleep(10 * time.Second)
+		test(t, f)
+	})
+}
+
+// writeConfig writes a version of the configuration, as an operator does.
+func (f *fleet) writeConfig(version int) {
+	f.store.Write("config", "main", map[string]any{
+		"configVersion": version,
+		"routes":        []any{map[string]any{"name": "r", "host": "db", "routeType": "primary", "service": "svc"}},
+		"services":      []any{map[string]any{"name": "svc", "maxConns": 16, "syncReplicas": 1}},
+	})
+}
+
+// writeServer writes the entry of a server, as the server does.
+func (f *fleet) writeServer(id string, sequence int, state string) {
+	f.store.Write("servers", id, map[string]any{
+		"service": "svc", "address": "10.1.0.1:5432", "zone": "dc", "configVersion": 1, "slots": 2, "state": state,
+		"coldRemainingMs": 0, "sequence": sequence, "dbRole": "replica", "born": 1000,
+	})
+}
+
+// restore makes the store unavailable for a time and restores it from a copy.
+func (f *fleet) restore(from objectstore.Copy, outage time.Duration) {
+	f.store.SetUnavailable(true)
+	time.Sleep(outage)
+	f.store.Restore(from)
+	f.store.SetUnavailable(false)
+}
--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -74,7 +74,9 @@
 	lostPromotionDelay time.Duration
 	refusedConnections int
 
-	record            takeover.Record
+	record takeover.Record
+	// storeRevision is the revision of the last change of the store.
+	storeRevision     int64
 	storeUnavailable  bool
 	storeLosesAnswers bool
 }
@@ -222,6 +224,20 @@
 	return c.promotions
 }
 
+// Record returns the group's record in the store.
+func (c *Cluster) Record() takeover.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.record
+}
+
+// LastHolder returns the host that last ordered a promotion.
+func (c *Cluster) LastHolder() host.ID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastHolder
+}
+
 // RefusedConnections returns the number of connections that servers refused over
 // ConnectionLimit.
 func (c *Cluster) RefusedConnections() int {
@@ -251,6 +267,28 @@
 	c.storeUnavailable, c.storeLosesAnswers = unavailable, losesAnswers
 }
 
+// StoreCopy is the state of the platform's store at one moment.
+type StoreCopy struct {
+	record   takeover.Record
+	revision int64
+}
+
+// CopyStore returns a copy of the store for RestoreStore.
+func (c *Cluster) CopyStore() StoreCopy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return StoreCopy{c.record, c.storeRevision}
+}
+
+// RestoreStore replaces the store by an earlier copy of it. Changes made since are lost,
+// and their revisions are given out again. Entries of servers are not lost, because the
+// servers write them again.
+func (c *Cluster) RestoreStore(from StoreCopy) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.record, c.storeRevision = from.record, from.revision
+}
+
 // errNoAnswer is the error of a call to the platform that got no answer.
 var errNoAnswer = errors.New("no answer")
 
@@ -359,7 +397,8 @@
 	if r.Revision != c.record.Revision {
 		return takeover.Record{}, takeover.ErrConflict
 	}
-	r.Revision++
+	c.storeRevision++
+	r.Revision = c.storeRevision
 	c.record = r
 	if c.storeLosesAnswers {
 		return takeover.Record{}, errNoAnswer
