distribution, platform: versions of the store carry its era

Root cause: a revision identifies a change only within one history of the store, and every comparison took it to hold for ever. The class: an identifier of another system's history is compared beyond that history. Here: a relay's copy took the objects of the new history for older ones, a watch went on from a revision that had been given out again, a follower's highest seen version, a conditional update by revision, the list of hosts.

Change: distribution.Version holds era and revision, so that all comparisons order by era first. A list of a later era replaces a set. The list of hosts keeps what the store has lost for 30 s, until the hosts have registered again. catalog.Revision is gone: there is one type of version.

Why it works: no number of one era can equal or exceed one of the next.

--- a/cmd/entry/entry_test.go
+++ b/cmd/entry/entry_test.go
@@ -30,18 +30,18 @@
 // staticSource is a catalogue source that does not change.
 type staticSource struct{ cluster *replicated.Cluster }
 
-func (s staticSource) ListServers(context.Context) (entries []catalog.ServerChange, at catalog.Revision, err error) {
+func (s staticSource) ListServers(context.Context) (entries []catalog.ServerChange, at distribution.Version, err error) {
 	for _, server := range s.cluster.ServerEntries() {
 		entries = append(entries, catalog.ServerChange{ID: server.ID, Server: &server})
 	}
 	return entries, 1, nil
 }
 
-func (s staticSource) WatchServers(ctx context.Context, from catalog.Revision, wait time.Duration) ([]catalog.ServerChange, catalog.Revision, error) {
+func (s staticSource) WatchServers(ctx context.Context, from distribution.Version, wait time.Duration) ([]catalog.ServerChange, distribution.Version, error) {
 	return nil, from, waitOrCancel(ctx, wait)
 }
 
-func (staticSource) ListConfig(context.Context) (*catalog.Config, catalog.Revision, error) {
+func (staticSource) ListConfig(context.Context) (*catalog.Config, distribution.Version, error) {
 	return &catalog.Config{
 		Version: 1,
 		Routes: map[string]catalog.Route{"orders": {
@@ -52,7 +52,7 @@
 	}, 1, nil
 }
 
-func (staticSource) WatchConfig(ctx context.Context, from catalog.Revision, wait time.Duration) (*catalog.Config, catalog.Revision, error) {
+func (staticSource) WatchConfig(ctx context.Context, from distribution.Version, wait time.Duration) (*catalog.Config, distribution.Version, error) {
 	return nil, from, waitOrCancel(ctx, wait)
 }
 
--- a/cmd/entry/relays.go
+++ b/cmd/entry/relays.go
@@ -45,6 +45,7 @@
 	})
 	r.follower = distribution.Follower{
 		Self: h.settings.HostID, Store: h.platform.Objects, Relay: &r.relay, Network: r, OnAvoid: r.observeAvoidance,
+		Eras: h.platform.Eras,
 	}
 	return r
 }
@@ -102,7 +103,8 @@
 func (r *relays) observeIgnored(ignored distribution.Object, held distribution.Version) {
 	r.host.metrics.objectsIgnored.WithLabelValues(string(ignored.Key.Kind)).Inc()
 	r.host.log.Write(context.Background(), logevent.ObjectIgnored, slog.String("kind", string(ignored.Key.Kind)), slog.String("object", ignored.Key.Name),
-		slog.Int64("revision", int64(ignored.Version)), slog.Int64("held", int64(held)), slog.Int64("era", int64(r.host.era())))
+		slog.Int64("revision", ignored.Version.Revision()), slog.Int64("era", int64(ignored.Version.Era())),
+		slog.Int64("held_revision", held.Revision()), slog.Int64("held_era", int64(held.Era())))
 }
 
 // observeAvoidance logs that a relay is avoided.
--- a/cmd/entry/report.go
+++ b/cmd/entry/report.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"basilmill/core/catalog"
+	"basilmill/core/distribution"
 	"basilmill/core/group"
 	"basilmill/core/logevent"
 )
@@ -27,14 +28,14 @@
 
 // observeSourceCall records the result of a call that reads a part of the
 // catalogue. It also logs a configuration that has just come into force.
-func (r *syncReporter) observeSourceCall(part string, at catalog.Revision, err error) {
+func (r *syncReporter) observeSourceCall(part string, at distribution.Version, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
 		r.host.metrics.viewConfirmed.WithLabelValues(part).SetToCurrentTime()
-		r.host.metrics.viewRevision.WithLabelValues(part).Set(float64(at))
+		r.host.metrics.viewRevision.WithLabelValues(part).Set(float64(at.Revision()))
 	}
-	attrs := []slog.Attr{slog.String("part", part), slog.Int64("revision", int64(at)), slog.Int64("era", int64(r.host.era()))}
+	attrs := []slog.Attr{slog.String("part", part), slog.Int64("revision", at.Revision()), slog.Int64("era", int64(at.Era()))}
 	ctx := context.Background()
 	switch {
 	case err != nil && !r.failing[part]:
@@ -51,13 +52,13 @@
 }
 
 // logChange logs a change of a server's entry.
-func (r *syncReporter) logChange(c catalog.ServerChange, at catalog.Revision) {
+func (r *syncReporter) logChange(c catalog.ServerChange, at distribution.Version) {
 	if c.Err != nil {
 		r.host.log.Write(context.Background(), logevent.ObjectInvalid, slog.String("server", string(c.ID)),
-			slog.Int64("revision", int64(at)), slog.Int64("era", int64(r.host.era())), slog.String("error", c.Err.Error()))
+			slog.Int64("revision", at.Revision()), slog.Int64("era", int64(at.Era())), slog.String("error", c.Err.Error()))
 		return
 	}
-	attrs := []slog.Attr{slog.String("server", string(c.ID)), slog.Int64("revision", int64(at)), slog.Int64("era", int64(r.host.era())), slog.Bool("removed", c.Server == nil)}
+	attrs := []slog.Attr{slog.String("server", string(c.ID)), slog.Int64("revision", at.Revision()), slog.Int64("era", int64(at.Era())), slog.Bool("removed", c.Server == nil)}
 	if c.Server != nil {
 		attrs = append(attrs, slog.String("group", string(c.Server.Group)), slog.Bool("leaving", c.Server.Leaving), slog.Bool("primary", c.Server.ClaimsPrimary))
 	}
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"basilmill/core/catalog"
+	"basilmill/core/distribution"
 	"basilmill/core/group"
 )
 
@@ -59,15 +60,15 @@
 type scriptedSource struct {
 	mu            sync.Mutex
 	listCalls     int
-	watchAnswers  []func() ([]catalog.ServerChange, catalog.Revision, error)
+	watchAnswers  []func() ([]catalog.ServerChange, distribution.Version, error)
 	watchTimeouts []time.Duration
 	// unansweredLists is the number of first ListServers calls that are never
 	// answered.
 	unansweredLists int
-	watchRevisions  []catalog.Revision
+	watchedVersions []distribution.Version
 }
 
-func (s *scriptedSource) ListServers(ctx context.Context) ([]catalog.ServerChange, catalog.Revision, error) {
+func (s *scriptedSource) ListServers(ctx context.Context) ([]catalog.ServerChange, distribution.Version, error) {
 	s.mu.Lock()
 	s.listCalls++
 	n := s.listCalls
@@ -77,11 +78,11 @@
 		return nil, 0, ctx.Err()
 	}
 	a := server("a", false)
-	return []catalog.ServerChange{{ID: "a", Server: &a}}, catalog.Revision(100 * n), nil
+	return []catalog.ServerChange{{ID: "a", Server: &a}}, distribution.Version(100 * n), nil
 }
 
-func (s *scriptedSource) WatchServers(ctx context.Context, from catalog.Revision, wait time.Duration) ([]catalog.ServerChange, catalog.Revision, error) {
-	s.watchRevisions = append(s.watchRevisions, from)
+func (s *scriptedSource) WatchServers(ctx context.Context, from distribution.Version, wait time.Duration) ([]catalog.ServerChange, distribution.Version, error) {
+	s.watchedVersions = append(s.watchedVersions, from)
 	s.watchTimeouts = append(s.watchTimeouts, wait)
 	if len(s.watchAnswers) == 0 {
 		<-ctx.Done()
@@ -92,11 +93,11 @@
 	return next()
 }
 
-func (s *scriptedSource) ListConfig(context.Context) (*catalog.Config, catalog.Revision, error) {
+func (s *scriptedSource) ListConfig(context.Context) (*catalog.Config, distribution.Version, error) {
 	return nil, 0, errors.New("not scripted")
 }
 
-func (s *scriptedSource) WatchConfig(context.Context, catalog.Revision, time.Duration) (*catalog.Config, catalog.Revision, error) {
+func (s *scriptedSource) WatchConfig(context.Context, distribution.Version, time.Duration) (*catalog.Config, distribution.Version, error) {
 	return nil, 0, errors.New("not scripted")
 }
 
@@ -112,12 +113,12 @@
 // so that the list must be read again.
 func TestListIsReadAgainAfterHistoryGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, catalog.Revision, error){
-			func() ([]catalog.ServerChange, catalog.Revision, error) { return nil, 0, catalog.ErrHistoryGone },
+		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, distribution.Version, error){
+			func() ([]catalog.ServerChange, distribution.Version, error) { return nil, 0, catalog.ErrHistoryGone },
 		}}
 		syncScript(t, s, time.Second)
 		assert.Equal(t, s.listCalls, 2)
-		assert.DeepEqual(t, s.watchRevisions, []catalog.Revision{100, 200})
+		assert.DeepEqual(t, s.watchedVersions, []distribution.Version{100, 200})
 	})
 }
 
@@ -126,15 +127,15 @@
 func TestFailedWatchIsRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		leaving := server("a", true)
-		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, catalog.Revision, error){
-			func() ([]catalog.ServerChange, catalog.Revision, error) { return nil, 0, errors.New("reset") },
-			func() ([]catalog.ServerChange, catalog.Revision, error) {
+		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, distribution.Version, error){
+			func() ([]catalog.ServerChange, distribution.Version, error) { return nil, 0, errors.New("reset") },
+			func() ([]catalog.ServerChange, distribution.Version, error) {
 				return []catalog.ServerChange{{ID: "a", Server: &leaving}}, 105, nil
 			},
 		}}
 		cache := syncScript(t, s, 2*time.Second)
 		assert.Equal(t, s.listCalls, 1)
-		assert.DeepEqual(t, s.watchRevisions, []catalog.Revision{100, 100, 105})
+		assert.DeepEqual(t, s.watchedVersions, []distribution.Version{100, 100, 105})
 		assert.Assert(t, cache.View().Servers["a"].Leaving)
 	})
 }
@@ -153,10 +154,10 @@
 // age of the view within the TTL, and must be short after a failure.
 func TestWatchTimeoutStaysWithinTTL(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		answer := func() ([]catalog.ServerChange, catalog.Revision, error) { return nil, 100, nil }
-		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, catalog.Revision, error){
+		answer := func() ([]catalog.ServerChange, distribution.Version, error) { return nil, 100, nil }
+		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, distribution.Version, error){
 			answer, answer, answer, answer,
-			func() ([]catalog.ServerChange, catalog.Revision, error) { return nil, 0, errors.New("reset") },
+			func() ([]catalog.ServerChange, distribution.Version, error) { return nil, 0, errors.New("reset") },
 			answer,
 		}}
 		const ttl = 6 * time.Second
@@ -188,15 +189,15 @@
 		started := time.Now()
 		s := &scriptedSource{}
 		// The store returns all changes after the revision, which counts them.
-		var answer func() ([]catalog.ServerChange, catalog.Revision, error)
-		answer = func() ([]catalog.ServerChange, catalog.Revision, error) { //nolint:unparam // the type is that of watchAnswers
+		var answer func() ([]catalog.ServerChange, distribution.Version, error)
+		answer = func() ([]catalog.ServerChange, distribution.Version, error) { //nolint:unparam // the type is that of watchAnswers
 			s.watchAnswers = append(s.watchAnswers, answer)
-			known := s.watchRevisions[len(s.watchRevisions)-1] - 100
+			known := s.watchedVersions[len(s.watchedVersions)-1] - 100
 			if known == changes {
 				time.Sleep(time.Hour)
 			}
 			time.Sleep(time.Until(started.Add(time.Duration(known+1) * interval)))
-			at := min(changes, catalog.Revision(time.Since(started)/interval))
+			at := min(changes, distribution.Version(time.Since(started)/interval))
 			b := server("b", false)
 			b.BootID = int64(at)
 			return []catalog.ServerChange{{ID: "b", Server: &b}}, 100 + at, nil
@@ -204,7 +205,7 @@
 		s.watchAnswers = append(s.watchAnswers, answer)
 		cache := syncScript(t, s, changes*interval+time.Second)
 		assert.Equal(t, cache.View().Servers["b"].BootID, int64(changes))
-		assert.Assert(t, len(s.watchRevisions) <= changes/2, "%d watches", len(s.watchRevisions))
+		assert.Assert(t, len(s.watchedVersions) <= changes/2, "%d watches", len(s.watchedVersions))
 	})
 }
 
@@ -219,8 +220,8 @@
 // An entry that cannot be decoded must count as missing.
 func TestUnreadableEntryRemovesTheServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, catalog.Revision, error){
-			func() ([]catalog.ServerChange, catalog.Revision, error) {
+		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, distribution.Version, error){
+			func() ([]catalog.ServerChange, distribution.Version, error) {
 				return []catalog.ServerChange{{ID: "a"}}, 105, nil
 			},
 		}}
--- a/core/catalog/savedservers.go
+++ b/core/catalog/savedservers.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"basilmill/core/distribution"
 	"basilmill/core/group"
 )
 
@@ -16,16 +17,16 @@
 type SavedServerStore interface {
 	// LoadServers returns the saved servers. The list is empty if none was saved.
 	LoadServers(ctx context.Context) (SavedServers, error)
-	// SaveServers replaces the saved servers. It fails if the stored revision
-	// is no longer servers.Revision, because another host has replaced them.
+	// SaveServers replaces the saved servers. It fails if the stored version
+	// is no longer servers.Version, because another host has replaced them.
 	SaveServers(ctx context.Context, servers SavedServers) error
 }
 
-// SavedServers is a list of servers, ordered by id, as of a revision of the
+// SavedServers is a list of servers, ordered by id, as of a version of the
 // store. ClaimsPrimary is not saved: it changes more often than the other fields.
 type SavedServers struct {
-	Servers  []Server
-	Revision Revision
+	Servers []Server
+	Version distribution.Version
 }
 
 const (
@@ -136,7 +137,7 @@
 	if err != nil {
 		return old
 	}
-	wanted := SavedServers{Servers: s.Cache.registeredServers(), Revision: current.Revision}
+	wanted := SavedServers{Servers: s.Cache.registeredServers(), Version: current.Version}
 	if len(wanted.Servers) == 0 || slices.Equal(wanted.Servers, current.Servers) {
 		return current
 	}
--- a/core/catalog/savedservers_test.go
+++ b/core/catalog/savedservers_test.go
@@ -35,11 +35,11 @@
 func (f *fakeSavedServerStore) SaveServers(_ context.Context, servers catalog.SavedServers) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.unavailable || servers.Revision != f.saved.Revision {
+	if f.unavailable || servers.Version != f.saved.Version {
 		return errors.New("conflict")
 	}
 	f.writes++
-	servers.Revision++
+	servers.Version++
 	f.saved = servers
 	return nil
 }
@@ -96,7 +96,7 @@
 // A host that starts while entries have expired must know their servers, and
 // remove those that do not register again.
 func TestSavedServersWithoutEntriesAreRestored(t *testing.T) {
-	store := &fakeSavedServerStore{saved: catalog.SavedServers{Servers: []catalog.Server{server("a", false), server("b", false)}, Revision: 1}}
+	store := &fakeSavedServerStore{saved: catalog.SavedServers{Servers: []catalog.Server{server("a", false), server("b", false)}, Version: 1}}
 	cache := &catalog.Cache{}
 	runHosts(t, store, []*catalog.Cache{cache}, func() {
 		cache.ReplaceServers([]catalog.Server{server("c", false)})
--- a/core/catalog/sync.go
+++ b/core/catalog/sync.go
@@ -13,9 +13,6 @@
 	"basilmill/core/retry"
 )
 
-// Revision is the number of a change of the platform's store.
-type Revision int64
-
 // ErrHistoryGone is returned by a watch from a revision after which the store no
 // longer keeps all changes. The list must be read again.
 var ErrHistoryGone = distribution.ErrHistoryGone
@@ -31,15 +28,15 @@
 
 // Source reads the servers and the configuration from the platform's store.
 type Source interface {
-	ListServers(ctx context.Context) ([]ServerChange, Revision, error)
+	ListServers(ctx context.Context) ([]ServerChange, distribution.Version, error)
 	// WatchServers returns the changes after a revision. It waits up to the
 	// given time for the first one.
-	WatchServers(ctx context.Context, from Revision, wait time.Duration) ([]ServerChange, Revision, error)
+	WatchServers(ctx context.Context, from distribution.Version, wait time.Duration) ([]ServerChange, distribution.Version, error)
 	// ListConfig returns nil if there is no configuration.
-	ListConfig(ctx context.Context) (*Config, Revision, error)
+	ListConfig(ctx context.Context) (*Config, distribution.Version, error)
 	// WatchConfig waits in the same way. It returns nil if there is no newer
 	// configuration.
-	WatchConfig(ctx context.Context, from Revision, wait time.Duration) (*Config, Revision, error)
+	WatchConfig(ctx context.Context, from distribution.Version, wait time.Duration) (*Config, distribution.Version, error)
 }
 
 const (
@@ -95,10 +92,10 @@
 	OnRestore func(servers []group.ServerID)
 	// OnSourceCall, if set, is called with the result of each call to the
 	// source. The part is "servers" or "configuration".
-	OnSourceCall func(part string, at Revision, err error)
+	OnSourceCall func(part string, at distribution.Version, err error)
 	// OnServerChange, if set, is called with each change that a watch reports,
 	// and with each invalid entry of a list.
-	OnServerChange func(change ServerChange, at Revision)
+	OnServerChange func(change ServerChange, at distribution.Version)
 }
 
 // SyncServers keeps the servers up to date until ctx ends.
@@ -109,7 +106,7 @@
 			entries, at, err := s.Source.ListServers(ctx)
 			return listResult{at: at, apply: func() { s.replaceServers(entries, at) }}, err
 		},
-		func(ctx context.Context, from Revision, wait time.Duration) (Revision, error) {
+		func(ctx context.Context, from distribution.Version, wait time.Duration) (distribution.Version, error) {
 			if pause := time.Until(nextWatch); pause > 0 {
 				if !sleep(ctx, pause) {
 					return 0, ctx.Err()
@@ -136,7 +133,7 @@
 }
 
 // replaceServers replaces the servers by the valid entries of a complete list.
-func (s *Syncer) replaceServers(entries []ServerChange, at Revision) {
+func (s *Syncer) replaceServers(entries []ServerChange, at distribution.Version) {
 	var servers []Server
 	for _, e := range entries {
 		if e.Server == nil {
@@ -148,7 +145,7 @@
 	s.Cache.ReplaceServers(servers)
 }
 
-func (s *Syncer) reportChange(c ServerChange, at Revision) {
+func (s *Syncer) reportChange(c ServerChange, at distribution.Version) {
 	if s.OnServerChange != nil {
 		s.OnServerChange(c, at)
 	}
@@ -161,7 +158,7 @@
 			config, at, err := s.Source.ListConfig(ctx)
 			return listResult{at: at, apply: func() { s.setConfig(config) }}, err
 		},
-		func(ctx context.Context, from Revision, wait time.Duration) (Revision, error) {
+		func(ctx context.Context, from distribution.Version, wait time.Duration) (distribution.Version, error) {
 			config, at, err := s.Source.WatchConfig(ctx, from, wait)
 			if err == nil {
 				s.setConfig(config)
@@ -192,13 +189,13 @@
 // listResult is a list as of a revision. The function apply installs it in the
 // cache.
 type listResult struct {
-	at    Revision
+	at    distribution.Version
 	apply func()
 }
 
 type (
 	listFunc  func(ctx context.Context) (listResult, error)
-	watchFunc func(ctx context.Context, from Revision, wait time.Duration) (Revision, error)
+	watchFunc func(ctx context.Context, from distribution.Version, wait time.Duration) (distribution.Version, error)
 )
 
 // setConfig passes a configuration to the cache, if there is one.
@@ -214,7 +211,7 @@
 func (s *Syncer) syncPart(ctx context.Context, part string, ttl time.Duration, fetch listFunc, watch watchFunc) error {
 	backoff := retry.Backoff{MaxBackoff: maxSyncBackoff}
 	timeouts := newWatchTimeouts(ttl)
-	var at Revision
+	var at distribution.Version
 	for ctx.Err() == nil {
 		next, err := syncStep(ctx, at, timeouts.next, fetch, watch)
 		if s.OnSourceCall != nil && ctx.Err() == nil && !errors.Is(err, ErrHistoryGone) {
@@ -240,7 +237,7 @@
 
 // syncStep makes one call to the source: it reads the list if at is zero and
 // otherwise watches from there. It returns the revision to watch from next.
-func syncStep(ctx context.Context, at Revision, wait time.Duration, fetch listFunc, watch watchFunc) (next Revision, err error) {
+func syncStep(ctx context.Context, at distribution.Version, wait time.Duration, fetch listFunc, watch watchFunc) (next distribution.Version, err error) {
 	if at == 0 {
 		list, err := fetchList(ctx, fetch)
 		if err != nil {
--- a/core/distribution/directory.go
+++ b/core/distribution/directory.go
@@ -10,6 +10,11 @@
 // several times the interval at which hosts refresh it.
 const directoryTTL = 30 * time.Second
 
+// lostObjectRetention is how long a Directory keeps the objects that the store lost when
+// it was restored. Until then their owners have read the list, written them again, and
+// the others have read it once more.
+const lostObjectRetention = 30 * time.Second
+
 // Directory is a list of objects that may be some seconds old, such as the registered
 // hosts. Relays list it in the store; the other hosts pull from them what has changed,
 // so that neither its bytes nor the calls of the store grow with the square of the
@@ -23,10 +28,14 @@
 	List func(ctx context.Context, allowStale bool) (Update, error)
 
 	set Set
+	// lost holds the objects of the era before the set's, until lostUntil.
+	lost      []Object
+	lostUntil time.Time
 }
 
 // Refresh returns the objects of the list. Objects that have been seen do not revert to
-// an earlier version.
+// an earlier version, and those that the store lost when it was restored are kept for
+// lostObjectRetention.
 func (d *Directory) Refresh(ctx context.Context) ([]Object, error) {
 	if d.set.Version() != 0 {
 		if u, ok := d.pull(ctx); ok {
@@ -58,10 +67,27 @@
 
 // apply applies an update and returns the objects that exist.
 func (d *Directory) apply(u Update) []Object {
+	if version := d.set.Version(); version != 0 && u.Version.Era() > version.Era() {
+		d.lost, d.lostUntil = d.existing(), time.Now().Add(lostObjectRetention)
+	}
 	if u.After == 0 {
 		d.set.Replace(u)
 	} else {
 		d.set.Merge(u)
 	}
-	return slices.DeleteFunc(d.set.Since(0).Objects, func(o Object) bool { return o.Removed })
+	return d.existing()
+}
+
+// existing returns the objects that exist, and those that the store has lost.
+func (d *Directory) existing() []Object {
+	objects := slices.DeleteFunc(d.set.Since(0).Objects, func(o Object) bool { return o.Removed })
+	if time.Now().After(d.lostUntil) {
+		d.lost = nil
+	}
+	for _, o := range d.lost {
+		if _, known := d.set.objects[o.Key]; !known {
+			objects = append(objects, o)
+		}
+	}
+	return objects
 }
--- a/core/distribution/distribution.go
+++ b/core/distribution/distribution.go
@@ -10,10 +10,6 @@
 	"strings"
 )
 
-// Version is a revision of the platform's store. Each change of an object
-// increases it.
-type Version int64
-
 // Kind is the kind of an object, such as "group" or "account".
 type Kind string
 
@@ -62,8 +58,12 @@
 
 // Merge applies an update and returns the objects that changed. An update that
 // starts after the set's version leaves a gap. Its objects are applied, but the
-// version does not advance, so that the next request includes the gap.
+// version does not advance, so that the next request includes the gap. An update of an
+// earlier era than the set's is ignored: the store has lost these changes.
 func (s *Set) Merge(u Update) (changed []Object) {
+	if u.Version.Era() < s.version.Era() {
+		return nil
+	}
 	if s.objects == nil {
 		s.objects = make(map[Key]Object)
 	}
@@ -93,8 +93,15 @@
 }
 
 // Replace applies a list of all objects that exist as of a version of the store. The
-// others of the set are removed.
+// others of the set are removed. A list of a later era replaces the set: versions of
+// objects that the store has lost say nothing about those that it holds now.
 func (s *Set) Replace(list Update) {
+	switch era := s.version.Era(); {
+	case list.Version.Era() < era:
+		return
+	case list.Version.Era() > era:
+		*s = Set{}
+	}
 	listed := make(map[Key]bool, len(list.Objects))
 	for _, o := range list.Objects {
 		listed[o.Key] = true
--- a/core/distribution/era.go
+++ b/core/distribution/era.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -60,6 +61,31 @@
 	return e.newest, e.seenAt
 }
 
+// IsOver reports whether a later era has been seen.
+func (e *Eras) IsOver(era Era) bool {
+	newest, _ := e.Newest()
+	return era < newest
+}
+
+// During returns a context that also ends when the era is over, and a function that
+// releases it.
+func (e *Eras) During(ctx context.Context, era Era) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	risen := e.Risen()
+	if e.IsOver(era) {
+		cancel()
+		return ctx, cancel
+	}
+	go func() {
+		select {
+		case <-risen:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // Risen returns a channel that is closed at the next rise of the era.
 func (e *Eras) Risen() <-chan struct{} {
 	e.mu.Lock()
--- a/core/distribution/follower.go
+++ b/core/distribution/follower.go
@@ -74,6 +74,8 @@
 	Network RelayNetwork
 	// OnAvoid, if set, is called when a relay is avoided. It must not block.
 	OnAvoid func(relay host.ID, kind Kind, cause error)
+	// Eras, if set, notes the era of the store that the relays' copies state.
+	Eras *Eras
 
 	mu      sync.Mutex
 	avoided map[host.ID]avoidance
@@ -210,6 +212,9 @@
 	delete(f.avoided, relay.ID)
 	f.mu.Unlock()
 	f.noteVersion(kind, u.Version)
+	if f.Eras != nil {
+		f.Eras.Note(u.Version.Era())
+	}
 	return u, true
 }
 
--- a/core/distribution/relay.go
+++ b/core/distribution/relay.go
@@ -44,7 +44,7 @@
 	defer timer.Stop()
 	for {
 		u, changed, current := r.since(kind, after)
-		if !current || len(u.Objects) > 0 || after == 0 {
+		if !current || len(u.Objects) > 0 || u.After != after || after == 0 {
 			return u, current
 		}
 		select {
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -87,7 +87,7 @@
 		return Record{}, err
 	case current.UpdateID == next.UpdateID:
 		return current, nil
-	case current.Revision != next.Revision:
+	case current.Version != next.Version:
 		return Record{}, ErrConflict
 	default:
 		return Record{}, cause
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -28,6 +28,7 @@
 	"github.com/rotisserie/eris"
 
 	"basilmill/core/catalog"
+	"basilmill/core/distribution"
 	"basilmill/core/exchange"
 	"basilmill/core/group"
 	"basilmill/core/host"
@@ -52,9 +53,9 @@
 	// PromotionPending is set while a promotion may be pending: the order for
 	// it was sent or is about to be, and no answer is recorded.
 	PromotionPending bool
-	// Revision is the store's revision of the record; zero if the record does
-	// not exist.
-	Revision int64
+	// Version is the store's version of the record; zero if the record does not
+	// exist.
+	Version distribution.Version
 }
 
 // ServerClient sends commands to backend servers.
@@ -79,7 +80,7 @@
 	// LoadStale returns the record as of some seconds ago at most. It costs a
 	// fraction of Load.
 	LoadStale(ctx context.Context, id group.ID) (Record, error)
-	// Store replaces the record if its revision is still r.Revision. Otherwise
+	// Store replaces the record if its version is still r.Version. Otherwise
 	// it returns ErrConflict.
 	Store(ctx context.Context, id group.ID, r Record) (Record, error)
 }
@@ -267,9 +268,9 @@
 }
 
 // NoteRecord notes a record that the host has read. The lease of its holder
-// counts from the first call with that revision.
+// counts from the first call with that version.
 func (r *Runner) NoteRecord(record Record) {
-	if record.Revision > r.lastRecord.Revision {
+	if record.Version > r.lastRecord.Version {
 		r.lastRecord, r.lastRecordAt = record, time.Now()
 	}
 }
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -65,19 +65,19 @@
 }
 
 func (f *fakeCluster) Store(ctx context.Context, _ group.ID, r takeover.Record) (takeover.Record, error) {
-	if r.Revision != f.record.Revision {
+	if r.Version != f.record.Version {
 		return takeover.Record{}, takeover.ErrConflict
 	}
 	if f.unansweredUpdates > 0 {
 		f.unansweredUpdates--
 		if f.unansweredUpdatesApplied {
-			r.Revision++
+			r.Version++
 			f.record = r
 		}
 		<-ctx.Done()
 		return takeover.Record{}, ctx.Err()
 	}
-	r.Revision++
+	r.Version++
 	f.record = r
 	if f.loseStoreAnswers {
 		return takeover.Record{}, errors.New("no answer")
@@ -181,7 +181,7 @@
 func TestReplicaBelowBasePositionIsNotPromoted(t *testing.T) {
 	for _, cause := range []takeover.Cause{takeover.PrimaryGone, takeover.PrimaryUnresponsive, takeover.CommitsStalled} {
 		f := newFakeCluster()
-		f.record = takeover.Record{Epoch: 4, Holder: "h1", BasePosition: group.Position{Term: 1, Offset: 10}, Revision: 4}
+		f.record = takeover.Record{Epoch: 4, Holder: "h1", BasePosition: group.Position{Term: 1, Offset: 10}, Version: 4}
 		_, err := runAttempt(t, f, cause, nil)
 		assert.Assert(t, errors.Is(err, takeover.ErrLogIncomplete), "%v: %v", cause, err)
 		assert.Equal(t, len(f.orderedEpochs), 0)
@@ -220,7 +220,7 @@
 // a host must wait until the lease of the other one has ended.
 func TestAttemptFailsUntilLeaseExpires(t *testing.T) {
 	f := newFakeCluster()
-	f.record = takeover.Record{Epoch: 4, Holder: "h2", Revision: 4}
+	f.record = takeover.Record{Epoch: 4, Holder: "h2", Version: 4}
 	_, err := runAttempt(t, f, takeover.PrimaryGone, nil)
 	assert.Assert(t, errors.Is(err, takeover.ErrLeaseHeld))
 	_, err = runAttempt(t, f, takeover.PrimaryGone, func(r *takeover.Runner) {
@@ -235,7 +235,7 @@
 // early need not wait when it attempts a change later.
 func TestLeaseCountsFromFirstRead(t *testing.T) {
 	f := newFakeCluster()
-	f.record = takeover.Record{Epoch: 4, Holder: "h2", Revision: 4}
+	f.record = takeover.Record{Epoch: 4, Holder: "h2", Version: 4}
 	_, err := runAttempt(t, f, takeover.PrimaryGone, func(r *takeover.Runner) {
 		assert.NilError(t, r.ReadRecord(context.Background(), "g"))
 		time.Sleep(takeover.LeaseTTL)
@@ -311,7 +311,7 @@
 // recorded as pending.
 func TestPendingPromotionOfEarlierAttemptKeepsServersSuspended(t *testing.T) {
 	f := newFakeCluster()
-	f.record = takeover.Record{Epoch: 4, Holder: "h1", PromotionPending: true, Revision: 4}
+	f.record = takeover.Record{Epoch: 4, Holder: "h1", PromotionPending: true, Version: 4}
 	f.refusedPromotions = 1
 	_, err := runAttempt(t, f, takeover.PrimaryGone, nil)
 	assert.Assert(t, errors.Is(err, takeover.ErrSuspensionsRemain))
--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"basilmill/core/catalog"
+	"basilmill/core/distribution"
 	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/takeover"
@@ -75,8 +76,8 @@
 	refusedConnections int
 
 	record takeover.Record
-	// storeRevision is the revision of the last change of the store.
-	storeRevision     int64
+	// storeVersion is the version of the last change of the store.
+	storeVersion      distribution.Version
 	storeUnavailable  bool
 	storeLosesAnswers bool
 }
@@ -269,15 +270,15 @@
 
 // StoreCopy is the state of the platform's store at one moment.
 type StoreCopy struct {
-	record   takeover.Record
-	revision int64
+	record  takeover.Record
+	version distribution.Version
 }
 
 // CopyStore returns a copy of the store for RestoreStore.
 func (c *Cluster) CopyStore() StoreCopy {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return StoreCopy{c.record, c.storeRevision}
+	return StoreCopy{c.record, c.storeVersion}
 }
 
 // RestoreStore replaces the store by an earlier copy of it. Changes made since are lost,
@@ -286,7 +287,7 @@
 func (c *Cluster) RestoreStore(from StoreCopy) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.record, c.storeRevision = from.record, from.revision
+	c.record, c.storeVersion = from.record, from.version
 }
 
 // errNoAnswer is the error of a call to the platform that got no answer.
@@ -394,11 +395,11 @@
 	if c.storeUnavailable {
 		return takeover.Record{}, errNoAnswer
 	}
-	if r.Revision != c.record.Revision {
+	if r.Version != c.record.Version {
 		return takeover.Record{}, takeover.ErrConflict
 	}
-	c.storeRevision++
-	r.Revision = c.storeRevision
+	c.storeVersion++
+	r.Version = c.storeVersion
 	c.record = r
 	if c.storeLosesAnswers {
 		return takeover.Record{}, errNoAnswer
