takeover, lead: records of changes of primary survive a restored store

What callers saw: with the record of a group the store also loses epochs, leases, base positions and pending promotions.

Change: an epoch has the era of the store in its high bits. Until a claim of the present era is recorded, a lease of a lost claim may run, for LeaseTTL from when a host first saw the era, and for 30 s after a rise a lost promotion may be pending, so that the replicas of a given-up attempt stay suspended. Each host keeps the highest base position and the newest update of the record that it knows (Updates counts them), completes what it claims with it, and writes it again after a restoration: the responsible hosts read the record within a second of seeing the era.

Weighed: the servers' terms, which no copy can take back, but which do not rise with an attempt that is given up and need every server's answer; the platform's 409, which costs an attempt for each lost epoch and does not exist where fences are not checked; a new object for each era, so that no update can match a revision of another one, which costs a list for each first read. Era in the high bits misses only a claim by a host that has not seen the era, and a claim is itself a call of the store.

Remains: all hosts that know a record restart between the change and the restoration; a delayed conditional update that is carried out in the next era and finds its revision given out again for the same object.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -89,7 +89,7 @@
 	if h.platform.Eras == nil {
 		h.platform.Eras = new(distribution.Eras)
 	}
-	h.platform.Eras.OnRise = h.logRestored
+	h.platform.Eras.OnRise = h.handleRestored
 	h.peers = newPeers(h)
 	h.relays = newRelays(h)
 	h.peers.directory = distribution.Directory{Kind: kindHosts, Follower: &h.relays.follower, List: p.Hosts.ListHosts}
@@ -119,8 +119,10 @@
 	return era
 }
 
-// logRestored logs that the store was restored, with what this host believed before.
-func (h *Host) logRestored(before, now distribution.Era) {
+// handleRestored logs that the store was restored, with what this host believed before,
+// and has the records checked that it may have lost.
+func (h *Host) handleRestored(before, now distribution.Era) {
+	h.groups.reportRestored()
 	h.log.Write(context.Background(), logevent.StoreRestored, slog.Int64("era_before", int64(before)), slog.Int64("era", int64(now)),
 		slog.Int64("configuration", int64(h.cache.View().ConfigVersion())), slog.Int("servers", len(h.cache.View().Servers)))
 }
--- a/cmd/entry/groups.go
+++ b/cmd/entry/groups.go
@@ -42,6 +42,13 @@
 	return maps.Clone(g.monitors)
 }
 
+// reportRestored tells all monitors that the store was restored.
+func (g *groups) reportRestored() {
+	for _, m := range g.all() {
+		m.ReportStoreRestored()
+	}
+}
+
 // run starts a monitor for each group that the configuration names.
 func (g *groups) run(ctx context.Context) error {
 	var wait sync.WaitGroup
@@ -79,7 +86,7 @@
 func (g *groups) newMonitor(id group.ID) *lead.Monitor {
 	h := g.host
 	runner := &takeover.Runner{
-		Self: h.settings.HostID, Client: h.gateways, Records: h.platform.RecordStore, ServerLister: catalog.ServerLister{Source: h.platform.Source}, Promotions: h.platform.PromotionService,
+		Self: h.settings.HostID, Client: h.gateways, Records: h.platform.RecordStore, ServerLister: catalog.ServerLister{Source: h.platform.Source}, Promotions: h.platform.PromotionService, Eras: h.platform.Eras,
 		NewUpdateID: rand.Text, Observe: g.observeStep,
 	}
 	return lead.New(lead.Config{
--- a/core/distribution/era.go
+++ b/core/distribution/era.go
@@ -21,6 +21,7 @@
 	mu     sync.Mutex
 	newest Era
 	seenAt time.Time
+	roseAt time.Time
 	risen  chan struct{}
 }
 
@@ -46,6 +47,7 @@
 	if first {
 		return before, false
 	}
+	e.roseAt = e.seenAt
 	if e.risen != nil {
 		close(e.risen)
 		e.risen = nil
@@ -61,6 +63,13 @@
 	return e.newest, e.seenAt
 }
 
+// RoseAt returns when this host last saw the era rise; the zero time if it has not.
+func (e *Eras) RoseAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.roseAt
+}
+
 // IsOver reports whether a later era has been seen.
 func (e *Eras) IsOver(era Era) bool {
 	newest, _ := e.Newest()
--- a/core/lead/event.go
+++ b/core/lead/event.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"basilmill/core/catalog"
@@ -32,6 +33,15 @@
 
 func (wakeEvent) apply(*Monitor) {}
 
+// storeRestoredEvent says that the platform's store was restored from a copy.
+type storeRestoredEvent struct{}
+
+// apply makes a responsible host read the record soon, so that a lost one is written
+// again before the next change. The random delay lets one host do so for the others.
+func (storeRestoredEvent) apply(m *Monitor) {
+	m.recordReadAt = m.config.Clock() + rand.N(recordReadDelay)
+}
+
 // notPrimaryEvent says that a server refused a write or a transaction because it
 // is not the primary.
 type notPrimaryEvent struct{ server group.ServerID }
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -300,6 +300,10 @@
 	m.send(wakeEvent{})
 }
 
+// ReportStoreRestored reports that the platform's store was restored from a copy, which
+// may lack the record of the last change.
+func (m *Monitor) ReportStoreRestored() { m.send(storeRestoredEvent{}) }
+
 // send queues an event unless the queue is full. It never blocks: a dropped
 // report costs one probe interval.
 func (m *Monitor) send(e event) {
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -15,14 +14,14 @@
 // highest position that the next primary can have, has not reached the end of the
 // log that the last primary started from, or the commits of departed servers.
 func (a *attempt) claim(ctx context.Context, highestPosition group.Position) error {
-	current, err := a.loadRecord(ctx)
+	stored, err := a.loadRecord(ctx, a.Group, a.Records.Load)
 	if err != nil {
 		return err
 	}
-	a.NoteRecord(current)
-	if current.Holder != "" && current.Holder != a.Self && time.Since(a.lastRecordAt) < LeaseTTL {
+	if a.mayBeHeld(stored) {
 		return ErrLeaseHeld
 	}
+	current := a.complete(stored)
 	if highestPosition.Compare(current.BasePosition) < 0 {
 		return eris.Wrapf(ErrLogIncomplete, "highest position %v is below the base position %v", highestPosition, current.BasePosition)
 	}
@@ -30,12 +29,12 @@
 		return err
 	}
 	next := current
-	next.Epoch++
+	next.Epoch = current.Epoch.next(a.era())
 	next.Holder = a.Self
 	if err := a.updateRecord(ctx, next); err != nil {
 		return err
 	}
-	a.promotionPending = current.PromotionPending
+	a.promotionPending = current.PromotionPending || a.mayHaveLostPromotion(current)
 	a.reportStep(Step{Name: "claimed", Epoch: a.record.Epoch})
 	return nil
 }
@@ -58,9 +57,10 @@
 // record shows the outcome.
 func (a *attempt) updateRecord(ctx context.Context, next Record) (err error) {
 	next.UpdateID = a.NewUpdateID()
+	next.Updates++
 	for range maxUpdateTries {
 		var stored Record
-		stored, err = a.storeRecord(ctx, next)
+		stored, err = a.storeRecord(ctx, a.Group, next)
 		if err != nil {
 			stored, err = a.resolveUpdate(ctx, next, err)
 		}
@@ -81,7 +81,7 @@
 // host changed the record, and with cause, the error of the update, if the
 // record is unchanged.
 func (a *attempt) resolveUpdate(ctx context.Context, next Record, cause error) (Record, error) {
-	current, err := a.loadRecord(ctx)
+	current, err := a.loadRecord(ctx, a.Group, a.Records.Load)
 	switch {
 	case err != nil:
 		return Record{}, err
@@ -94,16 +94,10 @@
 	}
 }
 
-func (a *attempt) loadRecord(ctx context.Context) (Record, error) {
+func (r *Runner) storeRecord(ctx context.Context, id group.ID, next Record) (Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	return a.Records.Load(ctx, a.Group)
-}
-
-func (a *attempt) storeRecord(ctx context.Context, next Record) (Record, error) {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	return a.Records.Store(ctx, a.Group, next)
+	return r.Records.Store(ctx, id, next)
 }
 
 // recordBasePosition records the end of the log of the server whose promotion is
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -34,10 +34,6 @@
 	"basilmill/core/host"
 )
 
-// Epoch is the number of an attempt to change the primary of a group. It rises
-// with each attempt and serves the platform as a fencing token.
-type Epoch int64
-
 // Record describes the last attempt to change the primary of a group. It is kept
 // in the platform's store. Holder is the host that made the attempt.
 type Record struct {
@@ -53,6 +49,9 @@
 	// PromotionPending is set while a promotion may be pending: the order for
 	// it was sent or is about to be, and no answer is recorded.
 	PromotionPending bool
+	// Updates counts the updates of the record, so that a host can tell whether the
+	// store has lost some of them.
+	Updates int64
 	// Version is the store's version of the record; zero if the record does not
 	// exist.
 	Version distribution.Version
@@ -209,6 +208,8 @@
 	Promotions   PromotionService
 	// NewUpdateID returns a new unique Record.UpdateID.
 	NewUpdateID func() string
+	// Eras, if set, tracks the era of the store that holds the records.
+	Eras *distribution.Eras
 	// Observe, if set, is called with each step.
 	Observe func(group.ID, Step)
 
@@ -216,6 +217,8 @@
 	// when it first saw it. Only one attempt at a time uses them.
 	lastRecord   Record
 	lastRecordAt time.Time
+	// known is what this host knows of the record, also if the store has lost it.
+	known Record
 }
 
 // attempt is the state of one attempt in progress.
@@ -255,16 +258,33 @@
 }
 
 // ReadRecord reads the group's record, so that the lease of its holder counts
-// from now at the latest, unless the store returns an older record. It must not run at the same time as an attempt.
+// from now at the latest, unless the store returns an older record. If the store has
+// lost updates of the record that this host knows, it writes the record again. It must
+// not run at the same time as an attempt.
 func (r *Runner) ReadRecord(ctx context.Context, id group.ID) (err error) {
+	defer func() { err = eris.Wrapf(err, "read the record of %s", id) }()
+	record, err := r.loadRecord(ctx, id, r.Records.LoadStale)
+	if err != nil || !r.hasLost(record) {
+		return err
+	}
+	// The record may also be an old one.
+	record, err = r.loadRecord(ctx, id, r.Records.Load)
+	if err != nil || !r.hasLost(record) {
+		return err
+	}
+	return r.writeAgain(ctx, id, record)
+}
+
+// loadRecord loads and notes the record of a group.
+func (r *Runner) loadRecord(ctx context.Context, id group.ID, load func(context.Context, group.ID) (Record, error)) (Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	record, err := r.Records.LoadStale(ctx, id)
+	record, err := load(ctx, id)
 	if err != nil {
-		return eris.Wrapf(err, "read the record of %s", id)
+		return Record{}, err
 	}
 	r.NoteRecord(record)
-	return nil
+	return record, nil
 }
 
 // NoteRecord notes a record that the host has read. The lease of its holder
@@ -273,6 +293,7 @@
 	if record.Version > r.lastRecord.Version {
 		r.lastRecord, r.lastRecordAt = record, time.Now()
 	}
+	r.known = newer(r.known, record)
 }
 
 // otherMembers returns the members except the primary.
--- a/e2e/replicated/history_test.go
+++ b/e2e/replicated/history_test.go
@@ -28,7 +28,7 @@
 	duration time.Duration
 }
 
-var faultKinds = []string{"crash", "unreachable", "replication stopped", "isolated from servers", "apply delay", "leaving", "late orders", "store down", "store loses answers", "kill host", "busy", "lost answers"}
+var faultKinds = []string{"crash", "unreachable", "replication stopped", "isolated from servers", "apply delay", "leaving", "late orders", "store down", "store loses answers", "kill host", "busy", "lost answers", "store restored"}
 
 // drawFaults draws one to six faults that start within ten seconds.
 func drawFaults(t *rapid.T) []fault {
@@ -118,6 +118,10 @@
 		h.cluster.SetStoreFaults(false, true)
 		time.Sleep(f.duration)
 		h.cluster.SetStoreFaults(false, false)
+	case "store restored":
+		from := h.cluster.CopyStore()
+		time.Sleep(f.duration)
+		h.cluster.RestoreStore(from)
 	case "busy":
 		s.SetBusy(true)
 		time.Sleep(f.duration)
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -11,6 +12,7 @@
 	"time"
 
 	"basilmill/core/catalog"
+	"basilmill/core/distribution"
 	"basilmill/core/exchange"
 	"basilmill/core/gateway"
 	"basilmill/core/group"
@@ -110,13 +112,14 @@
 	if options.wrapClient != nil {
 		client = options.wrapClient(client)
 	}
-	var records takeover.RecordStore = cluster
+	eras := &distribution.Eras{}
+	var records takeover.RecordStore = eraRecords{cluster, eras}
 	if options.wrapRecords != nil {
 		records = options.wrapRecords(records)
 	}
 	updates := 0
 	runner := &takeover.Runner{
-		Self: id, Client: client, Records: records, ServerLister: cluster, Promotions: cluster,
+		Self: id, Client: client, Records: records, ServerLister: cluster, Promotions: cluster, Eras: eras,
 		NewUpdateID: func() string { updates++; return fmt.Sprint(id, "-", updates) },
 	}
 	h.monitor = lead.New(lead.Config{
@@ -126,13 +129,43 @@
 		Cache: h.cache, Monitor: func(group.ID) *lead.Monitor { return h.monitor }, Sources: h.sources,
 		DataCentre: dataCentre, Clock: clock, Log: log, Observe: options.onResult,
 	})
+	eras.OnRise = func(_, _ distribution.Era) { h.monitor.ReportStoreRestored() }
+	eras.Note(cluster.Era())
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	go func() { _ = h.monitor.Run(ctx) }()
-	go h.syncServers(ctx)
+	go h.syncServers(ctx, eras)
 	return h
 }
 
+// eraRecords notes the era of the store as its answers state it.
+type eraRecords struct {
+	cluster *replicated.Cluster
+	eras    *distribution.Eras
+}
+
+func (r eraRecords) Load(ctx context.Context, id group.ID) (takeover.Record, error) {
+	record, err := r.cluster.Load(ctx, id)
+	r.note(err)
+	return record, err
+}
+
+func (r eraRecords) LoadStale(ctx context.Context, id group.ID) (takeover.Record, error) {
+	return r.Load(ctx, id)
+}
+
+func (r eraRecords) Store(ctx context.Context, id group.ID, record takeover.Record) (takeover.Record, error) {
+	stored, err := r.cluster.Store(ctx, id, record)
+	r.note(err)
+	return stored, err
+}
+
+func (r eraRecords) note(err error) {
+	if err == nil || errors.Is(err, takeover.ErrConflict) {
+		r.eras.Note(r.cluster.Era())
+	}
+}
+
 // isGateway reports whether the host uses its own connections to a server.
 func (h *entryHost) isGateway(server catalog.Server) bool {
 	return h.gateways.Network == nil || h.gateways.IsGateway(server)
@@ -158,7 +191,7 @@
 
 // syncServers keeps the host's list of servers up to date and closes connections
 // that are no longer needed, as a running host does.
-func (h *entryHost) syncServers(ctx context.Context) {
+func (h *entryHost) syncServers(ctx context.Context, eras *distribution.Eras) {
 	ticker := time.NewTicker(50 * time.Millisecond)
 	defer ticker.Stop()
 	for {
@@ -168,6 +201,7 @@
 			h.registry.CloseAll()
 			return
 		case <-ticker.C:
+			eras.Note(h.cluster.Era())
 			h.cache.ReplaceServers(h.filterServers(h.cluster.ServerEntries()))
 			h.cache.Expire()
 			h.registry.Prune(h.isGateway)
--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -281,13 +281,33 @@
 	return StoreCopy{c.record, c.storeVersion}
 }
 
-// RestoreStore replaces the store by an earlier copy of it. Changes made since are lost,
-// and their revisions are given out again. Entries of servers are not lost, because the
-// servers write them again.
+// RestoreStore replaces the store by an earlier copy of it and starts a new era. Changes
+// made since are lost, and their revisions are given out again. Entries of servers are
+// not lost, because the servers write them again.
 func (c *Cluster) RestoreStore(from StoreCopy) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.record, c.storeVersion = from.record, from.version
+	era := c.storeVersion.Era() + 1
+	c.record, c.storeVersion = from.record, inEra(from.version, era)
+	if c.record.Version != 0 {
+		c.record.Version = inEra(c.record.Version, era)
+	}
+}
+
+// inEra returns the version of the same revision in another era.
+func inEra(v distribution.Version, era distribution.Era) distribution.Version {
+	version, err := distribution.NewVersion(era, v.Revision())
+	if err != nil {
+		panic(err)
+	}
+	return version
+}
+
+// Era returns the era of the store.
+func (c *Cluster) Era() distribution.Era {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.storeVersion.Era()
 }
 
 // errNoAnswer is the error of a call to the platform that got no answer.
