catalog: entries of servers do not go back with a restored store

What callers saw in TestServerThatLeftIsNotUsedAgainAfterARestoration: new work for a server that had announced that it leaves, or that was gone, because the copy holds its entry from before (DRAIN).

Cause: the class of once more: the view took the last entry that the store returned for the newest report of the server.

Change: the view remembers the server's own numbers, its boot and the sequence of its reports, which no copy takes back. In a later era an entry with a lower number is ignored. Within an era the order of the store decides as before.

Ruled out: keeping Leaving for each boot in any case, which says nothing about servers that are gone.

--- a/core/catalog/cache.go
+++ b/core/catalog/cache.go
@@ -29,6 +29,11 @@
 	// missingUntil holds the end of the grace period of each server whose
 	// entry is missing.
 	missingUntil map[group.ServerID]time.Time
+	// numbers holds the numbers of the entries in the view, and removals those of
+	// servers that were removed.
+	numbers  map[group.ServerID]entryNumber
+	removals map[group.ServerID]removal
+	returned map[group.ServerID]returnedEntry
 }
 
 // View returns the current view.
@@ -65,10 +70,35 @@
 
 // PutServer adds a server or replaces its entry. It reports whether the view
 // changed.
-func (c *Cache) PutServer(s Server) (changed bool) {
+func (c *Cache) PutServer(s Server) (changed bool) { return c.PutEntry(Entry{Server: s}) }
+
+// PutEntry adds a server or replaces its entry. An entry that the store has again only
+// because it was restored from a copy is ignored if the server has reported since, and
+// waits for returnedEntryGracePeriod if the server had been removed. It reports whether
+// the view changed.
+func (c *Cache) PutEntry(e Entry) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	switch {
+	case c.isOutdated(e):
+		return false
+	case c.isReturned(e):
+		c.holdBack(e)
+		return false
+	default:
+		return c.putEntry(e)
+	}
+}
+
+// putEntry adds a server or replaces its entry. The caller holds the lock.
+func (c *Cache) putEntry(e Entry) (changed bool) {
+	s := e.Server
 	delete(c.missingUntil, s.ID)
+	delete(c.returned, s.ID)
+	if c.numbers == nil {
+		c.numbers = map[group.ServerID]entryNumber{}
+	}
+	c.numbers[s.ID] = e.number()
 	next := c.View().clone()
 	if next.Servers == nil {
 		next.Servers = map[group.ServerID]Server{}
@@ -86,6 +116,7 @@
 func (c *Cache) MarkMissing(id group.ServerID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	delete(c.returned, id)
 	s, ok := c.View().Servers[id]
 	if !ok {
 		return
@@ -100,24 +131,49 @@
 // ReplaceServers replaces all servers by a complete list. Servers that it lacks
 // are marked missing.
 func (c *Cache) ReplaceServers(servers []Server) {
+	entries := make([]Entry, len(servers))
+	for i, s := range servers {
+		entries[i].Server = s
+	}
+	c.ReplaceEntries(entries)
+}
+
+// ReplaceEntries replaces all servers by a complete list. Servers that it lacks are
+// marked missing.
+func (c *Cache) ReplaceEntries(entries []Entry) {
 	present := map[group.ServerID]bool{}
-	for _, s := range servers {
-		present[s.ID] = true
-		c.PutServer(s)
+	for _, e := range entries {
+		present[e.ID] = true
+		c.PutEntry(e)
 	}
-	for id := range c.View().Servers {
+	for _, id := range c.listedIDs() {
 		if !present[id] {
 			c.MarkMissing(id)
 		}
 	}
 }
 
+// listedIDs returns the ids of all servers in the view and of those that wait.
+func (c *Cache) listedIDs() (ids []group.ServerID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.View().Servers {
+		ids = append(ids, id)
+	}
+	for id := range c.returned {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
 // Expire removes the servers whose entries have been missing for longer than
-// MissingEntryGracePeriod and returns their ids.
+// MissingEntryGracePeriod and returns their ids. It adds those whose returned entries
+// have waited long enough.
 func (c *Cache) Expire() (removed []group.ServerID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
+	c.admitReturned(now)
 	for id, deadline := range c.missingUntil {
 		if !now.Before(deadline) {
 			c.removeServer(id)
@@ -147,6 +203,7 @@
 // caller holds the lock.
 func (c *Cache) removeServer(id group.ServerID) {
 	delete(c.missingUntil, id)
+	c.noteRemoval(id)
 	next := c.View().clone()
 	delete(next.Servers, id)
 	c.publish(next)
--- a/core/catalog/sync.go
+++ b/core/catalog/sync.go
@@ -22,6 +22,8 @@
 type ServerChange struct {
 	ID     group.ServerID
 	Server *Server
+	// Sequence is that of the Entry.
+	Sequence int64
 	// Err says why an entry is invalid. It is nil for a removed entry.
 	Err error
 }
@@ -124,7 +126,7 @@
 				if c.Server == nil {
 					s.Cache.MarkMissing(c.ID)
 				} else {
-					s.Cache.PutServer(*c.Server)
+					s.Cache.PutEntry(c.entry(at.Era()))
 				}
 				s.reportChange(c, at)
 			}
@@ -134,15 +136,21 @@
 
 // replaceServers replaces the servers by the valid entries of a complete list.
 func (s *Syncer) replaceServers(entries []ServerChange, at distribution.Version) {
-	var servers []Server
+	var valid []Entry
 	for _, e := range entries {
 		if e.Server == nil {
 			s.reportChange(e, at)
 			continue
 		}
-		servers = append(servers, *e.Server)
+		valid = append(valid, e.entry(at.Era()))
 	}
-	s.Cache.ReplaceServers(servers)
+	s.Cache.ReplaceEntries(valid)
+}
+
+// entry returns the entry that a change of the era has put. The change must not be a
+// removal.
+func (c ServerChange) entry(era distribution.Era) Entry {
+	return Entry{Server: *c.Server, Era: era, Sequence: c.Sequence}
 }
 
 func (s *Syncer) reportChange(c ServerChange, at distribution.Version) {
