--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -173,7 +173,7 @@
 	syncer := &catalog.Syncer{
 		Cache: h.cache, Source: h.relays.source(), SavedServerStore: h.platform.SavedServerStore, IsSaver: h.relays.follower.IsRelay,
 		OnSourceCall: reporter.observeSourceCall, OnServerChange: reporter.logChange, OnRestore: reporter.logRestored,
-		ConfigTTL: h.settings.ConfigTTL(), ServersTTL: h.settings.ServersTTL(),
+		Eras: h.platform.Eras, ConfigTTL: h.settings.ConfigTTL(), ServersTTL: h.settings.ServersTTL(),
 	}
 	add := func(f func(context.Context) error) {
 		g.Add(func() error { return f(ctx) }, func(error) { stop() })
--- a/core/catalog/sync.go
+++ b/core/catalog/sync.go
@@ -89,6 +89,8 @@
 	// IsSaver, if set, reports whether this host keeps the saved servers up to
 	// date. One host of a fleet suffices.
 	IsSaver func() bool
+	// Eras, if set, tracks the era of the store that holds the saved servers.
+	Eras *distribution.Eras
 	// OnRestore, if set, is called with the servers that were added to the
 	// view from the SavedServerStore, because they had no entry.
 	OnRestore func(servers []group.ServerID)
--- a/e2e/restored/fleet_test.go
+++ b/e2e/restored/fleet_test.go
@@ -94,7 +94,7 @@
 	for _, n := range f.nodes {
 		syncer := &catalog.Syncer{
 			Cache: &n.cache, Source: platform.Catalog{Objects: &n.follower}, ConfigTTL: calmTime, ServersTTL: 7 * time.Second,
-			SavedServerStore: n.client, IsSaver: n.follower.IsRelay,
+			Eras: &n.client.Eras, SavedServerStore: n.client, IsSaver: n.follower.IsRelay,
 		}
 		f.wait.Go(func() { _ = syncer.SyncServers(ctx) })
 		f.wait.Go(func() { _ = syncer.SyncConfig(ctx) })
