membership: hosts register again when the platform has lost their entry

Cause: a host wrote its entry once, at its start. After a restoration from an older copy the list of hosts stays without it: it is no relay and no gateway for the others, and hosts that start do not know it.

It does not depend on how the entry got lost. Directory.Has tells what the store lists from what is kept meanwhile. TestHostsStayListedAndRegisterAgain replaces TestHostsStayListedWhileThey RegisterAgain, in which the test wrote the entries: the hosts must do so now, and stay listed for 100 s.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -182,7 +182,7 @@
 	add(syncer.SyncConfig)
 	add(syncer.SyncSavedServers)
 	add(h.groups.run)
-	add(h.peers.register)
+	add(h.peers.registration.Run)
 	add(func(ctx context.Context) error { return h.pruneLoop(ctx) })
 	add(func(ctx context.Context) error { return h.reload(ctx, reload) })
 }
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -13,7 +13,7 @@
 	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/lead"
-	"basilmill/core/retry"
+	"basilmill/core/membership"
 	"basilmill/io/peer"
 )
 
@@ -33,8 +33,6 @@
 	firstHostListInterval = 300 * time.Millisecond
 	// hostListReadTimeout bounds a read of the list: two pulls and a call of the store.
 	hostListReadTimeout = 2 * time.Second
-	// storeTimeout bounds a call of the store.
-	storeTimeout = time.Second
 )
 
 // Hosts is the platform's registry of entry hosts.
@@ -54,7 +52,8 @@
 	host   *Host
 	client peer.ProvenPositionClient
 	// directory is the list of hosts in the store. Only refresh uses it.
-	directory distribution.Directory
+	directory    distribution.Directory
+	registration membership.Registration
 
 	// listed is closed when the first list has been read.
 	listed chan struct{}
@@ -70,27 +69,10 @@
 }
 
 func newPeers(h *Host) *peers {
-	return &peers{host: h, client: peer.ProvenPositionClient{HTTP: &http.Client{}}, listed: make(chan struct{})}
-}
-
-// register retries the registration of this host until it succeeds.
-func (p *peers) register(ctx context.Context) error {
-	info := p.host.info()
-	var backoff retry.Backoff
-	for ctx.Err() == nil && !p.tryRegister(ctx, info) {
-		// The error is that of ctx, which the loop condition checks.
-		_ = backoff.Wait(ctx)
-	}
-	<-ctx.Done()
-	return nil
-}
-
-// tryRegister makes one attempt to register and reports whether it succeeded.
-// Errors are not logged, because syncReporter logs that the store is unavailable.
-func (p *peers) tryRegister(ctx context.Context, info host.Info) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	return p.host.platform.Hosts.RegisterHost(ctx, info) == nil
+	p := &peers{host: h, client: peer.ProvenPositionClient{HTTP: &http.Client{}}, listed: make(chan struct{})}
+	// Errors are not logged, because syncReporter logs that the store is unavailable.
+	p.registration.Register = func(ctx context.Context) error { return h.platform.Hosts.RegisterHost(ctx, h.info()) }
+	return p
 }
 
 // Positions implements lead.Peers.
@@ -232,6 +214,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), hostListReadTimeout)
 	defer cancel()
 	entries, err := p.directory.Refresh(ctx)
+	if err == nil {
+		p.registration.NoteListed(p.directory.Has(string(p.host.settings.HostID)))
+	}
 	for _, entry := range entries {
 		if info, ok := p.host.platform.Hosts.DecodeHost(entry); ok {
 			hosts = append(hosts, info)
--- a/core/distribution/directory.go
+++ b/core/distribution/directory.go
@@ -50,6 +50,13 @@
 	return d.apply(u), nil
 }
 
+// Has reports whether the last list of the store has an object, which excludes those that
+// the store has lost.
+func (d *Directory) Has(name string) bool {
+	o, ok := d.set.objects[Key{Kind: d.Kind, Name: name}]
+	return ok && !o.Removed
+}
+
 // pull requests what has changed from the relays. It returns false if this host is a
 // relay, or if none has a copy that is as new as the set.
 func (d *Directory) pull(ctx context.Context) (Update, bool) {
--- a/e2e/restored/fleet_test.go
+++ b/e2e/restored/fleet_test.go
@@ -12,6 +12,7 @@
 	"basilmill/core/catalog"
 	"basilmill/core/distribution"
 	"basilmill/core/host"
+	"basilmill/core/membership"
 	"basilmill/core/placement"
 	"basilmill/platform"
 	"basilmill/standin/objectstore"
@@ -37,6 +38,8 @@
 	nodes map[host.ID]*node
 	wait  sync.WaitGroup
 	stop  context.CancelFunc
+	// empty is a copy of the store from before the hosts started.
+	empty objectstore.Copy
 }
 
 // node is the part of an entry host that follows the store.
@@ -47,6 +50,8 @@
 	relay     distribution.Relay
 	follower  distribution.Follower
 	directory distribution.Directory
+	// registration keeps the host in the list of hosts.
+	registration membership.Registration
 
 	mu sync.Mutex
 	// listed are the hosts of the last list.
@@ -82,6 +87,7 @@
 		n.relay.Clock = func() time.Duration { return time.Hour + time.Since(started) }
 		n.follower = distribution.Follower{Self: info.ID, Store: n.client, Relay: &n.relay, Network: n}
 		n.directory = distribution.Directory{Kind: "hosts", Follower: &n.follower, List: n.client.ListHosts}
+		n.registration.Register = func(ctx context.Context) error { return n.client.RegisterHost(ctx, info) }
 		f.nodes[info.ID] = n
 	}
 	return f
@@ -91,7 +97,9 @@
 func (f *fleet) start() {
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
-	for _, n := range f.nodes {
+	f.empty = f.store.Copy()
+	for id, n := range f.nodes {
+		f.wait.Go(func() { _ = n.registration.Run(ctx) })
 		syncer := &catalog.Syncer{
 			Cache: &n.cache, Source: platform.Catalog{Objects: &n.follower}, ConfigTTL: calmTime, ServersTTL: 7 * time.Second,
 			Eras: &n.client.Eras, SavedServerStore: n.client, IsSaver: n.follower.IsRelay,
@@ -99,18 +107,19 @@
 		f.wait.Go(func() { _ = syncer.SyncServers(ctx) })
 		f.wait.Go(func() { _ = syncer.SyncConfig(ctx) })
 		f.wait.Go(func() { _ = syncer.SyncSavedServers(ctx) })
-		f.wait.Go(func() { n.listHosts(ctx) })
+		f.wait.Go(func() { n.listHosts(ctx, id) })
 		f.wait.Go(func() { n.expire(ctx) })
 	}
 }
 
 // listHosts refreshes the list of hosts until ctx ends.
-func (n *node) listHosts(ctx context.Context) {
+func (n *node) listHosts(ctx context.Context, self host.ID) {
 	for sleep(ctx, time.Second) {
 		if entries, err := n.directory.Refresh(ctx); err == nil {
 			n.mu.Lock()
 			n.listed = entries
 			n.mu.Unlock()
+			n.registration.NoteListed(n.directory.Has(string(self)))
 		}
 	}
 }
--- a/e2e/restored/restored_test.go
+++ b/e2e/restored/restored_test.go
@@ -171,25 +171,18 @@
 }
 
 // Guards against hosts that take themselves for the only one, because the copy is from
-// before the others registered.
-func TestHostsStayListedWhileTheyRegisterAgain(t *testing.T) {
+// before the others registered, and against hosts that stay out of the list.
+func TestHostsStayListedAndRegisterAgain(t *testing.T) {
 	runFleet(t, fleetHosts, func(t *testing.T, f *fleet) {
-		from := f.store.Copy()
-		for _, info := range f.hosts {
-			assert.NilError(t, f.nodes[info.ID].client.RegisterHost(t.Context(), info))
-		}
-		time.Sleep(10 * time.Second)
-		f.restore(from, time.Second)
-		for range 50 {
+		f.requireListed(t)
+		f.restore(f.empty, time.Second)
+		for range 1000 {
 			time.Sleep(100 * time.Millisecond)
 			f.requireListed(t)
 		}
 		for _, info := range f.hosts {
-			assert.NilError(t, f.nodes[info.ID].client.RegisterHost(t.Context(), info))
-		}
-		for range 10 {
-			time.Sleep(10 * time.Second)
-			f.requireListed(t)
+			_, ok := f.store.Get("hosts", string(info.ID))
+			assert.Assert(t, ok, "%s", info.ID)
 		}
 	})
 }
