platform: odd entries of other writers do not hide the others

What callers saw, as other operators report it: one entry among those of the databases, nested deeply, makes hosts stop following the list. It happened here: encoding/json refuses the whole page or watch when one spec is nested more than 10,000 levels deep, in four of twenty odd contents of a list and a watch, and for the lists of hosts and pages. Each host would then stay with its view until the entry is gone. No content ended the process.

--- a/e2e/restored/restored_test.go
+++ b/e2e/restored/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -197,3 +198,35 @@
 		assert.Equal(t, listed, len(f.hosts), "%s", id)
 	}
 }
+
+// Guards against hosts that stop following the servers because another writer has left an
+// odd entry among them.
+func TestOddEntryDoesNotStopAFleet(t *testing.T) {
+	nested := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	for name, value := range map[string]string{
+		"deeply nested":    nested,
+		"number too large": `{"born":1e400}`,
+		"port":             `{"service":"svc","address":"10.1.0.1:99999","zone":"dc","state":"ready","dbRole":"replica","sequence":1}`,
+	} {
+		for _, hosts := range []int{aloneHosts, fleetHosts} {
+			t.Run(fmt.Sprintf("%s, %d hosts", name, hosts), func(t *testing.T) {
+				runFleet(t, hosts, func(t *testing.T, f *fleet) {
+					f.store.WriteRaw("servers", "b", []byte(value))
+					time.Sleep(time.Second)
+					f.writeServer("c", 1, "ready")
+					// A restoration makes the hosts read the list.
+					f.restore(f.store.Copy(), time.Second)
+					f.writeServer("d", 1, "ready")
+					time.Sleep(10 * time.Second)
+					for _, n := range f.nodes {
+						var known []string
+						for _, s := range n.cache.View().Members("svc") {
+							known = append(known, string(s.ID))
+						}
+						assert.DeepEqual(t, known, []string{"a", "c", "d"})
+					}
+				})
+			})
+		}
+	}
+}
--- a/standin/objectstore/http.go
+++ b/standin/objectstore/http.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -14,7 +15,7 @@
 // objectsPath is followed by the kind and, for one object, its name.
 const objectsPath = "/basilmill/objects/"
 
-// wireObject is an object on the wire.
+// wireObject is an object in the body of an update.
 type wireObject struct {
 	Meta struct {
 		Name     string `json:"name"`
@@ -23,9 +24,10 @@
 	Spec json.RawMessage `json:"spec"`
 }
 
-func toWire(o Object) (w wireObject) {
-	w.Meta.Name, w.Meta.Revision, w.Spec = o.Name, o.Revision, o.Spec
-	return w
+// encodeObject encodes an object. The spec is copied as it is, because encoding/json
+// refuses to encode some of those that other writers may leave.
+func encodeObject(o Object) string {
+	return fmt.Sprintf(`{"meta":{"name":%q,"revision":%d},"spec":%s}`, o.Name, o.Revision, o.Spec)
 }
 
 // RoundTrip implements http.RoundTripper: it serves the request without a network, with
@@ -84,38 +86,34 @@
 		s.serveList(w, r, kind)
 	case r.Method == http.MethodGet:
 		if o, ok := s.objects[k]; ok {
-			s.answer(w, http.StatusOK, toWire(o))
+			s.answer(w, http.StatusOK, encodeObject(o))
 			return
 		}
-		s.answer(w, http.StatusNotFound, struct{}{})
+		s.answer(w, http.StatusNotFound, "{}")
 	case r.Method == http.MethodPost, r.Method == http.MethodPut:
 		s.serveUpdate(w, r, k)
 	default:
-		s.answer(w, http.StatusMethodNotAllowed, struct{}{})
+		s.answer(w, http.StatusMethodNotAllowed, "{}")
 	}
 }
 
 // answer writes an answer with the era. The caller holds the lock.
-func (s *Server) answer(w http.ResponseWriter, status int, body any) {
+func (s *Server) answer(w http.ResponseWriter, status int, body string) {
 	w.Header().Set("Store-Era", strconv.FormatInt(s.era+1, 10))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	// The client may be gone.
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = io.WriteString(w, body)
 }
 
 // serveList answers with a page of a kind. The caller holds the lock.
 func (s *Server) serveList(w http.ResponseWriter, r *http.Request, kind string) {
 	items, hasMore := s.page(kind, r.URL.Query().Get("after"))
-	body := struct {
-		Items   []wireObject `json:"items"`
-		HasMore bool         `json:"hasMore"`
-		At      int64        `json:"at"`
-	}{Items: []wireObject{}, HasMore: hasMore, At: s.revision}
-	for _, o := range items {
-		body.Items = append(body.Items, toWire(o))
+	encoded := make([]string, len(items))
+	for i, o := range items {
+		encoded[i] = encodeObject(o)
 	}
-	s.answer(w, http.StatusOK, body)
+	s.answer(w, http.StatusOK, fmt.Sprintf(`{"items":[%s],"hasMore":%t,"at":%d}`, strings.Join(encoded, ","), hasMore, s.revision))
 }
 
 // serveWatch waits for events. The caller holds the lock, which is released while it
@@ -124,7 +122,7 @@
 	from, err := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
 	wait, waitErr := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	if errors.Join(err, waitErr) != nil {
-		s.answer(w, http.StatusBadRequest, struct{}{})
+		s.answer(w, http.StatusBadRequest, "{}")
 		return
 	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
@@ -136,7 +134,7 @@
 			w.WriteHeader(statusDown)
 			return
 		case from > s.revision:
-			s.answer(w, http.StatusGone, struct{}{})
+			s.answer(w, http.StatusGone, "{}")
 			return
 		case len(events) > 0 || expired:
 			s.answerEvents(w, events)
@@ -157,18 +155,11 @@
 
 // answerEvents answers a watch. The caller holds the lock.
 func (s *Server) answerEvents(w http.ResponseWriter, events []event) {
-	type wireEvent struct {
-		Object  wireObject `json:"object"`
-		Deleted bool       `json:"deleted"`
+	encoded := make([]string, len(events))
+	for i, e := range events {
+		encoded[i] = fmt.Sprintf(`{"object":%s,"deleted":%t}`, encodeObject(e.object), e.deleted)
 	}
-	body := struct {
-		Events []wireEvent `json:"events"`
-		At     int64       `json:"at"`
-	}{Events: []wireEvent{}, At: s.revision}
-	for _, e := range events {
-		body.Events = append(body.Events, wireEvent{toWire(e.object), e.deleted})
-	}
-	s.answer(w, http.StatusOK, body)
+	s.answer(w, http.StatusOK, fmt.Sprintf(`{"events":[%s],"at":%d}`, strings.Join(encoded, ","), s.revision))
 }
 
 // serveUpdate creates or replaces an object. The caller holds the lock.
@@ -176,7 +167,7 @@
 	var object wireObject
 	body, err := io.ReadAll(r.Body)
 	if err != nil || json.Unmarshal(body, &object) != nil {
-		s.answer(w, http.StatusBadRequest, struct{}{})
+		s.answer(w, http.StatusBadRequest, "{}")
 		return
 	}
 	create := r.Method == http.MethodPost
@@ -186,10 +177,10 @@
 	current, exists := s.objects[k]
 	switch {
 	case create && exists, !create && exists && object.Meta.Revision != 0 && object.Meta.Revision != current.Revision:
-		s.answer(w, http.StatusConflict, toWire(current))
+		s.answer(w, http.StatusConflict, encodeObject(current))
 	case !create && !exists:
-		s.answer(w, http.StatusNotFound, struct{}{})
+		s.answer(w, http.StatusNotFound, "{}")
 	default:
-		s.answer(w, http.StatusOK, toWire(s.put(k, object.Spec)))
+		s.answer(w, http.StatusOK, encodeObject(s.put(k, object.Spec)))
 	}
 }
