--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -25,6 +25,7 @@
 
 	mu        sync.Mutex
 	version   Version
+	era       int64
 	objects   map[Key]Object
 	hostLists []hostListVersion
 	faults    Faults
@@ -88,6 +89,7 @@
 // and then serves the call.
 func (s *Server) withFaults(counter func(*Calls) *int, serve func(http.ResponseWriter, request)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w = eraWriter{w, s}
 		s.mu.Lock()
 		*counter(&s.calls)++
 		delay := s.faults.Delay
