--- a/cmd/internal/accounts/store.go
+++ b/cmd/internal/accounts/store.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"basilmill/core/account"
+	"basilmill/core/distribution"
 	"basilmill/core/validate"
 	"basilmill/io/platform"
 )
@@ -64,7 +65,7 @@
 }
 
 // Get returns an account and its version.
-func (s Store) Get(ctx context.Context, id account.ID) (object *account.Object, version platform.Version, err error) {
+func (s Store) Get(ctx context.Context, id account.ID) (object *account.Object, version distribution.Version, err error) {
 	stored, err := s.API.Get(ctx, platform.AccountKey(id))
 	if err != nil {
 		return nil, 0, err
@@ -222,7 +223,7 @@
 }
 
 // load returns nil and version 0 for an account that does not exist.
-func (s Store) load(ctx context.Context, id account.ID) (*account.Object, platform.Version, error) {
+func (s Store) load(ctx context.Context, id account.ID) (*account.Object, distribution.Version, error) {
 	object, version, err := s.Get(ctx, id)
 	var notFound *platform.NotFoundError
 	if errors.As(err, &notFound) {
@@ -251,7 +252,7 @@
 	return change, ok, nil
 }
 
-func (s Store) put(ctx context.Context, update account.Update, version platform.Version) error {
+func (s Store) put(ctx context.Context, update account.Update, version distribution.Version) error {
 	if update.Audit != nil {
 		if err := s.putAudit(ctx, update.Audit); err != nil {
 			return err
--- a/cmd/internal/accounts/store_test.go
+++ b/cmd/internal/accounts/store_test.go
@@ -17,6 +17,7 @@
 
 	"basilmill/cmd/internal/accounts"
 	"basilmill/core/account"
+	"basilmill/core/distribution"
 	"basilmill/core/group"
 	"basilmill/io/platform"
 	standin "basilmill/standin/platform"
@@ -50,10 +51,10 @@
 // hookedAPI calls a hook, if set, instead of the next update of an account.
 type hookedAPI struct {
 	platform.API
-	putHook func(key platform.Key, value json.RawMessage, ifMatch platform.Version) (platform.Version, error)
+	putHook func(key platform.Key, value json.RawMessage, ifMatch distribution.Version) (distribution.Version, error)
 }
 
-func (h *hookedAPI) Put(ctx context.Context, key platform.Key, value json.RawMessage, ifMatch platform.Version) (platform.Version, error) {
+func (h *hookedAPI) Put(ctx context.Context, key platform.Key, value json.RawMessage, ifMatch distribution.Version) (distribution.Version, error) {
 	if put := h.putHook; put != nil && key.Kind == platform.KindAccount {
 		h.putHook = nil
 		return put(key, value, ifMatch)
@@ -108,8 +109,8 @@
 		other := accounts.Store{API: api}
 		hook := &hookedAPI{API: api}
 		store := accounts.Store{API: hook, RetryTimeout: time.Minute}
-		hook.putHook = func(key platform.Key, value json.RawMessage, ifMatch platform.Version) (platform.Version, error) {
-			hook.putHook = func(platform.Key, json.RawMessage, platform.Version) (platform.Version, error) {
+		hook.putHook = func(key platform.Key, value json.RawMessage, ifMatch distribution.Version) (distribution.Version, error) {
+			hook.putHook = func(platform.Key, json.RawMessage, distribution.Version) (distribution.Version, error) {
 				_, err := api.Put(ctx, key, value, ifMatch)
 				assert.NilError(t, err)
 				return api.Put(ctx, key, value, ifMatch)
@@ -120,7 +121,7 @@
 		assert.NilError(t, err)
 		assert.Equal(t, result.Change.ID, account.ChangeID("c1"))
 
-		hook.putHook = func(key platform.Key, value json.RawMessage, ifMatch platform.Version) (platform.Version, error) {
+		hook.putHook = func(key platform.Key, value json.RawMessage, ifMatch distribution.Version) (distribution.Version, error) {
 			_, err := other.Revise(ctx, request("c2", "a", 1, 7))
 			assert.NilError(t, err)
 			return api.Put(ctx, key, value, ifMatch)
@@ -142,7 +143,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		api := newAPI(standin.New())
 		hook := &hookedAPI{API: api}
-		hook.putHook = func(key platform.Key, value json.RawMessage, ifMatch platform.Version) (platform.Version, error) {
+		hook.putHook = func(key platform.Key, value json.RawMessage, ifMatch distribution.Version) (distribution.Version, error) {
 			_, err := accounts.Store{API: api}.Submit(t.Context(), request("c2", "b", 0, 1))
 			assert.NilError(t, err)
 			return api.Put(t.Context(), key, value, ifMatch)
--- a/cmd/internal/command/account.go
+++ b/cmd/internal/command/account.go
@@ -14,6 +14,7 @@
 
 	"basilmill/cmd/internal/accounts"
 	"basilmill/core/account"
+	"basilmill/core/distribution"
 	"basilmill/core/group"
 	"basilmill/io/platform"
 )
@@ -239,11 +240,11 @@
 
 // versionedValue is an object of the platform in JSON output.
 type versionedValue struct {
-	Version platform.Version
+	Version distribution.Version
 	Value   json.RawMessage
 }
 
-func accountTable(object *account.Object, version platform.Version) table {
+func accountTable(object *account.Object, version distribution.Version) table {
 	last, _ := object.Last()
 	t := table{header: []string{"PARAMETER", "VALUE"}}
 	t.add("Revision", fmt.Sprintf("%d (version %d of the platform)", object.Template.Revision, version))
--- a/cmd/internal/groups/store.go
+++ b/cmd/internal/groups/store.go
@@ -10,6 +10,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"basilmill/core/distribution"
 	"basilmill/core/group"
 	"basilmill/io/platform"
 )
@@ -79,7 +80,7 @@
 }
 
 // load returns nil for a group that does not exist.
-func (s Store) load(ctx context.Context, id group.ID) (record *group.Record, version platform.Version, err error) {
+func (s Store) load(ctx context.Context, id group.ID) (record *group.Record, version distribution.Version, err error) {
 	object, err := s.API.Get(ctx, platform.GroupKey(id))
 	var notFound *platform.NotFoundError
 	if errors.As(err, &notFound) {
@@ -95,7 +96,7 @@
 	return record, object.Version, nil
 }
 
-func (s Store) put(ctx context.Context, record *group.Record, version platform.Version) error {
+func (s Store) put(ctx context.Context, record *group.Record, version distribution.Version) error {
 	value, err := platform.EncodeGroup(record)
 	if err != nil {
 		return backoff.Permanent(err)
--- a/cmd/serve/distribute.go
+++ b/cmd/serve/distribute.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net/netip"
 	"slices"
@@ -130,7 +131,12 @@
 func (d *distributor) watchPlatform(ctx context.Context, s *control.Snapshot, failures int) bool {
 	attemptCtx, cancel := context.WithTimeout(ctx, attemptTimeout(s, failures))
 	defer cancel()
-	items, err := d.platform.Watch(attemptCtx, platform.Version(s.Version), watchWaitTimeout, objectKinds...)
+	after := s.Version
+	items, err := d.platform.Watch(attemptCtx, after, watchWaitTimeout, objectKinds...)
+	if errors.Is(err, distribution.ErrHistoryGone) {
+		after = 0
+		items, err = d.platform.Watch(attemptCtx, after, watchWaitTimeout, objectKinds...)
+	}
 	if err != nil {
 		d.post(control.PlatformFailed{})
 		if ctx.Err() == nil {
@@ -139,18 +145,18 @@
 		return false
 	}
 	d.post(control.PlatformAnswered{})
-	d.applyUpdate(ctx, updateOf(s.Version, items))
+	d.applyUpdate(ctx, updateOf(after, items))
 	return true
 }
 
 // updateOf converts the platform's answer to a watch that started after the
 // given version.
 func updateOf(after distribution.Version, items platform.Items) distribution.Update {
-	u := distribution.Update{After: after, Version: distribution.Version(items.Version)}
+	u := distribution.Update{After: after, Version: items.Version}
 	for _, o := range items.Items {
 		u.Objects = append(u.Objects, distribution.Object{
 			Key:     distribution.Key{Kind: distribution.Kind(o.Kind), Name: o.Name},
-			Version: distribution.Version(o.Version),
+			Version: o.Version,
 			Value:   o.Value,
 		})
 	}
--- a/cmd/serve/runner.go
+++ b/cmd/serve/runner.go
@@ -90,6 +90,10 @@
 	case control.ObjectRejected:
 		r.log.Write(r.ctx, logevent.ObjectInvalid, slog.String("Kind", string(a.Key.Kind)), slog.String("Object", a.Key.Name),
 			slog.Int64("Version", int64(a.Version)), slog.String("Error", a.Err.Error()))
+	case control.RecordLost:
+		go r.writeRecordAgain(a)
+	case control.AccountLost:
+		go r.writeAgain(platform.Key{Kind: platform.KindAccount, Name: a.Name}, a.Value, a.ExpectedVersion)
 	case control.VersionApplied:
 		r.metrics.configurationVersion.Set(float64(a.Version))
 		r.log.Write(r.ctx, logevent.ConfigurationApplied, slog.Int64("Version", int64(a.Version)))
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -38,6 +38,9 @@
 type Decoder interface {
 	Group(value []byte) (*group.Record, error)
 	Account(value []byte) (account.Template, error)
+	// AccountSupersedes reports whether the value of an account is a later state of the
+	// other one.
+	AccountSupersedes(known, stored []byte) bool
 }
 
 // Config configures a Thread.
@@ -192,11 +195,14 @@
 // reported, and the last valid version stays in force.
 func (t *Thread) mergeObjects(update distribution.Update) {
 	before := t.objects.Version()
+	known := t.lostCandidates(update)
 	for _, o := range t.objects.Merge(update) {
-		if err := t.applyObject(o); err != nil {
+		if err := t.applyObject(t.unlessLost(known, o)); err != nil {
 			t.config.OnAction(ObjectRejected{Key: o.Key, Version: o.Version, Err: err})
 		}
+		delete(known, o.Key)
 	}
+	t.reportMissing(known)
 	if version := t.objects.Version(); version != before {
 		t.dirty = true
 		t.config.OnAction(VersionApplied{Version: version})
--- a/core/control/control_test.go
+++ b/core/control/control_test.go
@@ -31,6 +31,8 @@
 	return account.Template{}, errors.New("not a template")
 }
 
+func (decoder) AccountSupersedes(_, _ []byte) bool { return false }
+
 // startThread runs a control thread of host-1 and returns it with the list to
 // which its actions are appended.
 func startThread(t *testing.T) (thread *control.Thread, actions *[]control.Action) {
--- a/core/control/group.go
+++ b/core/control/group.go
@@ -42,6 +42,7 @@
 	if version <= g.version {
 		return
 	}
+	record = t.unlessOlder(g, record, version)
 	t.reportReplacedPrimary(g, record)
 	g.record, g.version = record, version
 	t.assignCoordinators(g)
@@ -101,6 +102,14 @@
 		return
 	}
 	switch e := in.Event.(type) {
+	case failover.UpdateConflict:
+		e.Record = t.unlessOlder(g, e.Record, e.Version)
+		in.Event = e
+	case failover.RecordChanged:
+		e.Record = t.unlessOlder(g, e.Record, e.Version)
+		in.Event = e
+	}
+	switch e := in.Event.(type) {
 	case failover.StatusReceived:
 		t.recordStatus(g, e.Status, e.SentAt)
 	case failover.UpdateApplied:
--- a/core/control/input.go
+++ b/core/control/input.go
@@ -100,6 +100,21 @@
 	Err     error
 }
 
+// RecordLost says that the platform holds an older record than the one in force, in the
+// expected version, because its store was restored from a copy.
+type RecordLost struct {
+	Record          *group.Record
+	ExpectedVersion distribution.Version
+}
+
+// AccountLost says the same of an account. ExpectedVersion is zero if the platform has no
+// such account.
+type AccountLost struct {
+	Name            string
+	Value           []byte
+	ExpectedVersion distribution.Version
+}
+
 // VersionApplied says that all objects up to the version are in force.
 type VersionApplied struct{ Version distribution.Version }
 
@@ -121,6 +136,8 @@
 
 func (GroupAction) action()         {}
 func (ObjectRejected) action()      {}
+func (RecordLost) action()          {}
+func (AccountLost) action()         {}
 func (VersionApplied) action()      {}
 func (HostsChanged) action()        {}
 func (CoordinatorsChanged) action() {}
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -30,6 +30,7 @@
 	HostListChanged       Number = 2006
 	StoreRestored         Number = 2007
 	ObjectIgnored         Number = 2008
+	ObjectWrittenAgain    Number = 2009
 	PrimarySuspected      Number = 3001
 	SuspicionWithdrawn    Number = 3002
 	ChangeDecided         Number = 3003
@@ -89,6 +90,7 @@
 	{HostListChanged, "HostListChanged", slog.LevelInfo, "host list changed", "None."},
 	{StoreRestored, "StoreRestored", slog.LevelWarn, "platform's store was restored from a copy", "Expect changes of the last seconds to be written again; compare the era and the configuration version of all hosts."},
 	{ObjectIgnored, "ObjectIgnored", slog.LevelWarn, "object ignored, because a newer version is known", "None for a late answer. If it repeats, compare the era and the revision with the store's."},
+	{ObjectWrittenAgain, "ObjectWrittenAgain", slog.LevelWarn, "object written again that the platform had lost", "None; Changed says that another host or operator was first."},
 	{PrimarySuspected, "PrimarySuspected", slog.LevelWarn, "primary suspected", "None unless it repeats without a change; then check the links to the primary."},
 	{SuspicionWithdrawn, "SuspicionWithdrawn", slog.LevelInfo, "suspicion withdrawn", "None."},
 	{ChangeDecided, "ChangeDecided", slog.LevelWarn, "change of primary decided", "None; find out why the old primary was lost."},
--- a/e2e/failover_random_test.go
+++ b/e2e/failover_random_test.go
@@ -47,6 +47,7 @@
 	{"stall a to b", "well a"},
 	{"stall b", "well b"},
 	{"leaving a", "well a"},
+	{"platform save", "platform restore"},
 }
 
 // drawTrace generates a trace of overlapping faults. Each fault occurs at most once, so
--- a/e2e/failover_trace_test.go
+++ b/e2e/failover_trace_test.go
@@ -68,6 +68,8 @@
 	cluster       *cluster.Cluster
 	network       *cluster.VirtualNetwork
 	killedServers map[group.ServerID]bool
+	// saved is the copy from which the platform's store is restored.
+	saved platform.Copy
 }
 
 func (f *traceInjector) server(id string) (*cluster.Server, error) {
@@ -133,6 +135,10 @@
 		f.cluster.Platform.SetOutage(platform.NoOutage)
 	case "lose-reply":
 		f.cluster.Platform.LoseReplies(1)
+	case "save":
+		f.saved = f.cluster.Platform.Copy()
+	case "restore":
+		f.cluster.Platform.Restore(f.saved)
 	default:
 		return fmt.Errorf("unknown platform fault %q", args[0])
 	}
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"basilmill/core/distribution"
 	"basilmill/core/host"
 )
 
@@ -43,6 +44,9 @@
 
 // Client calls the platform's object API. It is safe for concurrent use.
 type Client struct {
+	// Eras tracks the era of the platform's store, which each answer states.
+	Eras distribution.Eras
+
 	base         url.URL
 	http         *http.Client
 	timeout      time.Duration
@@ -96,12 +100,15 @@
 func (c *Client) Get(ctx context.Context, key Key) (object Object, err error) {
 	defer wrapf(&err, "get %s", key)
 	var wire wireObject
-	err = c.read(ctx, call{path: objectPath(key), maxBytes: maxObjectBytes}, &wire)
+	era, err := c.read(ctx, call{path: objectPath(key), maxBytes: maxObjectBytes}, &wire)
 	var refused *RefusedError
 	if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
 		return Object{}, &NotFoundError{Key: key}
 	}
-	return wire.object(), err
+	if err != nil {
+		return Object{}, err
+	}
+	return wire.object(era)
 }
 
 // List returns all objects of a kind.
@@ -109,31 +116,53 @@
 	defer wrapf(&err, "list %s", kind)
 	var wire wireItems
 	path := []string{"objects", string(kind)}
-	err = c.read(ctx, call{path: path, maxBytes: c.maxListBytes}, &wire)
-	return wire.items(), err
+	era, err := c.read(ctx, call{path: path, maxBytes: c.maxListBytes}, &wire)
+	if err != nil {
+		return Items{}, err
+	}
+	return wire.items(era)
 }
 
 // Watch returns the objects of the given kinds that changed after a version. It
-// waits up to the given time for the first one and returns none if there is none.
-func (c *Client) Watch(ctx context.Context, after Version, wait time.Duration, kinds ...Kind) (items Items, err error) {
+// waits up to the given time for the first one and returns none if there is none. It
+// returns distribution.ErrHistoryGone as soon as it is known that the store has been
+// restored since the version.
+func (c *Client) Watch(ctx context.Context, after distribution.Version, wait time.Duration, kinds ...Kind) (items Items, err error) {
 	defer wrapf(&err, "watch after %d", after)
+	if after != 0 {
+		defer func() {
+			if err != nil && c.Eras.IsOver(after.Era()) {
+				err = distribution.ErrHistoryGone
+			}
+		}()
+		var release context.CancelFunc
+		ctx, release = c.Eras.During(ctx, after.Era())
+		defer release()
+	}
 	query := url.Values{
-		"after": {strconv.FormatInt(int64(after), 10)},
+		"after": {strconv.FormatInt(after.Revision(), 10)},
 		"wait":  {wait.String()},
 	}
 	for _, kind := range kinds {
 		query.Add("kind", string(kind))
 	}
 	var wire wireItems
-	err = c.read(ctx, call{path: []string{"watch"}, query: query, maxBytes: c.maxListBytes, waitTimeout: wait}, &wire)
-	return wire.items(), err
+	era, err := c.read(ctx, call{path: []string{"watch"}, query: query, maxBytes: c.maxListBytes, waitTimeout: wait}, &wire)
+	switch {
+	case err != nil:
+		return Items{}, err
+	case after != 0 && era != after.Era():
+		return Items{}, errOutdated
+	default:
+		return wire.items(era)
+	}
 }
 
 // Hosts returns the platform's host list, which may be stale.
 func (c *Client) Hosts(ctx context.Context) (hosts []host.Info, err error) {
 	defer wrapf(&err, "list hosts")
 	var wire wireHosts
-	if err := c.read(ctx, call{path: []string{"hosts"}, maxBytes: c.maxListBytes}, &wire); err != nil {
+	if _, err := c.read(ctx, call{path: []string{"hosts"}, maxBytes: c.maxListBytes}, &wire); err != nil {
 		return nil, err
 	}
 	return wire.hosts()
@@ -141,8 +170,11 @@
 
 // Put stores a value if the object still has the version ifMatch, and returns the
 // new version. The version 0 creates the object.
-func (c *Client) Put(ctx context.Context, key Key, value json.RawMessage, ifMatch Version) (version Version, err error) {
+func (c *Client) Put(ctx context.Context, key Key, value json.RawMessage, ifMatch distribution.Version) (version distribution.Version, err error) {
 	defer wrapf(&err, "put %s", key)
+	if ifMatch != 0 && c.Eras.IsOver(ifMatch.Era()) {
+		return 0, c.conflict(ctx, key)
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	request, err := c.request(ctx, http.MethodPut, call{path: objectPath(key)}, bytes.NewReader(value))
@@ -150,7 +182,7 @@
 		return 0, err
 	}
 	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set("If-Match", fmt.Sprintf(`"%d"`, ifMatch))
+	request.Header.Set("If-Match", fmt.Sprintf(`"%d"`, ifMatch.Revision()))
 	response, err := c.http.Do(request)
 	// An update whose connection could not be opened was not sent.
 	var opError *net.OpError
@@ -161,25 +193,53 @@
 		return 0, &UnknownResultError{Key: key, Cause: err}
 	}
 	defer closeBody(response)
-	return putResult(response, key)
+	era := c.noteEra(response)
+	if ifMatch != 0 && era != ifMatch.Era() {
+		// The version may have been that of another object.
+		return 0, &UnknownResultError{Key: key, Cause: errOutdated}
+	}
+	return putResult(response, key, era)
+}
+
+// conflict returns the ConflictError for an update of an object whose version belongs to
+// an earlier era.
+func (c *Client) conflict(ctx context.Context, key Key) error {
+	current, err := c.Get(ctx, key)
+	var notFound *NotFoundError
+	switch {
+	case errors.As(err, &notFound):
+		return &ConflictError{Current: Object{Key: key}}
+	case err != nil:
+		return err
+	default:
+		return &ConflictError{Current: current}
+	}
 }
 
 // putResult reads the response to an update. After a response that the object API
 // does not define it is unknown whether the update took effect.
-func putResult(response *http.Response, key Key) (Version, error) {
+func putResult(response *http.Response, key Key, era distribution.Era) (distribution.Version, error) {
 	switch status := response.StatusCode; {
 	case status == http.StatusOK:
 		var stored wireStored
 		if err := decodeResponse(response, maxObjectBytes, &stored); err != nil {
 			return 0, &UnknownResultError{Key: key, Cause: err}
 		}
-		return stored.Version, nil
+		version, err := distribution.NewVersion(era, stored.Version)
+		if err != nil {
+			return 0, &UnknownResultError{Key: key, Cause: err}
+		}
+		return version, nil
 	case status == http.StatusConflict:
-		var current wireObject
-		if err := decodeResponse(response, maxObjectBytes, &current); err != nil {
+		var wire wireObject
+		if err := decodeResponse(response, maxObjectBytes, &wire); err != nil {
+			return 0, err
+		}
+		current, err := wire.object(era)
+		if err != nil {
 			return 0, err
 		}
-		return 0, &ConflictError{Current: current.object()}
+		return 0, &ConflictError{Current: current}
 	case status == http.StatusServiceUnavailable:
 		return 0, &OutageError{}
 	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
@@ -199,30 +259,54 @@
 	waitTimeout time.Duration
 }
 
-func (c *Client) read(ctx context.Context, call call, into any) error {
+// read makes a call and decodes its answer. It returns the era that the answer states.
+func (c *Client) read(ctx context.Context, call call, into any) (distribution.Era, error) {
 	callCtx, cancel := context.WithTimeout(ctx, c.timeout+call.waitTimeout)
 	defer cancel()
 	request, err := c.request(callCtx, http.MethodGet, call, nil)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return readError(ctx, err)
+		return 0, readError(ctx, err)
 	}
 	defer closeBody(response)
-	switch response.StatusCode {
-	case http.StatusOK:
+	era := c.noteEra(response)
+	switch {
+	case c.Eras.IsOver(era):
+		return 0, &OutageError{Cause: errOutdated}
+	case response.StatusCode == http.StatusOK:
 		err = decodeResponse(response, call.maxBytes, into)
 		if err != nil && callCtx.Err() != nil {
-			return readError(ctx, err)
+			return 0, readError(ctx, err)
 		}
-		return err
-	case http.StatusServiceUnavailable:
-		return &OutageError{}
+		return era, err
+	case response.StatusCode == http.StatusServiceUnavailable:
+		return 0, &OutageError{}
 	default:
-		return newRefusedError(response)
+		return 0, newRefusedError(response)
+	}
+}
+
+// eraHeader is the header of the platform's answers that counts the restorations of its
+// store.
+const eraHeader = "Store-Era"
+
+// errOutdated says that an answer is from before a restoration of the store that this
+// host already knows of, or that a call was made across one.
+var errOutdated = errors.New("the store was restored from a copy meanwhile")
+
+// noteEra notes and returns the era that an answer states, the newest known one if it
+// states none.
+func (c *Client) noteEra(response *http.Response) distribution.Era {
+	era, err := strconv.ParseInt(response.Header.Get(eraHeader), 10, 64)
+	if err != nil {
+		newest, _ := c.Eras.Newest()
+		return newest
 	}
+	c.Eras.Note(distribution.Era(era))
+	return distribution.Era(era)
 }
 
 // readError returns an OutageError, unless the call failed because the caller's
--- a/io/platform/object.go
+++ b/io/platform/object.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"basilmill/core/distribution"
 	"basilmill/core/host"
 )
 
@@ -21,10 +22,6 @@
 	KindAudit Kind = "audit"
 )
 
-// Version numbers the changes of the platform's store, over all objects. Zero is
-// the version of an object that does not exist.
-type Version int64
-
 // Key identifies an object.
 type Key struct {
 	Kind Kind
@@ -34,17 +31,17 @@
 // String returns kind/name.
 func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
 
-// Object is a stored object. Value is JSON.
+// Object is a stored object. Value is JSON. Version is zero if the object does not exist.
 type Object struct {
 	Key
-	Version Version
+	Version distribution.Version
 	Value   json.RawMessage
 }
 
 // Items is a set of objects with the version of the store at which it was read. A
 // watch after that version returns every later change.
 type Items struct {
-	Version Version
+	Version distribution.Version
 	Items   []Object
 }
 
@@ -60,12 +57,15 @@
 	// List returns all objects of a kind.
 	List(ctx context.Context, kind Kind) (Items, error)
 	// Put stores a value if the object still has the version ifMatch, and
-	// returns the new version. The version 0 creates the object.
-	Put(ctx context.Context, key Key, value json.RawMessage, ifMatch Version) (Version, error)
+	// returns the new version. The version 0 creates the object. A version of
+	// an earlier era is a conflict.
+	Put(ctx context.Context, key Key, value json.RawMessage, ifMatch distribution.Version) (distribution.Version, error)
 	// Watch returns the objects of the given kinds that changed after a version.
 	// It waits up to the given time for the first one and returns none if there
-	// is none.
-	Watch(ctx context.Context, after Version, wait time.Duration, kinds ...Kind) (Items, error)
+	// is none. It fails with distribution.ErrHistoryGone if the store has been
+	// restored from a copy since the version; a watch after version 0 then
+	// returns all objects.
+	Watch(ctx context.Context, after distribution.Version, wait time.Duration, kinds ...Kind) (Items, error)
 	// Hosts returns the platform's host list, which may be stale.
 	Hosts(ctx context.Context) ([]host.Info, error)
 }
--- a/io/platform/wire.go
+++ b/io/platform/wire.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 
+	"basilmill/core/distribution"
 	"basilmill/core/host"
 )
 
@@ -13,29 +14,38 @@
 type wireObject struct {
 	Kind    Kind
 	Name    string
-	Version Version
+	Version int64
 	Value   json.RawMessage
 }
 
-func (w wireObject) object() Object {
-	return Object{Key: Key{Kind: w.Kind, Name: w.Name}, Version: w.Version, Value: w.Value}
+func (w wireObject) object(era distribution.Era) (Object, error) {
+	version, err := distribution.NewVersion(era, w.Version)
+	if err != nil {
+		return Object{}, &InvalidResponseError{Cause: err}
+	}
+	return Object{Key: Key{Kind: w.Kind, Name: w.Name}, Version: version, Value: w.Value}, nil
 }
 
 type wireItems struct {
-	Version Version
+	Version int64
 	Items   []wireObject
 }
 
-func (w wireItems) items() Items {
-	items := Items{Version: w.Version, Items: make([]Object, len(w.Items))}
+func (w wireItems) items(era distribution.Era) (items Items, err error) {
+	items.Items = make([]Object, len(w.Items))
 	for i, object := range w.Items {
-		items.Items[i] = object.object()
+		if items.Items[i], err = object.object(era); err != nil {
+			return Items{}, err
+		}
+	}
+	if items.Version, err = distribution.NewVersion(era, w.Version); err != nil {
+		return Items{}, &InvalidResponseError{Cause: err}
 	}
-	return items
+	return items, nil
 }
 
 type wireStored struct {
-	Version Version
+	Version int64
 }
 
 type wireHosts struct {
