catalog: an entry of an earlier boot is not ignored for good

Found on reading the change as a newcomer: boots are ordered by the clocks of servers. A server whose clock was set back before it started again would have been left out for the rest of an era. Within one boot the sequence decides, as before; an entry of an earlier boot waits for 6 s, like one of a removed server.

--- a/core/catalog/cache.go
+++ b/core/catalog/cache.go
@@ -74,8 +74,8 @@
 
 // PutEntry adds a server or replaces its entry. An entry that the store has again only
 // because it was restored from a copy is ignored if the server has reported since, and
-// waits for returnedEntryGracePeriod if the server had been removed. It reports whether
-// the view changed.
+// waits for returnedEntryGracePeriod if the server had been removed or had started again.
+// It reports whether the view changed.
 func (c *Cache) PutEntry(e Entry) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/core/catalog/entry.go
+++ b/core/catalog/entry.go
@@ -10,8 +10,9 @@
 
 const (
 	// returnedEntryGracePeriod is how long an entry waits that came back with a
-	// restored store although its server had been removed. The store removes the
-	// entries of servers that are gone after three report intervals.
+	// restored store although its server had been removed or had started again. The
+	// store removes the entries of servers that are gone after three report intervals,
+	// and a live server writes its entry again.
 	returnedEntryGracePeriod = 6 * time.Second
 	// removalRetention is how long a removal is remembered. It exceeds the age of the
 	// copies from which the store is restored.
@@ -56,16 +57,22 @@
 	until time.Time
 }
 
-// isOutdated reports whether an entry is an older report than the one in the view: the
-// store was restored from a copy that lacks the newer one. The caller holds the lock.
+// isOutdated reports whether an entry is an older report of the same boot than the one in
+// the view: the store was restored from a copy that lacks the newer one. The caller holds
+// the lock.
 func (c *Cache) isOutdated(e Entry) bool {
 	known, ok := c.numbers[e.ID]
-	return ok && e.Era > known.era && e.number().compareReport(known) < 0
+	return ok && e.Era > known.era && e.BootID == known.boot && e.Sequence < known.sequence
 }
 
 // isReturned reports whether an entry came back with a restored store after its server
-// was removed, without a newer report. The caller holds the lock.
+// was removed, without a newer report, or is of an earlier boot than the one in the view.
+// Boots are ordered by the clocks of servers, which may be wrong. The caller holds the
+// lock.
 func (c *Cache) isReturned(e Entry) bool {
+	if known, ok := c.numbers[e.ID]; ok {
+		return e.Era > known.era && e.BootID < known.boot
+	}
 	r, ok := c.removals[e.ID]
 	return ok && e.Era > r.number.era && time.Since(r.at) < removalRetention && e.number().compareReport(r.number) <= 0
 }
--- a/core/catalog/sync.go
+++ b/core/catalog/sync.go
@@ -13,7 +13,7 @@
 	"basilmill/core/retry"
 )
 
-// ErrHistoryGone is returned by a watch from a revision after which the store no
+// ErrHistoryGone is returned by a watch from a version after which the store no
 // longer keeps all changes. The list must be read again.
 var ErrHistoryGone = distribution.ErrHistoryGone
 
@@ -31,7 +31,7 @@
 // Source reads the servers and the configuration from the platform's store.
 type Source interface {
 	ListServers(ctx context.Context) ([]ServerChange, distribution.Version, error)
-	// WatchServers returns the changes after a revision. It waits up to the
+	// WatchServers returns the changes after a version. It waits up to the
 	// given time for the first one.
 	WatchServers(ctx context.Context, from distribution.Version, wait time.Duration) ([]ServerChange, distribution.Version, error)
 	// ListConfig returns nil if there is no configuration.
