membership: registration test without a race; distribution: a nil Eras

The test is wrong, not the code; it uses atomics now and checks the same. Found on reading as a newcomer: three nil checks of Eras are one, in its methods.

--- a/core/catalog/savedservers.go
+++ b/core/catalog/savedservers.go
@@ -88,16 +88,17 @@
 	saved := s.loadSavedWithRetry(ctx)
 	era := saved.Version.Era()
 	if saved.Version == 0 {
-		era = s.era()
+		era, _ = s.Eras.Newest()
 	}
 	if added := s.Cache.Restore(saved.Servers); len(added) > 0 && s.OnRestore != nil {
 		s.OnRestore(added)
 	}
 	for ctx.Err() == nil {
-		changed, risen := s.Cache.Changed(), s.risen()
-		if now := s.era(); now > era {
+		changed, risen := s.Cache.Changed(), s.Eras.Risen()
+		if s.Eras.IsOver(era) {
 			// The store may have lost the list.
-			saved, era = SavedServers{}, now
+			saved = SavedServers{}
+			era, _ = s.Eras.Newest()
 		}
 		if servers := s.Cache.registeredServers(); len(servers) == 0 || slices.Equal(servers, saved.Servers) {
 			select {
@@ -117,23 +118,6 @@
 	return nil
 }
 
-// era returns the newest era of the store that this host has seen.
-func (s *Syncer) era() distribution.Era {
-	if s.Eras == nil {
-		return 0
-	}
-	era, _ := s.Eras.Newest()
-	return era
-}
-
-// risen returns a channel that is closed when the store is found to have been restored.
-func (s *Syncer) risen() <-chan struct{} {
-	if s.Eras == nil {
-		return nil
-	}
-	return s.Eras.Risen()
-}
-
 // loadSavedWithRetry loads the saved servers and retries after each failure until
 // ctx ends.
 func (s *Syncer) loadSavedWithRetry(ctx context.Context) SavedServers {
--- a/core/distribution/era.go
+++ b/core/distribution/era.go
@@ -12,7 +12,8 @@
 type Era int64
 
 // Eras tracks the newest era of the store that a host has seen. The zero value is
-// ready for use. It is safe for concurrent use.
+// ready for use, and a nil *Eras stands for a store that is never restored. It is safe
+// for concurrent use.
 type Eras struct {
 	// OnRise, if set, is called when the store is found to have been restored. It
 	// must be set before the first use and must not block.
@@ -28,6 +29,9 @@
 // Note notes the era that an answer of the store, or of a relay, states. Eras older
 // than the newest are ignored.
 func (e *Eras) Note(era Era) {
+	if e == nil {
+		return
+	}
 	if before, rose := e.note(era); rose && e.OnRise != nil {
 		e.OnRise(before, era)
 	}
@@ -58,6 +62,9 @@
 // Newest returns the newest era and when this host first saw it; the zero time if it
 // has not seen any.
 func (e *Eras) Newest() (era Era, seenAt time.Time) {
+	if e == nil {
+		return 0, time.Time{}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.newest, e.seenAt
@@ -65,6 +72,9 @@
 
 // RoseAt returns when this host last saw the era rise; the zero time if it has not.
 func (e *Eras) RoseAt() time.Time {
+	if e == nil {
+		return time.Time{}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.roseAt
@@ -97,6 +107,9 @@
 
 // Risen returns a channel that is closed at the next rise of the era.
 func (e *Eras) Risen() <-chan struct{} {
+	if e == nil {
+		return nil
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.risen == nil {
--- a/core/distribution/follower.go
+++ b/core/distribution/follower.go
@@ -212,9 +212,7 @@
 	delete(f.avoided, relay.ID)
 	f.mu.Unlock()
 	f.noteVersion(kind, u.Version)
-	if f.Eras != nil {
-		f.Eras.Note(u.Version.Era())
-	}
+	f.Eras.Note(u.Version.Era())
 	return u, true
 }
 
--- a/core/membership/registration_test.go
+++ b/core/membership/registration_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,12 +17,13 @@
 // is some seconds old.
 func TestHostRegistersAgainWhenItIsNotListed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		registrations, failing := 0, true
+		var registrations atomic.Int64
+		var working atomic.Bool
 		r := membership.Registration{Register: func(context.Context) error {
-			if failing {
+			if !working.Load() {
 				return errors.New("no answer")
 			}
-			registrations++
+			registrations.Add(1)
 			return nil
 		}}
 		ctx, cancel := context.WithCancel(context.Background())
@@ -29,24 +31,24 @@
 		go func() { done <- r.Run(ctx) }()
 		time.Sleep(10 * time.Second)
 		r.NoteListed(false)
-		assert.Equal(t, registrations, 0)
-		failing = false
+		assert.Equal(t, registrations.Load(), int64(0))
+		working.Store(true)
 		time.Sleep(10 * time.Second)
-		assert.Equal(t, registrations, 1)
+		assert.Equal(t, registrations.Load(), int64(1))
 		for range 20 {
 			time.Sleep(time.Second)
 			r.NoteListed(true)
 		}
-		assert.Equal(t, registrations, 1)
+		assert.Equal(t, registrations.Load(), int64(1))
 		for range 9 {
 			r.NoteListed(false)
 			time.Sleep(time.Second)
 		}
-		assert.Equal(t, registrations, 2)
+		assert.Equal(t, registrations.Load(), int64(2))
 		time.Sleep(2 * time.Second)
 		r.NoteListed(false)
 		synctest.Wait()
-		assert.Equal(t, registrations, 3)
+		assert.Equal(t, registrations.Load(), int64(3))
 		cancel()
 		assert.NilError(t, <-done)
 	})
--- a/core/takeover/lost.go
+++ b/core/takeover/lost.go
@@ -7,7 +7,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"basilmill/core/distribution"
 	"basilmill/core/group"
 )
 
@@ -16,15 +15,6 @@
 // late.
 const lateOrderTTL = 30 * time.Second
 
-// era returns the newest era of the store that this host has seen.
-func (r *Runner) era() distribution.Era {
-	if r.Eras == nil {
-		return 0
-	}
-	era, _ := r.Eras.Newest()
-	return era
-}
-
 // mayBeHeld reports whether another host may hold a lease: that of the record, or that
 // of a claim which the store has lost. The latter is possible until the record has been
 // claimed in the present era, and counts from when this host first saw the era.
@@ -32,9 +22,6 @@
 	if stored.Holder != "" && stored.Holder != a.Self && time.Since(a.lastRecordAt) < LeaseTTL {
 		return true
 	}
-	if a.Eras == nil {
-		return false
-	}
 	era, seenAt := a.Eras.Newest()
 	return stored.Epoch.Era() < era && time.Since(seenAt) < LeaseTTL
 }
@@ -42,7 +29,7 @@
 // mayHaveLostPromotion reports whether the store may have lost the record of a promotion
 // that can still be carried out.
 func (a *attempt) mayHaveLostPromotion(current Record) bool {
-	return a.Eras != nil && current.Epoch.Era() < a.era() && time.Since(a.Eras.RoseAt()) < lateOrderTTL
+	return a.Eras.IsOver(current.Epoch.Era()) && time.Since(a.Eras.RoseAt()) < lateOrderTTL
 }
 
 // newer returns the record with more updates and the higher base position of the two.
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -28,8 +28,9 @@
 	if err := a.checkDepartures(highestPosition); err != nil {
 		return err
 	}
+	era, _ := a.Eras.Newest()
 	next := current
-	next.Epoch = current.Epoch.next(a.era())
+	next.Epoch = current.Epoch.next(era)
 	next.Holder = a.Self
 	if err := a.updateRecord(ctx, next); err != nil {
 		return err
