--- a/e2e/restored/fleet_test.go
+++ b/e2e/restored/fleet_test.go
@@ -147,8 +147,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(count)
 		f.writeConfig(5)
-		f.writeServer("a", 1, "ready")
-		f.writeServer("b", 1, "ready")
+		f.writeServer("a", 1, false)
+		f.writeServer("b", 1, false)
 		f.start()
 		defer func() {
 			f.stop()
@@ -161,21 +161,12 @@
 	})
 }
 
-// writeConfig writes a version of the configuration, as an operator does.
-func (f *fleet) writeConfig(version int) {
-	f.store.Write("config", "main", map[string]any{
-		"configVersion": version,
-		"routes":        []any{map[string]any{"name": "r", "host": "db", "routeType": "primary", "service": "svc"}},
-		"services":      []any{map[string]any{"name": "svc", "maxConns": 16, "syncReplicas": 1}},
-	})
-}
+// writeConfig writes a version of the configuration.
+func (f *fleet) writeConfig(version int) { f.store.WriteConfig(version, "db", "svc") }
 
-// writeServer writes the entry of a server, as the server does.
-func (f *fleet) writeServer(id string, sequence int, state string) {
-	f.store.Write("servers", id, map[string]any{
-		"service": "svc", "address": "10.1.0.1:5432", "zone": "dc", "configVersion": 1, "slots": 2, "state": state,
-		"coldRemainingMs": 0, "sequence": sequence, "dbRole": "replica", "born": 1000,
-	})
+// writeServer writes the entry of a server.
+func (f *fleet) writeServer(id string, sequence int, leaving bool) {
+	f.store.WriteServer(id, objectstore.ServerEntry{Group: "svc", DataCentre: "dc", Sequence: sequence, Boot: 1000, Leaving: leaving})
 }
 
 // restore makes the store unavailable for a time and restores it from a copy.
--- a/e2e/restored/restored_test.go
+++ b/e2e/restored/restored_test.go
@@ -31,7 +31,7 @@
 						time.Sleep(4 * time.Second)
 						f.writeConfig(20)
 						for i := range later {
-							f.writeServer("c", i, "ready")
+							f.writeServer("c", i, false)
 						}
 						time.Sleep(configTime)
 						f.requireVersion(t, 20)
@@ -57,7 +57,7 @@
 					f.store.Restore(from)
 					f.writeConfig(20)
 					for i := range 10 {
-						f.writeServer("c", i, "ready")
+						f.writeServer("c", i, false)
 					}
 					f.store.SetUnavailable(false)
 					time.Sleep(calmTime)
@@ -103,7 +103,7 @@
 			t.Run(fmt.Sprintf("%d hosts, gone=%v", hosts, gone), func(t *testing.T) {
 				runFleet(t, hosts, func(t *testing.T, f *fleet) {
 					from := f.store.Copy()
-					f.writeServer("a", 7, "draining")
+					f.writeServer("a", 7, true)
 					time.Sleep(2 * time.Second)
 					if gone {
 						f.store.Delete("servers", "a")
@@ -156,12 +156,12 @@
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
 			runFleet(t, hosts, func(t *testing.T, f *fleet) {
 				from := f.store.Copy()
-				f.writeServer("c", 1, "ready")
+				f.writeServer("c", 1, false)
 				time.Sleep(20 * time.Second)
 				saved, ok := f.store.Get("memories", "servers")
 				assert.Assert(t, ok)
 				f.restore(from, time.Second)
-				f.writeServer("c", 2, "ready")
+				f.writeServer("c", 2, false)
 				time.Sleep(20 * time.Second)
 				again, ok := f.store.Get("memories", "servers")
 				assert.Assert(t, ok)
@@ -213,10 +213,10 @@
 				runFleet(t, hosts, func(t *testing.T, f *fleet) {
 					f.store.WriteRaw("servers", "b", []byte(value))
 					time.Sleep(time.Second)
-					f.writeServer("c", 1, "ready")
+					f.writeServer("c", 1, false)
 					// A restoration makes the hosts read the list.
 					f.restore(f.store.Copy(), time.Second)
-					f.writeServer("d", 1, "ready")
+					f.writeServer("d", 1, false)
 					time.Sleep(10 * time.Second)
 					for _, n := range f.nodes {
 						var known []string
