review: idle sessions keep the memory of their largest messages

Fault breaks: a process keeps the buffers of the longest statement and answer of each open session. 296 sessions on two hosts that each wrote and read one item of nearly 1 MiB exceed the 284 MB of both processes, again after each restart.

--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -37,12 +37,12 @@
 
 // query sends one statement and returns the messages of its answer.
 func (c *client) query(id, text string) ([]string, error) {
-	c.lab.logf("client sends        %s %q", id, text)
+	c.lab.logf("client sends        %s %q", id, brief(text))
 	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
 		return nil, err
 	}
 	answer, err := c.receive()
-	c.lab.logf("client is answered  %s %q %v", id, answer, errorText(err))
+	c.lab.logf("client is answered  %s %q %v", id, brief(strings.Join(answer, " / ")), errorText(err))
 	return answer, err
 }
 
@@ -71,3 +71,14 @@
 	}
 	return "(" + err.Error() + ")"
 }
+
+// briefLength is the length to which long texts are cut in the record.
+const briefLength = 60
+
+// brief cuts a long text for the record.
+func brief(text string) string {
+	if len(text) <= briefLength {
+		return text
+	}
+	return fmt.Sprintf("%s... (%d bytes)", text[:briefLength], len(text))
+}
--- a/review/lab/database.go
+++ b/review/lab/database.go
@@ -238,7 +238,7 @@
 // note records a run of a caller's statement. The caller holds the service's lock.
 func (s *service) note(id, text string) {
 	s.runs = append(s.runs, run{id, text})
-	s.lab.logf("database runs       %s %q", id, text)
+	s.lab.logf("database runs       %s %q", id, brief(text))
 }
 
 // allRuns returns the runs so far.
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -56,7 +56,7 @@
 		l.stopHosts()
 		_ = os.RemoveAll(dir)
 	}()
-	cases := map[string]func(*lab) (broken bool, err error){"linefeed": linefeed}
+	cases := map[string]func(*lab) (broken bool, err error){"linefeed": linefeed, "memory": memory}
 	play, ok := cases[name]
 	if !ok {
 		l.logf("not run: no case %q", name)
@@ -79,10 +79,11 @@
 
 // entryHost is one process of the program under review.
 type entryHost struct {
-	name  string
-	front string
-	ready string
-	cmd   *exec.Cmd
+	name     string
+	front    string
+	ready    string
+	settings string
+	cmd      *exec.Cmd
 }
 
 // startHost starts an entry host with the settings of a small deployment and waits
@@ -110,18 +111,33 @@
 	if err := os.WriteFile(path, []byte(strings.Join(settings, "\n")+"\n"), 0o600); err != nil {
 		return nil, err
 	}
-	output, err := os.Create(filepath.Join(l.dir, name+".log"))
-	if err != nil {
+	h.settings = path
+	l.hosts = append(l.hosts, h)
+	if err := l.spawn(h); err != nil {
 		return nil, err
 	}
+	return h, l.awaitReady(h)
+}
+
+// spawn starts the process of an entry host with the command of the deploy file.
+func (l *lab) spawn(h *entryHost) error {
+	output, err := os.OpenFile(filepath.Join(l.dir, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = output.Close() }()
 	h.cmd = exec.Command("target/basilmill", "entry")
-	h.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + l.dir, "BASILMILL_BOOT=" + path}
+	h.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + l.dir, "BASILMILL_BOOT=" + h.settings}
 	h.cmd.Stdout, h.cmd.Stderr = output, output
 	if err := h.cmd.Start(); err != nil {
-		return nil, err
+		return err
 	}
-	l.hosts = append(l.hosts, h)
-	l.logf("%s started", name)
+	l.logf("%s started", h.name)
+	return nil
+}
+
+// awaitReady waits until a host is ready.
+func (l *lab) awaitReady(h *entryHost) error {
 	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
 		response, err := http.Get("http://" + h.ready + "/basilmill/readiness")
 		if err != nil {
@@ -129,18 +145,25 @@
 		}
 		_ = response.Body.Close()
 		if response.StatusCode == http.StatusOK {
-			l.logf("%s ready", name)
-			return h, nil
+			l.logf("%s ready", h.name)
+			return nil
 		}
 	}
-	return nil, errNotReady
+	return errNotReady
+}
+
+// kill ends the process of a host.
+func (h *entryHost) kill() {
+	if h.cmd != nil && h.cmd.Process != nil {
+		_ = h.cmd.Process.Signal(syscall.SIGKILL)
+		_ = h.cmd.Wait()
+	}
 }
 
 // stopHosts ends all processes that the case started.
 func (l *lab) stopHosts() {
 	for _, h := range l.hosts {
-		_ = h.cmd.Process.Signal(syscall.SIGKILL)
-		_ = h.cmd.Wait()
+		h.kill()
 		l.logf("%s ended", h.name)
 	}
 }
--- a/review/lab/linefeed.go
+++ b/review/lab/linefeed.go
@@ -21,17 +21,7 @@
 	if err != nil {
 		return false, err
 	}
-	p.put("config", "main", map[string]any{
-		"configVersion": 7,
-		"routes": []any{map[string]any{
-			"name": "r-1", "host": "lepu270", "pathPrefix": "/", "routeType": "read_your_writes", "timeoutMs": 800, "targetLatencyMs": 500,
-			"priority": 1, "service": "huvo11a", "maxAttempts": 2, "maxStalenessMs": 2500,
-		}},
-		"services": []any{map[string]any{
-			"name": "huvo11a", "healthPath": "/health", "maxConns": 16, "protocol": "h1", "tls": false, "syncReplicas": 1,
-		}},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "txIdleMs": 3000},
-	})
+	p.put("config", "main", config())
 	h, err := l.startHost("edge-gent-a-1", "gent-a", p)
 	if err != nil {
 		return false, err
--- a/review/lab/platform.go
+++ b/review/lab/platform.go
@@ -200,3 +200,19 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
 }
+
+// config is the first config of a small deployment: the database lepu270 of the service
+// huvo11a.
+func config() map[string]any {
+	return map[string]any{
+		"configVersion": 7,
+		"routes": []any{map[string]any{
+			"name": "r-1", "host": "lepu270", "pathPrefix": "/", "routeType": "read_your_writes", "timeoutMs": 800, "targetLatencyMs": 500,
+			"priority": 1, "service": "huvo11a", "maxAttempts": 2, "maxStalenessMs": 2500,
+		}},
+		"services": []any{map[string]any{
+			"name": "huvo11a", "healthPath": "/health", "maxConns": 16, "protocol": "h1", "tls": false, "syncReplicas": 1,
+		}},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "txIdleMs": 3000},
+	}
+}
