review: hosts removed for good stay gateways until nothing is served

RECOVER breaks: no entry of kind hosts is ever removed. After some dozen replaced machines, requests and probes meet only dead gateways, also after all hosts were restarted.

Run: review/4/run.sh five times, and with TROUBLE=0.

--- a/review/lab/database.go
+++ b/review/lab/database.go
@@ -33,9 +33,13 @@
 	service *service
 	id      string
 	address string
+	zone    string
 	primary bool
 }
 
+// databaseZones are the zones of the databases of a service.
+var databaseZones = []string{"gent-a", "namur-a", "brussel-a"}
+
 // newService starts the databases of a service and registers them.
 func newService(l *lab, p *platform, name string, ids ...string) (*service, error) {
 	s := &service{lab: l, name: name, born: time.Now().UnixMilli(), term: 3, number: 100, items: map[string]string{}}
@@ -44,7 +48,7 @@
 		if err != nil {
 			return nil, err
 		}
-		d := &database{service: s, id: id, address: listener.Addr().String(), primary: i == 0}
+		d := &database{service: s, id: id, address: listener.Addr().String(), zone: databaseZones[i%len(databaseZones)], primary: i == 0}
 		s.databases = append(s.databases, d)
 		go d.accept(listener)
 	}
@@ -59,7 +63,7 @@
 		s.mu.Lock()
 		for _, d := range s.databases {
 			p.put("servers", d.id, map[string]any{
-				"service": s.name, "address": d.address, "zone": "gent-a", "configVersion": "v1", "slots": 2, "state": "ready",
+				"service": s.name, "address": d.address, "zone": d.zone, "configVersion": "v1", "slots": 2, "state": "ready",
 				"coldRemainingMs": 0, "dbRole": d.role(), "sequence": sequence, "born": s.born,
 			})
 		}
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -56,7 +56,7 @@
 		l.stopHosts()
 		_ = os.RemoveAll(dir)
 	}()
-	cases := map[string]func(*lab) (broken bool, err error){"linefeed": linefeed, "memory": memory}
+	cases := map[string]func(*lab) (broken bool, err error){"linefeed": linefeed, "replaced": replaced}
 	play, ok := cases[name]
 	if !ok {
 		l.logf("not run: no case %q", name)
@@ -80,12 +80,17 @@
 // entryHost is one process of the program under review.
 type entryHost struct {
 	name     string
+	zone     string
 	front    string
 	ready    string
 	settings string
+	internal string
 	cmd      *exec.Cmd
 }
 
+// regions holds the region of each zone.
+var regions = map[string]string{"gent-a": "flanders", "namur-a": "wallonia", "brussel-a": "brussels"}
+
 // startHost starts an entry host with the settings of a small deployment and waits
 // until it is ready. The platform is the stand-in for the store and the promotions.
 func (l *lab) startHost(name, zone string, platform *platform) (*entryHost, error) {
@@ -93,10 +98,10 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &entryHost{name: name, front: ports[0], ready: ports[1]}
+	h := &entryHost{name: name, zone: zone, front: ports[0], ready: ports[1], internal: ports[3]}
 	settings := []string{
-		"nodeName=" + name, "role=entry", "machineClass=edge", "serves=edge", "ip=127.0.0.1", "zone=" + zone, "region=flanders",
-		"zones.gent-a=flanders", "bindAddrs.front=" + h.front, "bindAddrs.ready=" + h.ready, "bindAddrs.control=" + ports[2],
+		"nodeName=" + name, "role=entry", "machineClass=edge", "serves=edge", "ip=127.0.0.1", "zone=" + zone, "region=" + regions[zone],
+		"zones.gent-a=flanders", "zones.namur-a=wallonia", "zones.brussel-a=brussels", "bindAddrs.front=" + h.front, "bindAddrs.ready=" + h.ready, "bindAddrs.control=" + ports[2],
 		"internalPortRange=" + portOf(ports[3]) + "," + portOf(ports[3]), "bootstrap=true",
 		"limits.cpuShare=0.4", "limits.cores=1", "limits.memoryMb=284", "limits.maxFds=4300", "limits.linkMbps=1000.0", "limits.diskMb=0",
 		"discovery=platform", "entry=vip", "heartbeatMs=1200", "contracts=base,drain,config,cost,recover,sql,platform",
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -9,6 +9,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
@@ -22,6 +24,14 @@
 		os.Exit(exitNotRun)
 	}
 	l := &lab{record: record, trouble: os.Getenv("TROUBLE") != "0"}
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		l.stopHosts()
+		_ = os.RemoveAll(l.dir)
+		os.Exit(exitNotRun)
+	}()
 	code := l.run(os.Args[1])
 	_ = record.Close()
 	os.Exit(code)
