--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -24,6 +24,7 @@
 
 	"basilmill/core/catalog"
 	"basilmill/core/distribution"
+	"basilmill/core/exchange"
 	"basilmill/core/host"
 	"basilmill/core/link"
 	"basilmill/core/logevent"
@@ -53,6 +54,9 @@
 	// Dialer returns the dialer for backend servers. It speaks their protocol on
 	// connections that are opened by connect.
 	Dialer func(connect func(context.Context, catalog.Server) (net.Conn, error)) link.Dialer
+	// CheckStatement, if set, returns an error for a statement that cannot be sent to a
+	// backend server without a change of its text.
+	CheckStatement func(exchange.Statement) error
 	// Codec returns the protocol codec of a caller's connection.
 	Codec func(net.Conn) Codec
 	// Readiness returns the handler of the load balancer's readiness probe.
--- a/cmd/entry/gateways.go
+++ b/cmd/entry/gateways.go
@@ -37,6 +37,7 @@
 	g.Sources = g.client.Source
 	g.service.Pool = g.knownPool
 	g.service.Probe = g.probeKnown
+	g.service.Check = h.platform.CheckStatement
 	g.prober.Probe = link.Commander{Sources: h.pool}.Probe
 	g.prober.Clock = h.platform.Clock
 	return g
--- a/cmd/internal/command/entry.go
+++ b/cmd/internal/command/entry.go
@@ -53,8 +53,9 @@
 		Dialer: func(connect func(context.Context, catalog.Server) (net.Conn, error)) link.Dialer {
 			return platform.Dialer{Connect: connect}
 		},
-		Codec:     func(conn net.Conn) entry.Codec { return platform.NewCallerCodec(conn) },
-		Readiness: platform.ReadinessHandler,
+		CheckStatement: platform.CheckStatement,
+		Codec:          func(conn net.Conn) entry.Codec { return platform.NewCallerCodec(conn) },
+		Readiness:      platform.ReadinessHandler,
 		Reload: func(s settings.Entry) {
 			store.SetAddress(s.Store)
 			promotions.SetAddress(s.Orders)
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -26,6 +26,10 @@
 // server.
 var ErrUnknownServer = fmt.Errorf("%w: the server is not known", link.ErrNoConnection)
 
+// ErrMalformedBatch is the link.ErrNoConnection of a batch with a statement that cannot be
+// sent to a server.
+var ErrMalformedBatch = fmt.Errorf("%w: malformed batch", link.ErrNoConnection)
+
 // ErrMalformedResult is the link.ErrLost of a result that does not answer what was sent.
 var ErrMalformedResult = fmt.Errorf("%w: malformed result of the gateway", link.ErrLost)
 
--- a/core/gateway/service.go
+++ b/core/gateway/service.go
@@ -17,6 +17,9 @@
 	// Probe returns the result of a probe over this host's own connections. It
 	// fails with ErrUnknownServer for a server that is unknown to this host.
 	Probe func(context.Context, group.ServerID) (Proof, error)
+	// Check, if set, returns an error for a statement that cannot be sent to a server
+	// without a change of its text.
+	Check func(exchange.Statement) error
 
 	closed atomic.Bool
 	active atomic.Int64
@@ -40,6 +43,9 @@
 	if s.closed.Load() {
 		return stream.Send(Result{Err: ErrLeaving})
 	}
+	if s.check(first) != nil {
+		return stream.Send(Result{Err: ErrMalformedBatch})
+	}
 	source, ok := s.Pool(first.Server)
 	if !ok {
 		return stream.Send(Result{Err: ErrUnknownServer})
@@ -49,11 +55,39 @@
 		return stream.Send(Result{Err: err})
 	}
 	if first.Exclusive {
-		return serveExclusive(ctx, stream, lease, first)
+		return s.serveExclusive(ctx, stream, lease, first)
 	}
 	return serveShared(ctx, stream, lease, first)
 }
 
+// check returns an error if a statement of the batch, or one that sets up its session
+// state, cannot be sent. Sent together with the statements of other sessions, it would
+// end their connection.
+func (s *Service) check(batch Batch) error {
+	if s.Check == nil {
+		return nil
+	}
+	for _, statement := range batch.Statements {
+		if err := s.Check(statement); err != nil {
+			return err
+		}
+	}
+	if batch.Desired == nil {
+		return nil
+	}
+	for name, value := range batch.Desired.Values {
+		if err := s.Check(exchange.Statement{Operation: exchange.Set, Name: name, Value: value}); err != nil {
+			return err
+		}
+	}
+	for name, prepared := range batch.Desired.Prepared {
+		if err := s.Check(exchange.Statement{Operation: exchange.Prepare, Name: name, Prepared: prepared}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // acquire takes the connection for a stream.
 func acquire(ctx context.Context, source link.Source, first Batch) (*link.Lease, error) {
 	if first.WaitLimit > 0 {
@@ -91,7 +125,7 @@
 
 // serveExclusive runs batches until the other host ends the stream. A transaction
 // that is still open then is rolled back.
-func serveExclusive(ctx context.Context, stream ServedStream, lease *link.Lease, batch Batch) error {
+func (s *Service) serveExclusive(ctx context.Context, stream ServedStream, lease *link.Lease, batch Batch) error {
 	for {
 		call := lease.Submit(batch.Desired, batch.Statements...)
 		select {
@@ -110,6 +144,11 @@
 		if err == nil {
 			batch, err = stream.Receive()
 		}
+		if err == nil && s.check(batch) != nil {
+			lease.Close()
+			lease.Release()
+			return stream.Send(Result{Err: ErrMalformedBatch})
+		}
 		if err == nil {
 			continue
 		}
--- a/core/gateway/service_test.go
+++ b/core/gateway/service_test.go
@@ -126,3 +126,70 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// recordingStream records the statements that are sent on it and answers none.
+type recordingStream struct {
+	sent   chan exchange.Statement
+	closed chan struct{}
+}
+
+func (s *recordingStream) Send(batch []exchange.Statement) error {
+	for _, statement := range batch {
+		s.sent <- statement
+	}
+	return nil
+}
+
+func (s *recordingStream) Receive() (exchange.Answer, error) {
+	<-s.closed
+	return exchange.Answer{}, io.EOF
+}
+
+func (s *recordingStream) Close() error {
+	close(s.closed)
+	return nil
+}
+
+// Dial implements link.Dialer.
+func (s *recordingStream) Dial(context.Context, catalog.Server) (link.Stream, error) { return s, nil }
+
+// Guards against a malformed batch of another host that is sent to a server, or that ends
+// the connection which it would share with statements of other sessions.
+func TestBatchThatCannotBeSentIsRefused(t *testing.T) {
+	bad := exchange.Statement{ID: "w1", Operation: exchange.Write, Arguments: "bad"}
+	good := exchange.Statement{ID: "w0", Operation: exchange.Write, Arguments: "good"}
+	for name, batch := range map[string]gateway.Batch{
+		"statement": {Statements: []exchange.Statement{good, bad}},
+		"value":     {Statements: []exchange.Statement{good}, Desired: &link.SessionState{Values: map[string]string{"zone": "bad"}}},
+		"prepared": {Statements: []exchange.Statement{good}, Desired: &link.SessionState{
+			Prepared: map[string]exchange.PreparedStatement{"p1": {Text: "bad"}},
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				server := &recordingStream{sent: make(chan exchange.Statement, 8), closed: make(chan struct{})}
+				pool := link.NewPool(catalog.Server{ID: "a", Group: "g"}, server, 2)
+				defer pool.Close()
+				service := &gateway.Service{
+					Pool: func(group.ServerID) (link.Source, bool) { return pool, true },
+					Check: func(s exchange.Statement) error {
+						if s.Arguments == "bad" || s.Value == "bad" || s.Prepared.Text == "bad" {
+							return errors.New("cannot be sent")
+						}
+						return nil
+					},
+				}
+				stream := pairedNetwork{service: service}.Open(host.Info{})
+				defer stream.Close()
+				batch.Server = "a"
+				assert.NilError(t, stream.Send(batch))
+				result, err := stream.Receive()
+				assert.NilError(t, err)
+				assert.ErrorIs(t, result.Err, link.ErrNoConnection)
+				synctest.Wait()
+				assert.Equal(t, len(server.sent), 0)
+				assert.Equal(t, service.Active(), int64(0))
+			})
+		})
+	}
+}
