io/peer: texts of statements and answers cross hosts in any encoding

The messages between hosts declared the texts as strings, which must be valid UTF-8. A statement in another encoding could not be sent to a gateway, and an answer in one could not be returned; the caller was told that the write was in doubt, although it had not run.

Change: the texts are bytes. The two maps of a session's state become repeated messages, because the key of a map cannot be bytes.

Test: TestTextsOfAnyEncodingCrossHosts, before "marshal message: string field contains invalid UTF-8".

--- a/io/peer/gateway_test.go
+++ b/io/peer/gateway_test.go
@@ -183,3 +183,46 @@
 }
 
 func (refusingSource) Load() int { return 0 }
+
+// Guards against a statement or an answer that cannot cross hosts because it is not valid
+// UTF-8, or that crosses them changed.
+func TestTextsOfAnyEncodingCrossHosts(t *testing.T) {
+	const text = "M\xe9daille\r\n\x00\xff"
+	stream, info := startGateway(t)
+	client := peer.NewGatewayClient(dialTCP)
+	defer client.Close()
+	batch := gateway.Batch{
+		Server: "s1", Exclusive: true,
+		Desired:    &link.SessionState{Values: map[string]string{text: text}, Prepared: map[string]exchange.PreparedStatement{text: {Text: text}}},
+		Statements: []exchange.Statement{{ID: text, Operation: exchange.Execute, Name: text, Arguments: text}},
+	}
+	want := []exchange.Statement{
+		{Operation: exchange.Set, Name: text, Value: text},
+		{Operation: exchange.Prepare, Name: text, Prepared: exchange.PreparedStatement{Text: text}},
+		batch.Statements[0],
+	}
+	answers := []exchange.Answer{
+		{Rows: []string{text}, Digest: text},
+		{Failure: &exchange.Error{Code: exchange.ExecutionFailed, Text: text}},
+	}
+	for range 2 {
+		stream.prepared <- exchange.Answer{}
+	}
+	for _, answer := range answers {
+		stream.prepared <- answer
+	}
+	s := client.Open(info)
+	defer s.Close()
+	assert.NilError(t, s.Send(batch))
+	result, err := s.Receive()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, result, gateway.Result{Answers: answers[:1]})
+	for _, statement := range want {
+		assert.DeepEqual(t, <-stream.sent, statement)
+	}
+	batch.Desired = nil
+	assert.NilError(t, s.Send(batch))
+	result, err = s.Receive()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, result, gateway.Result{Answers: answers[1:]})
+}
--- a/io/peer/statement.go
+++ b/io/peer/statement.go
@@ -58,9 +58,12 @@
 		WaitLimitMicroseconds: b.WaitLimit.Microseconds(),
 	}
 	if b.Desired != nil {
-		m.Desired = &peerpb.SessionState{Values: b.Desired.Values, Prepared: map[string]*peerpb.PreparedStatement{}}
+		m.Desired = &peerpb.SessionState{}
+		for name, value := range b.Desired.Values {
+			m.Desired.Values = append(m.Desired.Values, &peerpb.SessionValue{Name: []byte(name), Value: []byte(value)})
+		}
 		for name, prepared := range b.Desired.Prepared {
-			m.Desired.Prepared[name] = encodePrepared(prepared)
+			m.Desired.Prepared = append(m.Desired.Prepared, &peerpb.NamedStatement{Name: []byte(name), Prepared: encodePrepared(prepared)})
 		}
 	}
 	for _, s := range b.Statements {
@@ -78,9 +81,12 @@
 		TimeForAnswer: time.Duration(m.GetMaxWaitMicroseconds()) * time.Microsecond, WaitLimit: time.Duration(m.GetWaitLimitMicroseconds()) * time.Microsecond,
 	}
 	if desired := m.GetDesired(); desired != nil {
-		b.Desired = &link.SessionState{Values: desired.GetValues(), Prepared: map[string]exchange.PreparedStatement{}}
-		for name, prepared := range desired.GetPrepared() {
-			b.Desired.Prepared[name] = decodePrepared(prepared)
+		b.Desired = &link.SessionState{Values: map[string]string{}, Prepared: map[string]exchange.PreparedStatement{}}
+		for _, v := range desired.GetValues() {
+			b.Desired.Values[string(v.GetName())] = string(v.GetValue())
+		}
+		for _, p := range desired.GetPrepared() {
+			b.Desired.Prepared[string(p.GetName())] = decodePrepared(p.GetPrepared())
 		}
 	}
 	for _, s := range m.GetStatements() {
@@ -97,16 +103,16 @@
 }
 
 func encodePrepared(p exchange.PreparedStatement) *peerpb.PreparedStatement {
-	return &peerpb.PreparedStatement{Writes: p.Writes, Text: p.Text}
+	return &peerpb.PreparedStatement{Writes: p.Writes, Text: []byte(p.Text)}
 }
 
 func decodePrepared(m *peerpb.PreparedStatement) exchange.PreparedStatement {
-	return exchange.PreparedStatement{Writes: m.GetWrites(), Text: m.GetText()}
+	return exchange.PreparedStatement{Writes: m.GetWrites(), Text: string(m.GetText())}
 }
 
 func encodeStatement(s exchange.Statement) *peerpb.Statement {
 	m := &peerpb.Statement{
-		Id: string(s.ID), Operation: operationCodes[s.Operation], Name: s.Name, Value: s.Value, Arguments: s.Arguments,
+		Id: []byte(s.ID), Operation: operationCodes[s.Operation], Name: []byte(s.Name), Value: []byte(s.Value), Arguments: []byte(s.Arguments),
 		MinTerm: int64(s.MinPosition.Term), MinOffset: int64(s.MinPosition.Offset), Term: int64(s.Term),
 	}
 	if s.Operation == exchange.Prepare {
@@ -117,8 +123,8 @@
 
 func decodeStatement(m *peerpb.Statement) exchange.Statement {
 	return exchange.Statement{
-		ID: exchange.StatementID(m.GetId()), Operation: operationCodes.value(m.GetOperation()), Name: m.GetName(), Value: m.GetValue(),
-		Prepared: decodePrepared(m.GetPrepared()), Arguments: m.GetArguments(),
+		ID: exchange.StatementID(m.GetId()), Operation: operationCodes.value(m.GetOperation()), Name: string(m.GetName()), Value: string(m.GetValue()),
+		Prepared: decodePrepared(m.GetPrepared()), Arguments: string(m.GetArguments()),
 		MinPosition: group.Position{Term: group.Term(m.GetMinTerm()), Offset: group.Offset(m.GetMinOffset())}, Term: group.Term(m.GetTerm()),
 	}
 }
@@ -126,7 +132,7 @@
 func encodeResult(r gateway.Result) *peerpb.BatchResult {
 	m := &peerpb.BatchResult{}
 	if r.Err != nil {
-		m.Refusal, m.Reason = refusalOf(r.Err), r.Err.Error()
+		m.Refusal, m.Reason = refusalOf(r.Err), []byte(r.Err.Error())
 	}
 	for _, a := range r.Answers {
 		m.Answers = append(m.Answers, encodeAnswer(a))
@@ -150,7 +156,7 @@
 }
 
 func decodeResult(m *peerpb.BatchResult) gateway.Result {
-	if err := decodeRefusal(m.GetRefusal(), m.GetReason()); err != nil {
+	if err := decodeRefusal(m.GetRefusal(), string(m.GetReason())); err != nil {
 		return gateway.Result{Err: err}
 	}
 	var r gateway.Result
@@ -181,7 +187,7 @@
 func encodeProbeResult(r gateway.ProbeResult) *peerpb.ProbeResponse {
 	var failure *exchange.Error
 	if r.Err != nil && !errors.As(r.Err, &failure) {
-		return &peerpb.ProbeResponse{Refusal: refusalOf(r.Err), Reason: r.Err.Error()}
+		return &peerpb.ProbeResponse{Refusal: refusalOf(r.Err), Reason: []byte(r.Err.Error())}
 	}
 	return &peerpb.ProbeResponse{
 		Answer:          encodeAnswer(exchange.Answer{Position: r.Proof.Position, Failure: failure}),
@@ -190,7 +196,7 @@
 }
 
 func decodeProbeResult(m *peerpb.ProbeResponse) gateway.ProbeResult {
-	if err := decodeRefusal(m.GetRefusal(), m.GetReason()); err != nil {
+	if err := decodeRefusal(m.GetRefusal(), string(m.GetReason())); err != nil {
 		return gateway.ProbeResult{Err: err}
 	}
 	answer := decodeAnswer(m.GetAnswer())
@@ -202,10 +208,13 @@
 
 func encodeAnswer(a exchange.Answer) *peerpb.Answer {
 	m := &peerpb.Answer{
-		Rows: a.Rows, Digest: a.Digest, State: stateCodes[a.State], Term: int64(a.Position.Term), Offset: int64(a.Position.Offset),
+		Digest: []byte(a.Digest), State: stateCodes[a.State], Term: int64(a.Position.Term), Offset: int64(a.Position.Offset),
+	}
+	for _, row := range a.Rows {
+		m.Rows = append(m.Rows, []byte(row))
 	}
 	if a.Failure != nil {
-		m.Failure = &peerpb.StatementFailure{Code: failureCodes[a.Failure.Code], Text: a.Failure.Text}
+		m.Failure = &peerpb.StatementFailure{Code: failureCodes[a.Failure.Code], Text: []byte(a.Failure.Text)}
 	}
 	if s := a.Status; s != nil {
 		m.Status = &peerpb.ServerStatus{
@@ -219,11 +228,14 @@
 
 func decodeAnswer(m *peerpb.Answer) exchange.Answer {
 	a := exchange.Answer{
-		Rows: m.GetRows(), Digest: m.GetDigest(), State: stateCodes.value(m.GetState()),
+		Digest: string(m.GetDigest()), State: stateCodes.value(m.GetState()),
 		Position: group.Position{Term: group.Term(m.GetTerm()), Offset: group.Offset(m.GetOffset())},
 	}
+	for _, row := range m.GetRows() {
+		a.Rows = append(a.Rows, string(row))
+	}
 	if f := m.GetFailure(); f != nil {
-		a.Failure = &exchange.Error{Code: failureCodes.value(f.GetCode()), Text: f.GetText()}
+		a.Failure = &exchange.Error{Code: failureCodes.value(f.GetCode()), Text: string(f.GetText())}
 	}
 	if s := m.GetStatus(); s != nil {
 		a.Status = &exchange.ServerStatus{
