takeover: account for servers that are listed during a change of primary

From its log: a stalled primary, 20.89 s claim and list of the servers, 21.00 s a planned replacement starts a database, which receives the whole log and confirms the 29 waiting commits, 21.007 s DEMOTE at 2:571, 22.4 s both listed replicas suspended at 2:542, 22.49 s one of them ordered. The new database was in the store by then and not asked.

Cause: the servers were listed once, before the primary had stopped, and the choice was made among these. The log shows the claim, the demotion, the suspended servers and their positions; no further logs were needed.

Change: after a demotion no commit is confirmed any more, so the servers are listed again until the choice is made, and whoever holds the whole log is promoted. A commit that was acknowledged to this host after the replicas had been found without progress shows that a server confirms which nobody lists; then nothing is dropped and the old primary leads again. When the primary does not answer, the servers are listed again after the suspension, and those that are new are suspended too, until there is none.

Ruled out: promoting the old primary whenever no replica holds its whole log. It would leave a group without confirmed commits for as long as its primary is cut off from the replicas.

Tests, each failing before: TestServerListedAfterTheDemotionIsAccountedFor, TestAcknowledgedCommitsOfAnUnlistedServerAreKept, TestServerListedDuringTheSuspensionIsAccountedFor, TestUnresponsiveLateMemberEndsTheAttempt.

--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -211,6 +211,10 @@
 	// stalledCommits counts the reports of commits that have been waiting for
 	// their confirmation for too long.
 	stalledCommits atomic.Int64
+	createdAt      time.Time
+	// lastCommit is the time from createdAt until a commit was last acknowledged to
+	// this host, in nanoseconds; zero if none was.
+	lastCommit atomic.Int64
 
 	view        *catalog.View
 	members     []catalog.Server // the group's servers in view
@@ -268,7 +272,7 @@
 
 // New returns a Monitor that knows no primary yet.
 func New(config Config) *Monitor {
-	m := &Monitor{config: config, events: make(chan event, 64)}
+	m := &Monitor{config: config, events: make(chan event, 64), createdAt: time.Now()}
 	m.snapshot.Store(&Snapshot{changed: make(chan struct{})})
 	return m
 }
@@ -293,6 +297,15 @@
 	m.send(proofEvent{server: server, at: at, position: position})
 }
 
+// ReportCommit reports that a commit was acknowledged to this host.
+func (m *Monitor) ReportCommit() { m.lastCommit.Store(int64(time.Since(m.createdAt))) }
+
+// lastCommitAt returns when a commit was last acknowledged to this host, or when the
+// monitor was created.
+func (m *Monitor) lastCommitAt() time.Time {
+	return m.createdAt.Add(time.Duration(m.lastCommit.Load()))
+}
+
 // ReportStalledCommit reports that a commit has been waiting for its
 // confirmation for longer than replication normally takes.
 func (m *Monitor) ReportStalledCommit() {
--- a/core/proxy/transaction.go
+++ b/core/proxy/transaction.go
@@ -88,7 +88,7 @@
 	switch {
 	case answer.Failure == nil:
 		if t.wrote {
-			s.noteCommit(answer.Position)
+			r.noteCommit(answer.Position)
 		}
 	case answer.Failure.Code.NotRun(), answer.Failure.Code == exchange.Aborted:
 		answer = exchange.ErrorAnswer(exchange.Aborted, answer.Failure.Text, exchange.Idle)
--- a/core/proxy/write.go
+++ b/core/proxy/write.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"basilmill/core/exchange"
+	"basilmill/core/group"
 	"basilmill/core/link"
 )
 
@@ -48,12 +49,13 @@
 			// The connection stays open because it is shared with other
 			// sessions. The lease is held until the answer arrives.
 			lease.Abandon(pending)
+			go r.noteLateCommit(pending)
 			return answer
 		}
 		if answer.Failure == nil || !answer.Failure.Code.NotRun() {
 			lease.Release()
 			if answer.Failure == nil {
-				r.session.noteCommit(answer.Position)
+				r.noteCommit(answer.Position)
 				r.reportProof(sentAt, answer)
 			}
 			return answer
@@ -66,6 +68,21 @@
 	}
 }
 
+// noteCommit notes a commit that was acknowledged to this host.
+func (r *request) noteCommit(position group.Position) {
+	r.session.noteCommit(position)
+	r.monitor.ReportCommit()
+}
+
+// noteLateCommit waits for the answer to a write that the caller no longer waits for. A
+// change of primary must not drop the commit if it was acknowledged after all.
+func (r *request) noteLateCommit(pending *link.Call) {
+	<-pending.Done
+	if answers, err := pending.Answers(); err == nil && answers[0].Failure == nil {
+		r.monitor.ReportCommit()
+	}
+}
+
 // refuse answers a request that is known not to have run.
 func (r *request) refuse() exchange.Answer {
 	if r.reason == "" {
--- /dev/null
+++ b/core/takeover/latemember_test.go
@@ -0,0 +1,111 @@
+package takeover_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/catalog"
+	"basilmill/core/exchange"
+	"basilmill/core/group"
+	"basilmill/core/takeover"
+)
+
+// lateMemberClient lists the server "d" some time after the first command of an
+// operation. Until then only the server itself knows that it has confirmed commits.
+type lateMemberClient struct {
+	*fakeCluster
+	operation exchange.Operation
+	delay     time.Duration
+}
+
+func (c *lateMemberClient) Command(ctx context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
+	if statement.Operation == c.operation {
+		c.operation = exchange.Invalid
+		time.AfterFunc(c.delay, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.listedServers = append(c.listedServers, catalog.Server{ID: "d"})
+		})
+	}
+	return c.fakeCluster.Command(ctx, s, statement)
+}
+
+// replaceWithLateMember replaces the primary "a" while a server "d", which has received
+// its whole log, is listed after the delay. The last commit was acknowledged to this host
+// at the given time after the start of the attempt; never if that is negative.
+func replaceWithLateMember(t *testing.T, cause takeover.Cause, after exchange.Operation, delay, lastCommit time.Duration) (f *fakeCluster, server group.ServerID, err error) {
+	t.Helper()
+	f = newFakeCluster()
+	f.statuses["d"] = replicaAt(10)
+	synctest.Test(t, func(t *testing.T) {
+		r := &takeover.Runner{
+			Self: "h1", Client: &lateMemberClient{f, after, delay}, Records: f, ServerLister: f, Promotions: f, NewUpdateID: func() string { return "h1-1" },
+		}
+		started := time.Now()
+		server, err = r.Run(context.Background(), takeover.Request{
+			Group: "g", Cause: cause, Primary: catalog.Server{ID: "a"}, Members: members(),
+			LastCommitAt: func() time.Time { return started.Add(lastCommit) },
+		})
+		// Time for the timer of an attempt that did not wait for "d".
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		_ = t
+	})
+	return f, server, err
+}
+
+// Guards against the loss of commits that a server confirmed before the primary was
+// demoted, and that the store lists only after that (review/2).
+func TestServerListedAfterTheDemotionIsAccountedFor(t *testing.T) {
+	for _, delay := range []time.Duration{0, 400 * time.Millisecond, 1100 * time.Millisecond} {
+		_, server, err := replaceWithLateMember(t, takeover.CommitsStalled, exchange.Demote, delay, -1)
+		assert.NilError(t, err)
+		assert.Equal(t, server, group.ServerID("d"), "%v", delay)
+	}
+}
+
+// Guards against the loss of commits that a server confirmed which the store does not list
+// in time: an acknowledgement shows that there is one, and only the old primary is known
+// to hold its commits.
+func TestAcknowledgedCommitsOfAnUnlistedServerAreKept(t *testing.T) {
+	f, server, err := replaceWithLateMember(t, takeover.CommitsStalled, exchange.Demote, 20*time.Second, 200*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, server, group.ServerID("a"))
+	assert.Equal(t, len(f.orderedEpochs), 1)
+}
+
+// Commits that were acknowledged before the replicas were checked are on one of them.
+// They must not keep a stalled primary in place.
+func TestStalledPrimaryIsReplacedAfterEarlierCommits(t *testing.T) {
+	_, server, err := replaceWithLateMember(t, takeover.CommitsStalled, exchange.Demote, 20*time.Second, -time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, server, group.ServerID("c"))
+}
+
+// Guards against the loss of commits that a server confirmed while the others were being
+// suspended, and that the store lists only after that.
+func TestServerListedDuringTheSuspensionIsAccountedFor(t *testing.T) {
+	for _, cause := range []takeover.Cause{takeover.PrimaryGone, takeover.PrimaryUnresponsive} {
+		f, server, err := replaceWithLateMember(t, cause, exchange.Suspend, 0, -1)
+		assert.NilError(t, err)
+		assert.Equal(t, server, group.ServerID("d"), "%v", cause)
+		assert.Equal(t, f.record.BasePosition, group.Position{Term: 1, Offset: 10})
+	}
+}
+
+// A server that the store lists during the suspension and that does not answer may hold
+// acknowledged commits. The suspended servers must then be resumed.
+func TestUnresponsiveLateMemberEndsTheAttempt(t *testing.T) {
+	f := newFakeCluster()
+	f.unresponsive["d"] = true
+	_, err := runAttempt(t, f, takeover.PrimaryGone, func(r *takeover.Runner) {
+		r.Client = &lateMemberClient{f, exchange.Suspend, 0}
+	})
+	assert.ErrorIs(t, err, takeover.ErrServerUnresponsive)
+	assert.Equal(t, len(f.orderedEpochs), 0)
+	assert.DeepEqual(t, len(f.resumed) >= 2, true)
+}
--- a/core/takeover/reachable.go
+++ b/core/takeover/reachable.go
@@ -22,6 +22,7 @@
 		return "", err
 	}
 	highestPosition := status.ReceivedPosition
+	checkedAt := time.Now()
 	if a.Cause == CommitsStalled {
 		if highestPosition, err = a.checkStalled(ctx, others, status.ReceivedPosition); err != nil {
 			return "", err
@@ -37,27 +38,39 @@
 	if err != nil {
 		return "", err
 	}
-	return a.promote(ctx, a.chooseAfterDemotion(ctx, demoted))
+	return a.promote(ctx, a.chooseAfterDemotion(ctx, demoted, checkedAt))
 }
 
 // chooseAfterDemotion returns the server to be promoted after the primary was
-// demoted: a replica that holds the whole log of the primary. If there is none
+// demoted: one that holds the whole log of the primary. If there is none
 // and the cause is CommitsStalled, it is the replica with the highest position,
-// provided that all replicas can be suspended; otherwise the old primary itself.
-func (a *attempt) chooseAfterDemotion(ctx context.Context, demoted exchange.ServerStatus) serverStatus {
-	others := a.otherMembers()
-	deadline := time.Now().Add(catchUpTimeout)
+// provided that nothing beyond it can have been acknowledged; otherwise the old primary
+// itself.
+//
+// No commit is confirmed after the demotion, but a server that the store lists only
+// afterwards may have confirmed some before it. The servers are therefore listed again
+// until the choice is made.
+func (a *attempt) chooseAfterDemotion(ctx context.Context, demoted exchange.ServerStatus, checkedAt time.Time) serverStatus {
+	listedAt := time.Now()
+	deadline := listedAt.Add(catchUpTimeout)
 	for {
+		final := !time.Now().Before(deadline)
+		var listErr error
+		if final || time.Since(listedAt) >= relistInterval {
+			listedAt = time.Now()
+			_, listErr = a.addListedMembers(ctx)
+		}
+		others := a.otherMembers()
 		answers, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
 		for _, answer := range answers {
 			if !answer.server.Leaving && answer.status.ReceivedPosition.Compare(demoted.ReceivedPosition) >= 0 {
 				return answer
 			}
 		}
-		if time.Now().Before(deadline) && sleep(ctx, catchUpPollInterval) == nil {
+		if !final && sleep(ctx, catchUpPollInterval) == nil {
 			continue
 		}
-		if err == nil && a.Cause == CommitsStalled {
+		if err == nil && listErr == nil && final && a.Cause == CommitsStalled && !a.commitAcknowledgedSince(checkedAt) {
 			candidate, err := a.suspendAll(ctx, others, max(demoted.Term, highestTerm(answers))+1)
 			if err == nil {
 				return candidate
@@ -67,6 +80,13 @@
 	}
 }
 
+// commitAcknowledgedSince reports whether a commit was acknowledged to this host after
+// the given time. If no known replica made progress then, a server that is not known has
+// confirmed it.
+func (a *attempt) commitAcknowledgedSince(at time.Time) bool {
+	return a.LastCommitAt != nil && a.LastCommitAt().After(at)
+}
+
 // checkStalled fails with ErrPrimaryActive unless the primary holds commits that
 // no replica receives. It returns the highest position of a replica.
 func (a *attempt) checkStalled(ctx context.Context, others []catalog.Server, end group.Position) (highestPosition group.Position, err error) {
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -126,6 +126,10 @@
 	// catchUpPollInterval is the pause between two status queries during that
 	// wait.
 	catchUpPollInterval = 50 * time.Millisecond
+	// relistInterval is the time between two lists of the servers during that wait.
+	// A list costs a call of the store, and a server registers some hundred
+	// milliseconds after its start.
+	relistInterval = 300 * time.Millisecond
 	// promotionTimeout bounds the wait until a server that was ordered to be
 	// promoted is the primary: several times the 300 to 1,000 ms that a
 	// promotion takes.
@@ -187,6 +191,8 @@
 	// DepartureUnproven is set while no position has been proven since a server
 	// left the group.
 	DepartureUnproven bool
+	// LastCommitAt, if set, returns when a commit was last acknowledged to this host.
+	LastCommitAt func() time.Time
 }
 
 // Step is a completed or failed step of an attempt, for the log.
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -61,6 +61,8 @@
 }
 
 func (f *fakeCluster) Servers(context.Context, group.ID) ([]catalog.Server, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return f.listedServers, nil
 }
 
--- a/core/takeover/unreachable.go
+++ b/core/takeover/unreachable.go
@@ -40,13 +40,44 @@
 	if server, ok := findPrimary(missing); ok {
 		return server, ErrPrimaryActive
 	}
-	candidate, err := a.suspendAll(ctx, a.otherMembers(), highestTerm(append(before, missing...))+1)
+	term := highestTerm(append(before, missing...)) + 1
+	candidate, err := a.suspendAll(ctx, a.otherMembers(), term)
 	if err != nil {
 		return "", err
 	}
+	candidate, err = a.suspendLateMembers(ctx, candidate, term)
+	if err != nil {
+		a.resumeAll(ctx)
+		return "", err
+	}
 	return a.promote(ctx, candidate)
 }
 
+// suspendLateMembers suspends the servers that the store lists only now, until it lists
+// no other, and returns the server with the highest position. A server may confirm
+// commits for some time before the store lists it.
+func (a *attempt) suspendLateMembers(ctx context.Context, candidate serverStatus, term group.Term) (serverStatus, error) {
+	for {
+		late, err := a.addListedMembers(ctx)
+		if err != nil || len(late) == 0 {
+			return candidate, err
+		}
+		if server, ok := findPrimary(late); ok {
+			return candidate, eris.Wrapf(ErrPrimaryActive, "%s", server)
+		}
+		servers := make([]catalog.Server, 0, len(late))
+		for _, l := range late {
+			servers = append(servers, l.server)
+		}
+		a.suspendedServers = slices.Concat(a.suspendedServers, servers)
+		final, err := a.commandAll(ctx, servers, exchange.Statement{Operation: exchange.Suspend, Term: term})
+		if err != nil {
+			return candidate, err
+		}
+		candidate = mostAdvanced(append(final, candidate))
+	}
+}
+
 // checkProgress fails with ErrPrimaryActive if a replica has received anything
 // since the status before: then a primary is active, and only this host cannot
 // reach it.
