takeover: what a departed replica had received is not dropped

Cause: a host that cannot reach the primary queries the replicas, finds that one makes progress and gives up the attempt, and forgets the position. Once that replica has left, its commits count for nothing.

Change: positions that replicas were seen to have received are remembered until the next promotion, which settles which commits there are. A change below them fails as for the base position, and the group waits for a server that holds them. The memory is that of the host that asked.

Ruled out: a change only after a position was proven since a departure. A primary that does not answer may never return, and departures are usual.

--- a/core/takeover/reachable.go
+++ b/core/takeover/reachable.go
@@ -70,7 +70,7 @@
 		if !final && sleep(ctx, catchUpPollInterval) == nil {
 			continue
 		}
-		if err == nil && listErr == nil && final && a.Cause == CommitsStalled && !a.commitAcknowledgedSince(checkedAt) {
+		if err == nil && listErr == nil && final && a.mayDropCommits(checkedAt) {
 			candidate, err := a.suspendAll(ctx, others, max(demoted.Term, highestTerm(answers))+1)
 			if err == nil {
 				return candidate
@@ -80,11 +80,18 @@
 	}
 }
 
-// commitAcknowledgedSince reports whether a commit was acknowledged to this host after
-// the given time. If no known replica made progress then, a server that is not known has
-// confirmed it.
-func (a *attempt) commitAcknowledgedSince(at time.Time) bool {
-	return a.LastCommitAt != nil && a.LastCommitAt().After(at)
+// mayDropCommits reports whether the commits that no replica has may be dropped: they were
+// stalled, and none has been acknowledged to this host since the replicas were found
+// without progress. Otherwise a server that the store does not list has confirmed them.
+func (a *attempt) mayDropCommits(checkedAt time.Time) bool {
+	if a.Cause != CommitsStalled {
+		return false
+	}
+	if a.LastCommitAt != nil && a.LastCommitAt().After(checkedAt) {
+		a.reportStep(Step{Name: "confirmed elsewhere", Epoch: a.record.Epoch})
+		return false
+	}
+	return true
 }
 
 // checkStalled fails with ErrPrimaryActive unless the primary holds commits that
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -28,6 +28,13 @@
 	if err := a.checkDepartures(highestPosition); err != nil {
 		return err
 	}
+	a.requiredPosition = current.BasePosition
+	if received := a.received.since(current.BasePosition); received.Compare(a.requiredPosition) > 0 {
+		a.requiredPosition = received
+	}
+	if highestPosition.Compare(a.requiredPosition) < 0 {
+		return eris.Wrapf(ErrLogIncomplete, "highest position %v is below %v, which a replica had received", highestPosition, a.requiredPosition)
+	}
 	era, _ := a.Eras.Newest()
 	next := current
 	next.Epoch = current.Epoch.next(era)
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -224,7 +224,8 @@
 	lastRecord   Record
 	lastRecordAt time.Time
 	// known is what this host knows of the record, also if the store has lost it.
-	known Record
+	known    Record
+	received receivedPosition
 }
 
 // attempt is the state of one attempt in progress.
@@ -236,6 +237,9 @@
 	// promotionPending is set while a promotion without an answer, ordered by
 	// this attempt or an earlier one, may still be carried out.
 	promotionPending bool
+	// requiredPosition is the lowest position that a server must have reached to be
+	// promoted.
+	requiredPosition group.Position
 	// suspensionsRemain is set if the attempt may leave servers suspended.
 	suspensionsRemain bool
 }
--- a/core/takeover/unreachable.go
+++ b/core/takeover/unreachable.go
@@ -19,6 +19,7 @@
 		return "", ErrNoCandidate
 	}
 	before, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
+	a.received.note(before, a.known.BasePosition)
 	if err != nil {
 		return "", err
 	}
@@ -86,6 +87,7 @@
 		return err
 	}
 	after, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
+	a.received.note(after, a.known.BasePosition)
 	if err != nil {
 		return err
 	}
@@ -117,6 +119,9 @@
 		return nil, nil
 	}
 	a.Members = slices.Concat(a.Members, missing)
+	for _, s := range missing {
+		a.reportStep(Step{Name: "joined", Server: s.ID, Epoch: a.record.Epoch})
+	}
 	return a.commandAll(ctx, missing, exchange.Statement{Operation: exchange.Status})
 }
 
@@ -127,8 +132,8 @@
 	final, err := a.commandAll(ctx, servers, exchange.Statement{Operation: exchange.Suspend, Term: term})
 	if err == nil {
 		candidate = mostAdvanced(final)
-		if candidate.status.ReceivedPosition.Compare(a.record.BasePosition) < 0 {
-			err = eris.Wrapf(ErrLogIncomplete, "highest position %v is below the base position %v", candidate.status.ReceivedPosition, a.record.BasePosition)
+		if candidate.status.ReceivedPosition.Compare(a.requiredPosition) < 0 {
+			err = eris.Wrapf(ErrLogIncomplete, "highest position %v is below the required position %v", candidate.status.ReceivedPosition, a.requiredPosition)
 		}
 	}
 	if err != nil {
