proxy: a leaving primary gets no requests after its time

Cause: reads avoid a server as soon as it is leaving, but whatever needs the primary was sent to it without regard to that, for as long as it leads.

Change: the monitor notes since when each server has been known to leave, and from 1 s before the end of its time nothing new is sent to the primary. Open transactions go on. Requests wait for the replacement, which a leaving primary causes at once; a request that waits asks for a probe each 100 ms.

Ruled out: never promoting a leaving server. It may be the only one that holds acknowledged commits.

Test: TestLeavingPrimaryGetsNoRequestAfterItsTime, failing without the check.

--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -145,6 +145,9 @@
 	// Primary is valid if PrimaryKnown is set.
 	Primary      catalog.Server
 	PrimaryKnown bool
+	// LeavingSince is the clock reading when this host learnt that the primary is
+	// leaving; valid if Primary.Leaving is set.
+	LeavingSince time.Duration
 	// ProvenAt is the clock reading of the last proof that this host made itself.
 	ProvenAt time.Duration
 	// Samples are sorted by At.
@@ -265,6 +268,7 @@
 	mayHaveLeftSuspensions bool
 	samples                []Sample
 	departures             departures
+	leaving                leaving
 }
 
 // event is an update that the goroutine of a Monitor applies to its state.
@@ -403,6 +407,7 @@
 	}
 	m.view, m.members = view, members
 	m.departures.note(members, now)
+	m.leaving.note(members, now)
 }
 
 // untilDue returns the time until work may be due that neither an event nor a
@@ -484,7 +489,7 @@
 func (m *Monitor) publish() {
 	old := m.snapshot.Load()
 	m.snapshot.Store(&Snapshot{
-		Primary: m.primary, PrimaryKnown: m.primaryKnown, ProvenAt: m.provenAt,
+		Primary: m.primary, PrimaryKnown: m.primaryKnown, LeavingSince: m.leaving.since[m.primary.ID], ProvenAt: m.provenAt,
 		Samples: append([]Sample(nil), m.samples...), changed: make(chan struct{}),
 	})
 	close(old.changed)
--- a/core/proxy/current.go
+++ b/core/proxy/current.go
@@ -93,11 +93,18 @@
 	}
 }
 
-// awaitPrimary waits until the primary is known and its last proof is not older
-// than primaryProofTTL.
+// awaitPrimary waits until the primary is known, accepts requests and its last proof is
+// not older than primaryProofTTL.
 func (r *request) awaitPrimary(ctx context.Context) (catalog.Server, bool) {
 	for {
 		snapshot := r.monitor.Snapshot()
+		if r.session.proxy.isClosed(snapshot) {
+			r.reason = "the primary is leaving"
+			if !r.awaitReplacement(ctx) {
+				return catalog.Server{}, false
+			}
+			continue
+		}
 		if snapshot.PrimaryKnown && r.hasRecentProof(snapshot) {
 			return snapshot.Primary, true
 		}
@@ -121,12 +128,42 @@
 	return awaitChange(waitCtx, snapshot) || ctx.Err() == nil
 }
 
+// replacementInterval is the time between two requests for a probe of a request that
+// waits for the replacement of a leaving primary. That one may go on proving its lead.
+const replacementInterval = 100 * time.Millisecond
+
+// awaitReplacement requests a probe and waits for replacementInterval. It returns false
+// when ctx ends first.
+func (r *request) awaitReplacement(ctx context.Context) bool {
+	r.monitor.RequestProbe()
+	timer := time.NewTimer(replacementInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // hasRecentProof reports whether the primary has been proven within
 // primaryProofTTL.
 func (r *request) hasRecentProof(snapshot *lead.Snapshot) bool {
 	return r.session.proxy.config.Clock()-snapshot.ProvenAt < primaryProofTTL
 }
 
+// leaveMargin is how long before the end of the time that a leaving server serves no
+// more requests are sent to it. It covers the time until this host has learnt that the
+// server is leaving, and the request's way there.
+const leaveMargin = time.Second
+
+// isClosed reports whether the primary has been leaving for so long that no request must
+// be sent to it any more. It may have been promoted after it began to leave.
+func (p *Proxy) isClosed(snapshot *lead.Snapshot) bool {
+	return p.config.LeaveTime > 0 && snapshot.PrimaryKnown && snapshot.Primary.Leaving &&
+		p.config.Clock()-snapshot.LeavingSince > p.config.LeaveTime-leaveMargin
+}
+
 // awaitChange waits for a newer snapshot. It returns false when ctx ends first.
 func awaitChange(ctx context.Context, snapshot *lead.Snapshot) bool {
 	select {
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -31,6 +31,9 @@
 	// Sources returns the source of connections to a backend server.
 	Sources    link.Sources
 	DataCentre host.DataCentre
+	// LeaveTime is how long after a server said that it is leaving requests may be
+	// sent to it; zero means until it ends.
+	LeaveTime time.Duration
 	// Clock is a monotonic clock that includes the time the machine is suspended.
 	Clock func() time.Duration
 	Log   *logevent.Logger
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,34 +65,91 @@
 
 func (*fakeServers) Close() {}
 
-// An answer without a position must not lower what the session's next reads must see.
-func TestOwnWritesAreSeenAfterAnAnswerWithoutAPosition(t *testing.T) {
+// fixture is a proxy with one group, whose primary is "a".
+type fixture struct {
+	cache *catalog.Cache
+	proxy *proxy.Proxy
+}
+
+// withProxy runs a test in virtual time with a proxy whose route has the consistency.
+func withProxy(t *testing.T, servers *fakeServers, consistency catalog.Consistency, test func(t *testing.T, f fixture)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
 		clock := func() time.Duration { return time.Hour + time.Since(started) }
 		log := &logevent.Logger{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
-		f := &fakeServers{positions: []group.Position{{Term: 1, Offset: 30}, {}, {Term: 1, Offset: 30}}}
 		cache := &catalog.Cache{}
 		cache.SetConfig(&catalog.Config{
 			Version: 1, Groups: map[group.ID]catalog.Group{"g": {ID: "g"}},
-			Routes: map[string]catalog.Route{"db": {Database: "db", Group: "g", Consistency: catalog.OwnWrites, MaxAge: time.Second, StatementTimeout: time.Second, TargetLatency: time.Second}},
+			Routes: map[string]catalog.Route{"db": {Database: "db", Group: "g", Consistency: consistency, MaxAge: time.Second, StatementTimeout: time.Second, TargetLatency: time.Second}},
 		})
 		cache.PutServer(catalog.Server{ID: "a", Group: "g", ClaimsPrimary: true})
-		monitor := lead.New(lead.Config{Group: "g", Cache: cache, Client: f, PrimaryChanger: f, Clock: clock, Log: log})
+		monitor := lead.New(lead.Config{Group: "g", Cache: cache, Client: servers, PrimaryChanger: servers, Clock: clock, Log: log})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer time.Sleep(time.Second)
 		defer cancel()
 		go func() { _ = monitor.Run(ctx) }()
 		time.Sleep(100 * time.Millisecond)
-		p := proxy.New(proxy.Config{
-			Cache: cache, Monitor: func(group.ID) *lead.Monitor { return monitor }, Sources: func(catalog.Server) link.Source { return f }, Clock: clock, Log: log,
-		})
-		s, failure := p.Open(ctx, "db")
+		test(t, fixture{cache, proxy.New(proxy.Config{
+			Cache: cache, Monitor: func(group.ID) *lead.Monitor { return monitor }, Sources: func(catalog.Server) link.Source { return servers },
+			LeaveTime: leaveTime, Clock: clock, Log: log,
+		})})
+	})
+}
+
+// leaveTime is how long a leaving server may be used in these tests.
+const leaveTime = 7 * time.Second
+
+// An answer without a position must not lower what the session's next reads must see.
+func TestOwnWritesAreSeenAfterAnAnswerWithoutAPosition(t *testing.T) {
+	servers := &fakeServers{positions: []group.Position{{Term: 1, Offset: 30}, {}, {Term: 1, Offset: 30}}}
+	withProxy(t, servers, catalog.OwnWrites, func(t *testing.T, f fixture) {
+		ctx := context.Background()
+		s, failure := f.proxy.Open(ctx, "db")
 		assert.Assert(t, failure == nil)
 		for _, statement := range []exchange.Statement{{ID: "1", Operation: exchange.Write}, {ID: "2", Operation: exchange.Write}, {ID: "3", Operation: exchange.Read}} {
 			answer := s.Execute(ctx, statement)
 			assert.Assert(t, answer.Failure == nil, "%v", answer.Failure)
 		}
-		assert.Equal(t, f.sent[2].MinPosition, group.Position{Term: 1, Offset: 30})
+		assert.Equal(t, servers.sent[2].MinPosition, group.Position{Term: 1, Offset: 30})
 	})
 }
+
+// Guards against requests that reach a leaving server after its time, because it is the
+// primary (review/5).
+func TestLeavingPrimaryGetsNoRequestAfterItsTime(t *testing.T) {
+	for name, test := range map[string]struct {
+		statements []exchange.Operation
+		want       exchange.Code
+	}{
+		"write":       {[]exchange.Operation{exchange.Write}, exchange.Busy},
+		"read":        {[]exchange.Operation{exchange.Read}, exchange.Busy},
+		"transaction": {[]exchange.Operation{exchange.Begin, exchange.Read}, exchange.Aborted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			servers := &fakeServers{positions: slices.Repeat([]group.Position{{Term: 1, Offset: 30}}, 20)}
+			withProxy(t, servers, catalog.Current, func(t *testing.T, f fixture) {
+				execute := func() (failure *exchange.Error) {
+					s, _ := f.proxy.Open(context.Background(), "db")
+					defer s.Close()
+					for _, operation := range test.statements {
+						failure = s.Execute(context.Background(), exchange.Statement{ID: "1", Operation: operation}).Failure
+					}
+					return failure
+				}
+				f.cache.PutServer(catalog.Server{ID: "a", Group: "g", ClaimsPrimary: true, Leaving: true})
+				time.Sleep(leaveTime - 1500*time.Millisecond)
+				assert.Assert(t, execute() == nil)
+				time.Sleep(time.Second)
+				sent := len(servers.sent)
+				failure := execute()
+				assert.Assert(t, failure != nil)
+				assert.Equal(t, failure.Code, test.want)
+				assert.Equal(t, len(servers.sent), sent)
+				f.cache.PutServer(catalog.Server{ID: "a", Group: "g", ClaimsPrimary: true})
+				time.Sleep(100 * time.Millisecond)
+				assert.Assert(t, execute() == nil)
+			})
+		})
+	}
+}
