lead: a replica that left after the last proof keeps an unreachable primary

Cause: a host took a departure without a proof since for no reason against a change of an unreachable primary, because it counts its own start as one and could not tell them apart.

Change: departures of replicas that were seen are kept apart from the start of the host and from the departure of the primary.

Ruled out: waiting without a limit. The primary may never return.

--- a/core/lead/change.go
+++ b/core/lead/change.go
@@ -26,7 +26,8 @@
 	request := takeover.Request{
 		Group: m.config.Group, Primary: m.primary, Members: members,
 		DeparturePosition: m.departures.position, DepartureUnproven: m.departures.unproven,
-		LastCommitAt: m.lastCommitAt,
+		ReplicaDeparted: m.departures.replicaDeparted(now),
+		LastCommitAt:    m.lastCommitAt,
 	}
 	if !m.primaryKnown {
 		if len(members) < 2 || now-m.lostAt < noPrimaryThreshold || now-m.startedAt < startupGracePeriod {
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -406,7 +406,7 @@
 		m.nextSearch, m.futileSearches = now, 0
 	}
 	m.view, m.members = view, members
-	m.departures.note(members, now)
+	m.departures.note(members, m.primary.ID, now)
 	m.leaving.note(members, now)
 }
 
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -454,3 +454,40 @@
 		assert.Assert(t, len(f.attemptedChanges()) > 0)
 	})
 }
+
+// Guards against a change of primary beside which commits are lost that only a replica had
+// confirmed which has left since the last proof (review/1). The departure of the primary
+// itself, and that of a replica that comes back with its log, do not count.
+func TestReplicaThatLeavesAfterTheLastProofIsReported(t *testing.T) {
+	f := &fakeCluster{primary: "a", position: positionAt(1, 10)}
+	runMonitor(t, f, func(t *testing.T, m *lead.Monitor, cache *catalog.Cache, _ func() time.Duration) {
+		server := func(id group.ServerID) catalog.Server {
+			return catalog.Server{ID: id, Group: "g", ClaimsPrimary: id == "a"}
+		}
+		departed := func() bool {
+			time.Sleep(2 * time.Second)
+			attempts := f.attemptedChanges()
+			assert.Assert(t, len(attempts) > 0)
+			return attempts[len(attempts)-1].ReplicaDeparted
+		}
+		time.Sleep(3 * time.Second)
+		f.update(func() { f.unreachable = true })
+		assert.Assert(t, !departed())
+		cache.ReplaceServers([]catalog.Server{server("a"), server("c")})
+		time.Sleep(2 * catalog.DefaultMissingEntryGracePeriod)
+		cache.Expire()
+		assert.Assert(t, departed())
+		cache.PutServer(server("b"))
+		assert.Assert(t, !departed())
+		cache.ReplaceServers([]catalog.Server{server("b"), server("c")})
+		time.Sleep(2 * catalog.DefaultMissingEntryGracePeriod)
+		cache.Expire()
+		assert.Assert(t, !departed())
+		cache.ReplaceServers([]catalog.Server{server("c"), {ID: "d", Group: "g"}})
+		time.Sleep(2 * catalog.DefaultMissingEntryGracePeriod)
+		cache.Expire()
+		assert.Assert(t, departed())
+		time.Sleep(30 * time.Second)
+		assert.Assert(t, !departed())
+	})
+}
--- a/core/takeover/received_test.go
+++ b/core/takeover/received_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"basilmill/core/catalog"
+	"basilmill/core/exchange"
 	"basilmill/core/group"
 	"basilmill/core/takeover"
 )
@@ -60,3 +61,21 @@
 		assert.Equal(t, server, group.ServerID("c"))
 	})
 }
+
+// Guards against the promotion of a server that may lack what a replica confirmed which
+// left after the last proof. A primary that answers holds it.
+func TestUnprovenDepartureBlocksOnlyAnUnreachablePrimary(t *testing.T) {
+	for cause, want := range map[takeover.Cause]error{
+		takeover.PrimaryUnresponsive: takeover.ErrLogIncomplete, takeover.PrimaryGone: takeover.ErrLogIncomplete, takeover.PrimaryLeaving: nil, takeover.ReplicasSuspended: nil,
+	} {
+		f := newFakeCluster()
+		f.statuses["a"] = exchange.ServerStatus{Role: exchange.Primary, Term: 1, ReceivedPosition: group.Position{Term: 1, Offset: 10}}
+		synctest.Test(t, func(t *testing.T) {
+			r := &takeover.Runner{Self: "h1", Client: f, Records: f, ServerLister: f, Promotions: f, NewUpdateID: func() string { return "h1-1" }}
+			_, err := r.Run(context.Background(), takeover.Request{
+				Group: "g", Cause: cause, Primary: catalog.Server{ID: "a"}, Members: members(), ReplicaDeparted: true,
+			})
+			assert.ErrorIs(t, err, want, "%v", cause)
+		})
+	}
+}
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -48,10 +48,10 @@
 }
 
 // checkDepartures fails with ErrLogIncomplete if a server at the position may lack
-// commits that a departed server confirmed. Without a proven position this is known
-// only for a primary that answers: a primary that does not answer may never return.
+// commits that a departed server confirmed. A primary that answers holds them; one that
+// does not answer may never return, and only a departure that this host has seen counts.
 func (a *attempt) checkDepartures(position group.Position) error {
-	if a.DepartureUnproven && a.Cause == CommitsStalled {
+	if a.DepartureUnproven && a.Cause == CommitsStalled || a.ReplicaDeparted && (a.Cause == PrimaryUnresponsive || a.Cause == PrimaryGone) {
 		return eris.Wrap(ErrLogIncomplete, "no position is proven since a server left the group")
 	}
 	if position.Compare(a.DeparturePosition) < 0 {
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -191,6 +191,9 @@
 	// DepartureUnproven is set while no position has been proven since a server
 	// left the group.
 	DepartureUnproven bool
+	// ReplicaDeparted is set while no position has been proven since a replica was seen
+	// to leave the group. It may have confirmed commits alone.
+	ReplicaDeparted bool
 	// LastCommitAt, if set, returns when a commit was last acknowledged to this host.
 	LastCommitAt func() time.Time
 }
