e2e/replicated: histories in which servers start, leave and end

A server may now start, which receives and confirms before the store lists it, and end with its log; a primary may be hidden from the hosts while other hosts commit on it.

--- a/e2e/replicated/history_test.go
+++ b/e2e/replicated/history_test.go
@@ -81,6 +81,10 @@
 func (h *history) injectFault(f fault, number int) {
 	time.Sleep(f.at)
 	s := h.cluster.Server(f.server)
+	if s == nil {
+		// The server has ended.
+		return
+	}
 	switch f.kind {
 	case "crash":
 		s.Crash()
--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -18,6 +19,7 @@
 
 	"basilmill/core/catalog"
 	"basilmill/core/distribution"
+	"basilmill/core/exchange"
 	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/takeover"
@@ -106,21 +108,39 @@
 // its own data centre. The caller must call Stop when done.
 func New() *Cluster {
 	c := &Cluster{servers: map[group.ServerID]*Server{}, term: 1, stopped: make(chan struct{})}
-	for i, id := range []group.ServerID{"a", "b", "c"} {
-		c.servers[id] = &Server{
-			cluster: c, id: id, term: 1, up: true, primary: i == 0,
-			catalogEntry: catalog.Server{
-				ID: id, Group: Group, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 5432),
-				DataCentre: host.DataCentre("dc-" + string(id)), ClaimsPrimary: i == 0,
-			},
-		}
-	}
-	for _, s := range c.servers {
-		go s.replicate()
+	for _, id := range []group.ServerID{"a", "b", "c"} {
+		c.add(id)
 	}
+	c.servers["a"].primary = true
 	return c
 }
 
+// add starts a replica without a log. The caller must hold the mutex, or be the only one
+// that knows the cluster.
+func (c *Cluster) add(id group.ServerID) *Server {
+	s := &Server{
+		cluster: c, id: id, term: c.term, up: true,
+		catalogEntry: catalog.Server{
+			ID: id, Group: Group, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(c.servers) + 1)}), 5432),
+			DataCentre: host.DataCentre("dc-" + string(id)),
+		},
+	}
+	c.servers[id] = s
+	go s.replicate()
+	return s
+}
+
+// StartServer starts another replica, which the platform's store lists after the delay. It
+// receives and confirms commits before that.
+func (c *Cluster) StartServer(id group.ServerID, listingDelay time.Duration) *Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.add(id)
+	s.unlisted = true
+	time.AfterFunc(listingDelay, func() { s.SetUnlisted(false) })
+	return s
+}
+
 // isStopped reports whether Stop has been called.
 func (c *Cluster) isStopped() bool {
 	select {
@@ -142,7 +162,11 @@
 }
 
 // Server returns a server, so that a test can inject faults into it.
-func (c *Cluster) Server(id group.ServerID) *Server { return c.servers[id] }
+func (c *Cluster) Server(id group.ServerID) *Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.servers[id]
+}
 
 // ServerEntries returns the catalogue entries of the servers in the platform's
 // store, without those of unlisted servers.
@@ -150,7 +174,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var entries []catalog.Server
-	for _, id := range []group.ServerID{"a", "b", "c"} {
+	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
 		s := c.servers[id]
 		if s.unlisted {
 			continue
@@ -313,6 +337,23 @@
 // errNoAnswer is the error of a call to the platform that got no answer.
 var errNoAnswer = errors.New("no answer")
 
+// Commit commits a write on the primary, as a host does that reaches it although it is
+// hidden from the others. It returns when the commit is acknowledged, and an error if it
+// never will be.
+func (c *Cluster) Commit(id string) error {
+	c.mu.Lock()
+	primary := c.primary()
+	if primary == nil || !primary.up || primary.unreachable {
+		c.mu.Unlock()
+		return errNoAnswer
+	}
+	st := &stream{server: primary, closed: make(chan struct{})}
+	st.append(id, exchange.Answer{})
+	index := len(primary.log) - 1
+	c.mu.Unlock()
+	return st.awaitConfirmation(id, index)
+}
+
 // Promote implements takeover.PromotionService.
 func (c *Cluster) Promote(ctx context.Context, _ group.ID, id group.ServerID, holder host.ID, epoch takeover.Epoch) error {
 	if err := sleep(ctx, NetDelay); err != nil {
--- a/standin/replicated/server.go
+++ b/standin/replicated/server.go
@@ -27,6 +27,7 @@
 	primary            bool
 	up                 bool
 	unreachable        bool
+	hidden             bool
 	replicationStopped bool
 	isolated           bool
 	unlisted           bool
@@ -50,6 +51,16 @@
 	s.closeStreams()
 }
 
+// End stops the server for good. Its entry and its log are gone.
+func (s *Server) End() {
+	s.cluster.mu.Lock()
+	defer s.cluster.mu.Unlock()
+	s.up, s.primary, s.unlisted = false, false, true
+	s.log, s.appliedCount = nil, 0
+	s.closeStreams()
+	delete(s.cluster.servers, s.id)
+}
+
 // Start restarts the server with its log. It is a replica afterwards if another
 // server has been promoted meanwhile.
 func (s *Server) Start() {
@@ -67,6 +78,13 @@
 	s.unreachable = unreachable
 }
 
+// SetHidden cuts the server off from the hosts, but not from the other servers.
+func (s *Server) SetHidden(hidden bool) {
+	s.cluster.mu.Lock()
+	defer s.cluster.mu.Unlock()
+	s.hidden = hidden
+}
+
 // SetReplicationStopped makes a replica stop receiving commits, while hosts still
 // reach it.
 func (s *Server) SetReplicationStopped(stopped bool) {
--- a/standin/replicated/stream.go
+++ b/standin/replicated/stream.go
@@ -28,7 +28,7 @@
 	case s == nil || !s.up || c.isStopped():
 		c.mu.Unlock()
 		return nil, syscall.ECONNREFUSED
-	case s.unreachable:
+	case s.unreachable || s.hidden:
 		c.mu.Unlock()
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -120,7 +120,7 @@
 	cluster := st.server.cluster
 	for {
 		cluster.mu.Lock()
-		unreachable := st.server.unreachable
+		unreachable := st.server.unreachable || st.server.hidden
 		cluster.mu.Unlock()
 		if !unreachable {
 			break
