lead: a departure counts only while the primary may go on

A primary had been demoted and its promotion not recorded because the store went away; two replicas of the old set had left, and the next attempts were refused for 15 s although nothing could have been confirmed meanwhile.

Change: a primary that refuses connections, or has stated that it does not lead since its last proof, confirms nothing more, so that a departure does not delay its replacement. A host that never knew a primary does not count departures either.

Test: TestDepartureAfterThePrimaryStoppedIsNotReported, failing without.

--- a/core/lead/change.go
+++ b/core/lead/change.go
@@ -26,7 +26,7 @@
 	request := takeover.Request{
 		Group: m.config.Group, Primary: m.primary, Members: members,
 		DeparturePosition: m.departures.position, DepartureUnproven: m.departures.unproven,
-		ReplicaDeparted: m.departures.replicaDeparted(now),
+		ReplicaDeparted: m.mayLackDepartedCommits(now),
 		LastCommitAt:    m.lastCommitAt,
 	}
 	if !m.primaryKnown {
@@ -57,6 +57,12 @@
 	return request, false
 }
 
+// mayLackDepartedCommits reports whether a replica that left may have confirmed commits
+// alone, on a primary that goes on out of this host's reach.
+func (m *Monitor) mayLackDepartedCommits(now time.Duration) bool {
+	return m.primary.ID != "" && !m.primaryStopped && m.departures.replicaDeparted(now)
+}
+
 // startDueChange starts an attempt if a change is due. Stalled commits and suspended
 // replicas concern what this host has observed; any other change is left to the
 // responsible hosts for standbyDelay.
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -230,7 +230,10 @@
 
 	primary      catalog.Server
 	primaryKnown bool
-	startedAt    time.Duration // when Run was called
+	// primaryStopped is set if the last primary stated, since its last proof, that it does
+	// not lead, or its process was found to have ended.
+	primaryStopped bool
+	startedAt      time.Duration // when Run was called
 	// lostAt is when the last primary was lost; while one is known, when the
 	// probe or statement that first proved it was sent.
 	lostAt   time.Duration
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -491,3 +491,22 @@
 		assert.Assert(t, !departed())
 	})
 }
+
+// A primary that is known to have stopped confirms nothing after a departure, which must
+// then not delay its replacement.
+func TestDepartureAfterThePrimaryStoppedIsNotReported(t *testing.T) {
+	f := &fakeCluster{primary: "a", position: positionAt(1, 10)}
+	runMonitor(t, f, func(t *testing.T, m *lead.Monitor, cache *catalog.Cache, _ func() time.Duration) {
+		time.Sleep(3 * time.Second)
+		f.update(func() { f.primary = "" })
+		time.Sleep(time.Second)
+		cache.ReplaceServers([]catalog.Server{{ID: "a", Group: "g", ClaimsPrimary: true}, {ID: "c", Group: "g"}})
+		time.Sleep(2 * catalog.DefaultMissingEntryGracePeriod)
+		cache.Expire()
+		time.Sleep(2 * time.Second)
+		attempts := f.attemptedChanges()
+		assert.Assert(t, len(attempts) > 0)
+		assert.Equal(t, attempts[len(attempts)-1].Cause, takeover.PrimaryGone)
+		assert.Assert(t, !attempts[len(attempts)-1].ReplicaDeparted)
+	})
+}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -192,7 +192,8 @@
 	// left the group.
 	DepartureUnproven bool
 	// ReplicaDeparted is set while no position has been proven since a replica was seen
-	// to leave the group. It may have confirmed commits alone.
+	// to leave the group, and the primary is not known to have stopped. The replica may
+	// have confirmed commits alone.
 	ReplicaDeparted bool
 	// LastCommitAt, if set, returns when a commit was last acknowledged to this host.
 	LastCommitAt func() time.Time
