standin/replicated, takeover: two races in tests

- replicated.New started the replication of the first servers before it had added the others and set the primary (race detector, in TestDrainEndsIdleTransactions of cmd/entry).
It holds the mutex now.
- TestServerListedDuringTheSuspensionIsAccountedFor listed the server by a timer without a delay, which may run after all that the attempt does in the same instant of virtual time.
Without a delay it is listed at once: 200 runs with the race detector pass.

--- a/core/takeover/latemember_test.go
+++ b/core/takeover/latemember_test.go
@@ -26,15 +26,23 @@
 
 func (c *lateMemberClient) Command(ctx context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
 	if statement.Operation == c.operation && c.begun.CompareAndSwap(false, true) {
-		time.AfterFunc(c.delay, func() {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.listedServers = append(c.listedServers, catalog.Server{ID: "d"})
-		})
+		// A timer without a delay could run after all that the attempt does in the same
+		// instant of virtual time.
+		if c.delay == 0 {
+			c.list()
+		} else {
+			time.AfterFunc(c.delay, c.list)
+		}
 	}
 	return c.fakeCluster.Command(ctx, s, statement)
 }
 
+func (c *lateMemberClient) list() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listedServers = append(c.listedServers, catalog.Server{ID: "d"})
+}
+
 // replaceWithLateMember replaces the primary "a" while a server "d", which has received
 // its whole log, is listed after the delay. The last commit was acknowledged to this host
 // at the given time after the start of the attempt; never if that is negative.
--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -108,6 +108,8 @@
 // its own data centre. The caller must call Stop when done.
 func New() *Cluster {
 	c := &Cluster{servers: map[group.ServerID]*Server{}, term: 1, stopped: make(chan struct{})}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, id := range []group.ServerID{"a", "b", "c"} {
 		c.add(id)
 	}
@@ -115,8 +117,7 @@
 	return c
 }
 
-// add starts a replica without a log. The caller must hold the mutex, or be the only one
-// that knows the cluster.
+// add starts a replica without a log. The caller must hold the mutex.
 func (c *Cluster) add(id group.ServerID) *Server {
 	s := &Server{
 		cluster: c, id: id, term: c.term, up: true,
