proxy, takeover: logs state the position of a commit and of the ordered server

The lines of requests said that a write was served, not where in the log, and the step 'ordered' named a server without its position.

Change: 'committed' in the lines of requests, 'received' in the step 'ordered'. No logic is changed.

--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -156,6 +156,9 @@
 	// positionAge is the age of the sample that minPosition was taken from; zero
 	// for requests without a minimum position.
 	positionAge time.Duration
+	// committed is the end of the primary's log right after the request's commit; zero
+	// if the request has not committed.
+	committed group.Position
 	// reason says why the last attempt failed. It is logged and sent to the
 	// caller.
 	reason string
@@ -336,7 +339,7 @@
 	r.session.proxy.config.Log.Write(context.Background(), number,
 		slog.String("request", string(r.statement.ID)), slog.String("route", r.route.Name), slog.String("class", r.route.Consistency.String()),
 		slog.Int64("config", int64(r.session.proxy.config.Cache.View().ConfigVersion())), slog.Bool("writes", r.writes), slog.String("group", string(r.route.Group)), slog.String("server", string(r.server)), slog.String("gateway", string(r.gateway)),
-		slog.String("after", r.minPosition.String()), slog.String("leader", string(snapshot.Primary.ID)), slog.Bool("leader_known", snapshot.PrimaryKnown),
+		slog.String("after", r.minPosition.String()), slog.String("committed", r.committed.String()), slog.String("leader", string(snapshot.Primary.ID)), slog.Bool("leader_known", snapshot.PrimaryKnown),
 		slog.Duration("leader_proven", proofAge), slog.Int("attempts", r.attempts), slog.Duration("elapsed", elapsed),
 		slog.String("reason", r.reason), slog.String("outcome", outcome))
 }
--- a/core/proxy/write.go
+++ b/core/proxy/write.go
@@ -70,6 +70,7 @@
 
 // noteCommit notes a commit that was acknowledged to this host.
 func (r *request) noteCommit(position group.Position) {
+	r.committed = position
 	r.session.noteCommit(position)
 	r.monitor.ReportCommit()
 }
--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -6,7 +6,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"basilmill/core/catalog"
 	"basilmill/core/exchange"
 	"basilmill/core/group"
 )
@@ -17,7 +16,7 @@
 	server := candidate.server
 	err := a.recordBasePosition(ctx, candidate.status.ReceivedPosition)
 	if err == nil {
-		err = a.orderPromotion(ctx, server)
+		err = a.orderPromotion(ctx, candidate)
 	}
 	if err != nil {
 		a.resumeAll(ctx)
@@ -37,9 +36,9 @@
 
 // orderPromotion orders the promotion of a server. It repeats the order until the
 // platform answers, because an order without an answer may be carried out later.
-func (a *attempt) orderPromotion(ctx context.Context, server catalog.Server) (err error) {
+func (a *attempt) orderPromotion(ctx context.Context, candidate serverStatus) (err error) {
 	for range maxPromotionTries {
-		err = a.orderPromotionOnce(ctx, server)
+		err = a.orderPromotionOnce(ctx, candidate)
 		switch {
 		case err == nil:
 			a.promotionPending = false
@@ -55,11 +54,11 @@
 	return err
 }
 
-func (a *attempt) orderPromotionOnce(ctx context.Context, server catalog.Server) error {
+func (a *attempt) orderPromotionOnce(ctx context.Context, candidate serverStatus) error {
 	ctx, cancel := context.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
-	err := a.Promotions.Promote(ctx, a.Group, server.ID, a.Self, a.record.Epoch)
-	a.reportStep(Step{Name: "ordered", Server: server.ID, Epoch: a.record.Epoch, Err: err})
+	err := a.Promotions.Promote(ctx, a.Group, candidate.server.ID, a.Self, a.record.Epoch)
+	a.reportStep(Step{Name: "ordered", Server: candidate.server.ID, Epoch: a.record.Epoch, Status: candidate.status, Err: err})
 	return err
 }
 
@@ -78,7 +77,7 @@
 	if err := a.claim(ctx, status.ReceivedPosition); err != nil {
 		return "", err
 	}
-	if err := a.orderPromotion(ctx, a.Primary); err != nil {
+	if err := a.orderPromotion(ctx, serverStatus{a.Primary, status}); err != nil {
 		return "", err
 	}
 	a.suspendedServers = a.otherMembers()
