e2e/replicated: a success for a commit that only an unlisted replica has

partition_test.go separates one host from servers and from the store; the faults of the stand-in concern all hosts alike.

--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -53,6 +53,7 @@
 	service       gateway.Service
 	cancel        context.CancelFunc
 	filterServers func([]catalog.Server) []catalog.Server
+	partition     *partition
 }
 
 // hostOptions replaces or observes components of a host, for tests with mutants.
@@ -67,6 +68,8 @@
 	dataCentre host.DataCentre
 	// connectionLimit is the configured limit of each server; zero selects 16.
 	connectionLimit int
+	// partition, if set, separates the host from servers and from the store.
+	partition *partition
 	// network, if set, connects the host with the other hosts on it.
 	network *hostNetwork
 }
@@ -101,7 +104,12 @@
 		h.filterServers = func(servers []catalog.Server) []catalog.Server { return servers }
 	}
 	h.cache.ReplaceServers(h.filterServers(cluster.ServerEntries()))
-	h.registry = link.NewRegistry(h.cache, cluster)
+	var dialer link.Dialer = cluster
+	if options.partition != nil {
+		h.partition = options.partition
+		dialer = partitionedDialer{dialer, options.partition}
+	}
+	h.registry = link.NewRegistry(h.cache, dialer)
 	h.sources = h.pool
 	if options.network != nil {
 		options.network.add(h, dataCentre, clock)
@@ -114,12 +122,17 @@
 	}
 	eras := &distribution.Eras{}
 	var records takeover.RecordStore = eraRecords{cluster, eras}
+	var lister takeover.ServerLister = cluster
+	if options.partition != nil {
+		store := partitionedStore{records, lister, options.partition}
+		records, lister = store, store
+	}
 	if options.wrapRecords != nil {
 		records = options.wrapRecords(records)
 	}
 	updates := 0
 	runner := &takeover.Runner{
-		Self: id, Client: client, Records: records, ServerLister: cluster, Promotions: cluster, Eras: eras,
+		Self: id, Client: client, Records: records, ServerLister: lister, Promotions: cluster, Eras: eras,
 		NewUpdateID: func() string { updates++; return fmt.Sprint(id, "-", updates) },
 	}
 	h.monitor = lead.New(lead.Config{
@@ -201,6 +214,9 @@
 			h.registry.CloseAll()
 			return
 		case <-ticker.C:
+			if h.partition != nil && h.partition.separatesStore() {
+				continue
+			}
 			eras.Note(h.cluster.Era())
 			h.cache.ReplaceServers(h.filterServers(h.cluster.ServerEntries()))
 			h.cache.Expire()
--- a/e2e/replicated/membership_test.go
+++ b/e2e/replicated/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -95,6 +96,78 @@
 	}
 }
 
+// lostSuccesses returns the writes that callers were told had succeeded and that the
+// primary's log lacks.
+func lostSuccesses(cluster *replicated.Cluster, written []clientOperation) (lost []string) {
+	log := cluster.PrimaryLog()
+	for _, o := range written {
+		if o.answer.Failure == nil && !slices.Contains(log, o.id) {
+			lost = append(lost, o.id)
+		}
+	}
+	return lost
+}
+
+// Guards against a success for a commit that only an unlisted replica has: a host on the
+// other side of a partition may have ordered a promotion without asking that replica.
+func TestCommitOnAnUnlistedReplicaIsNotLost(t *testing.T) {
+	for start := 800 * time.Millisecond; start < 2600*time.Millisecond; start += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			cluster := replicated.New()
+			promoting, writing := &partition{}, &partition{}
+			hosts := []*entryHost{
+				startHost(cluster, "h1", hostOptions{partition: promoting}),
+				startHost(cluster, "h2", hostOptions{partition: writing, dataCentre: "dc-c"}),
+			}
+			for _, h := range hosts {
+				h.awaitSettled(t)
+			}
+			go func() {
+				cluster.Server("b").SetReplicationStopped(true)
+				cluster.Server("c").SetReplicationStopped(true)
+				promoting.set(false, "a")
+				writing.set(true, "b", "c")
+				time.Sleep(start)
+				cluster.StartServer("d", listingDelay)
+				time.Sleep(5*time.Second - start)
+				cluster.Server("b").SetReplicationStopped(false)
+				cluster.Server("c").SetReplicationStopped(false)
+				promoting.set(false)
+				writing.set(false)
+			}()
+			written := recordWrites(hosts[1], time.Now().Add(8*time.Second))
+			stop(cluster, hosts...)
+			lost := lostSuccesses(cluster, written)
+			assert.Equal(t, len(lost), 0, "%v: %v", start, lost)
+		})
+	}
+}
+
+// recordWrites writes from several sessions through a host until the given time.
+func recordWrites(h *entryHost, until time.Time) (written []clientOperation) {
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	for i := range 4 {
+		wait.Go(func() {
+			for n := 0; time.Now().Before(until); n++ {
+				o := clientOperation{database: currentDB, id: fmt.Sprintf("w%d-%d", i, n), started: time.Now()}
+				s, failure := h.proxy.Open(context.Background(), currentDB)
+				if failure != nil {
+					continue
+				}
+				o.answer = s.Execute(context.Background(), write(o.id))
+				s.Close()
+				mu.Lock()
+				written = append(written, o)
+				mu.Unlock()
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	wait.Wait()
+	return written
+}
+
 // membershipChange is a fault beside which the servers of the group change.
 type membershipChange struct {
 	fault
