proxy, ack, takeover: a success rests on a server that a change of primary asks

Cause: a database acknowledges a commit as soon as any replica has received it, also one that the store does not list yet. The change of primary asks the listed servers. Two sets of servers, so that between the last list of a change and its effect, about a second, a server that starts on the side of an unreachable primary confirms commits that the promoted server does not have. Hosts that still reach the old primary passed these on as successes.

Change: a host gives a success only once a witness is known to have received the commit; a witness is a server that every change asks which may still take effect (ack.Receipts). A server becomes one when, after it was listed, another witness was not suspended, or none of the replicas was, or the group's record shows that no change is in progress (Record.Ended, takeover.Inspector). Evidence are positions in answers to reads, and one status query for the commits of a moment. Without evidence in time the outcome is in doubt. Being listed alone does not suffice: a server that is listed between the last list of a change and its effect is not asked by that change.

Ruled out: one more list before the order (a server that starts after it confirms just as well); waiting between suspension and order (the same, later); withholding the writes themselves while a claim may run (a host without the store cannot know of it); leases of hosts in the store (a host without the store would have to stop writing, and a change would have to wait for the lease of hosts that are gone).

Tried and changed on the way: every listed server as a witness.

--- /dev/null
+++ b/core/ack/receipts_test.go
@@ -0,0 +1,233 @@
+package ack_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/ack"
+	"basilmill/core/group"
+	"basilmill/core/outcome"
+)
+
+// commit is the commit that the tests are about; "a" is the primary.
+var commit = ack.Commit{Primary: "a", Position: group.Position{Term: 2, Offset: 10}}
+
+func position(term group.Term, offset group.Offset) group.Position {
+	return group.Position{Term: term, Offset: offset}
+}
+
+// status returns the answer to a status query that is sent now.
+func status(received group.Position) ack.Status {
+	return ack.Status{QueriedAt: time.Now(), Term: received.Term, Received: received}
+}
+
+func suspended(received group.Position) ack.Status {
+	s := status(received)
+	s.Suspended = true
+	return s
+}
+
+// inBubble runs a test in virtual time with the receipts of a group with the primary "a"
+// and the replicas "b" and "c", which are witnesses.
+func inBubble(t *testing.T, test func(t *testing.T, r *ack.Receipts)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		var r ack.Receipts
+		r.SetListed([]group.ServerID{"a", "b", "c"}, "a")
+		time.Sleep(time.Second)
+		r.NoteStatus("b", status(position(2, 1)))
+		r.NoteStatus("c", status(position(2, 1)))
+		time.Sleep(time.Second)
+		test(t, &r)
+	})
+}
+
+// Guards against a success for a commit that no witness has.
+func TestCommitIsCoveredByTheLogOfAWitness(t *testing.T) {
+	for name, test := range map[string]struct {
+		server  group.ServerID
+		term    group.Term
+		log     group.Position
+		covered bool
+	}{
+		"the commit":                    {"b", 2, position(2, 10), true},
+		"more":                          {"b", 2, position(2, 11), true},
+		"the commit, in a later term":   {"b", 3, position(2, 10), true},
+		"less":                          {"b", 2, position(2, 9), false},
+		"a higher offset, earlier term": {"b", 2, position(1, 12), false},
+		"a higher offset, later term":   {"b", 3, position(3, 12), false},
+		"the primary itself":            {"a", 2, position(2, 10), false},
+		"a server that is not listed":   {"d", 2, position(2, 10), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, r *ack.Receipts) {
+				r.NoteStatus(test.server, ack.Status{QueriedAt: time.Now(), Term: test.term, Received: test.log})
+				assert.Equal(t, r.Covered(commit), test.covered)
+			})
+		})
+	}
+}
+
+// Guards against a success that rests on a server which was listed after a change that is
+// still to take effect had asked the others.
+func TestNewServerCountsOnceAWitnessIsNotSuspended(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		r.NoteStatus("b", suspended(position(2, 9)))
+		r.NoteStatus("c", suspended(position(2, 9)))
+		r.SetListed([]group.ServerID{"a", "b", "c", "d"}, "a")
+		time.Sleep(time.Second)
+		r.NoteStatus("d", status(position(2, 10)))
+		assert.Assert(t, !r.Covered(commit))
+		r.NoteStatus("b", suspended(position(2, 9)))
+		assert.Assert(t, !r.Covered(commit))
+		r.NoteStatus("c", status(position(2, 9)))
+		assert.Assert(t, !r.Covered(commit))
+		r.NoteStatus("d", status(position(2, 10)))
+		assert.Assert(t, r.Covered(commit))
+	})
+}
+
+// Guards against a success for a commit that a new server had received and that a change
+// has dropped, if the change takes effect before the query of a witness that it asked.
+func TestReceiptBeforeAServerCountsIsForgotten(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		r.SetListed([]group.ServerID{"a", "b", "c", "d"}, "a")
+		time.Sleep(time.Second)
+		early := status(position(2, 10))
+		r.NoteStatus("d", early)
+		time.Sleep(time.Second)
+		r.NoteStatus("b", status(position(2, 9)))
+		r.NoteStatus("d", early)
+		assert.Assert(t, !r.Covered(commit))
+	})
+}
+
+// Guards against evidence from a query that was sent before the server was listed.
+func TestQueryBeforeTheListingProvesNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		early := status(position(2, 9))
+		time.Sleep(time.Second)
+		r.SetListed([]group.ServerID{"a", "b", "c", "d"}, "a")
+		r.NoteStatus("d", status(position(2, 10)))
+		r.NoteStatus("b", early)
+		assert.Assert(t, !r.Covered(commit))
+	})
+}
+
+func TestWithoutAWitnessAllReplicasHaveToAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var r ack.Receipts
+		r.SetListed([]group.ServerID{"a", "b", "c"}, "a")
+		time.Sleep(time.Second)
+		r.NoteStatus("b", status(position(2, 10)))
+		assert.Assert(t, !r.Covered(commit))
+		r.NoteStatus("c", status(position(2, 3)))
+		assert.Assert(t, !r.Covered(commit))
+		r.NoteStatus("b", status(position(2, 10)))
+		assert.Assert(t, r.Covered(commit))
+	})
+}
+
+func TestRecordWithoutAChangeMakesWitnesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var r ack.Receipts
+		r.SetListed([]group.ServerID{"a", "b", "c"}, "a")
+		time.Sleep(time.Second)
+		inspectedAt := time.Now()
+		r.SetListed([]group.ServerID{"a", "b", "c", "d"}, "a")
+		time.Sleep(time.Second)
+		r.NoteNoChange(inspectedAt.Add(-time.Millisecond))
+		r.NoteStatus("d", status(position(2, 10)))
+		assert.Assert(t, !r.Covered(commit))
+		r.NoteStatus("b", status(position(2, 10)))
+		assert.Assert(t, r.Covered(commit))
+	})
+}
+
+// Guards against a group whose only witness becomes the primary, so that no success is
+// ever given again.
+func TestWitnessThatBecomesThePrimaryIsReplaced(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		r.SetListed([]group.ServerID{"b", "d"}, "b")
+		time.Sleep(time.Second)
+		r.NoteStatus("d", status(position(3, 12)))
+		r.NoteStatus("d", status(position(3, 12)))
+		assert.Assert(t, r.Covered(ack.Commit{Primary: "b", Position: position(3, 12)}))
+	})
+}
+
+// Guards against evidence of a server that left the list and came back without its log.
+func TestServerThatLeftIsForgotten(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		r.NotePosition("b", time.Now(), position(2, 10))
+		assert.Assert(t, r.Covered(commit))
+		r.SetListed([]group.ServerID{"a", "c"}, "a")
+		r.SetListed([]group.ServerID{"a", "b", "c"}, "a")
+		assert.Assert(t, !r.Covered(commit))
+	})
+}
+
+func TestReceiptsDoNotGoBack(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		r.NotePosition("b", time.Now(), position(2, 10))
+		r.NotePosition("b", time.Now(), position(2, 4))
+		r.NoteStatus("b", status(position(1, 90)))
+		assert.Assert(t, r.Covered(commit))
+	})
+}
+
+// await starts a call of Await. The result is sent when it ends.
+func await(r *ack.Receipts, timeout time.Duration) (result chan error, requests *int) {
+	result, requests = make(chan error, 1), new(int)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		result <- r.Await(ctx, commit, func() { *requests++ })
+	}()
+	return result, requests
+}
+
+func TestAwaitEndsWithTheReceiptOfAWitness(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		result, requests := await(r, time.Second)
+		synctest.Wait()
+		assert.Equal(t, *requests, 1)
+		r.NotePosition("c", time.Now(), position(2, 9))
+		synctest.Wait()
+		assert.Equal(t, *requests, 2)
+		assert.Equal(t, len(result), 0)
+		r.NotePosition("c", time.Now(), position(2, 10))
+		assert.NilError(t, <-result)
+	})
+}
+
+// Guards against a caller that waits for evidence that can't come any more.
+func TestAwaitEndsWithALaterTerm(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		result, _ := await(r, time.Hour)
+		synctest.Wait()
+		started := time.Now()
+		r.NoteStatus("b", ack.Status{QueriedAt: started, Term: 3, Received: position(2, 9)})
+		assertUnknown(t, <-result)
+		assert.Equal(t, time.Since(started), time.Duration(0))
+	})
+}
+
+func TestAwaitWithoutEvidenceIsUnknown(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		result, _ := await(r, time.Second)
+		assertUnknown(t, <-result)
+	})
+}
+
+func assertUnknown(t *testing.T, err error) {
+	t.Helper()
+	var unresolved *outcome.Error
+	assert.Assert(t, errors.As(err, &unresolved), "%v", err)
+	assert.Equal(t, unresolved.Outcome, outcome.Unknown)
+}
--- a/core/proxy/health.go
+++ b/core/proxy/health.go
@@ -80,8 +80,9 @@
 
 // recordAnswer updates a server's health from its answer to a read or its refusal
 // of BEGIN.
-func (p *Proxy) recordAnswer(id group.ServerID, answer exchange.Answer, elapsed time.Duration) {
-	h := p.health.get(id)
+func (p *Proxy) recordAnswer(server catalog.Server, answer exchange.Answer, elapsed time.Duration) {
+	p.noteReceipt(server, time.Now().Add(-elapsed), answer)
+	h := p.health.get(server.ID)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -31,6 +31,12 @@
 	// Sources returns the source of connections to a backend server.
 	Sources    link.Sources
 	DataCentre host.DataCentre
+	// ListServers, if set, lists the servers of a group from the platform's store. It is
+	// called when a commit is held back for long, because the host's view may be older.
+	ListServers func(context.Context, group.ID) ([]catalog.Server, error)
+	// ChangeInProgress, if set, reports whether a change of the group's primary that was
+	// begun before the call may still take effect. It is called as ListServers is.
+	ChangeInProgress func(context.Context, group.ID) (bool, error)
 	// LeaveTime is how long after a server said that it is leaving requests may be
 	// sent to it; zero means until it ends.
 	LeaveTime time.Duration
@@ -51,7 +57,10 @@
 	// PositionAge is the age of the sample that set the minimum position of a
 	// stale read; zero for other statements.
 	PositionAge time.Duration
-	Answer      exchange.Answer
+	// HeldBack is how long the success of a commit was held back until it could not be
+	// lost any more; zero for other statements.
+	HeldBack time.Duration
+	Answer   exchange.Answer
 }
 
 // Proxy routes statements to backend servers and executes them there. It is
@@ -62,6 +71,7 @@
 	// hedgeBudget limits hedged reads (reads sent to a second server), so that
 	// they do not worsen an overload.
 	hedgeBudget retry.Budget
+	confirmers  confirmers
 }
 
 // New returns a Proxy without open sessions.
@@ -159,6 +169,8 @@
 	// committed is the end of the primary's log right after the request's commit; zero
 	// if the request has not committed.
 	committed group.Position
+	// heldBack is how long the success of the commit was held back.
+	heldBack time.Duration
 	// reason says why the last attempt failed. It is logged and sent to the
 	// caller.
 	reason string
@@ -312,7 +324,7 @@
 	if p.config.Observe != nil {
 		p.config.Observe(Result{
 			Route: r.route, Operation: r.statement.Operation, Elapsed: elapsed, Attempts: r.attempts,
-			Server: r.server, PositionAge: r.positionAge, Answer: answer,
+			Server: r.server, PositionAge: r.positionAge, HeldBack: r.heldBack, Answer: answer,
 		})
 	}
 	if answer.Failure != nil {
@@ -339,7 +351,7 @@
 	r.session.proxy.config.Log.Write(context.Background(), number,
 		slog.String("request", string(r.statement.ID)), slog.String("route", r.route.Name), slog.String("class", r.route.Consistency.String()),
 		slog.Int64("config", int64(r.session.proxy.config.Cache.View().ConfigVersion())), slog.Bool("writes", r.writes), slog.String("group", string(r.route.Group)), slog.String("server", string(r.server)), slog.String("gateway", string(r.gateway)),
-		slog.String("after", r.minPosition.String()), slog.String("committed", r.committed.String()), slog.String("leader", string(snapshot.Primary.ID)), slog.Bool("leader_known", snapshot.PrimaryKnown),
+		slog.String("after", r.minPosition.String()), slog.String("committed", r.committed.String()), slog.Duration("held_back", r.heldBack), slog.String("leader", string(snapshot.Primary.ID)), slog.Bool("leader_known", snapshot.PrimaryKnown),
 		slog.Duration("leader_proven", proofAge), slog.Int("attempts", r.attempts), slog.Duration("elapsed", elapsed),
 		slog.String("reason", r.reason), slog.String("outcome", outcome))
 }
--- a/core/proxy/transaction.go
+++ b/core/proxy/transaction.go
@@ -85,10 +85,12 @@
 	ctx, cancel := context.WithTimeout(ctx, t.route.StatementTimeout)
 	defer cancel()
 	answer := t.execute(ctx, r)
+	t.releaseAfterCommit(answer)
 	switch {
 	case answer.Failure == nil:
 		if t.wrote {
 			r.noteCommit(answer.Position)
+			answer = r.confirm(ctx, answer)
 		}
 	case answer.Failure.Code.NotRun(), answer.Failure.Code == exchange.Aborted:
 		answer = exchange.ErrorAnswer(exchange.Aborted, answer.Failure.Text, exchange.Idle)
@@ -96,7 +98,6 @@
 		answer = exchange.ErrorAnswer(exchange.Aborted, "no answer to the commit of a transaction that wrote nothing", exchange.Idle)
 	default:
 	}
-	t.releaseAfterCommit(answer)
 	s.transaction = nil
 	s.transactionState = exchange.Idle
 	answer.State = exchange.Idle
@@ -233,7 +234,7 @@
 	}
 	if answers[0].Failure != nil {
 		r.attempts++
-		p.recordAnswer(server.ID, answers[0], time.Since(started))
+		p.recordAnswer(server, answers[0], time.Since(started))
 		r.noteRefusal(answers[0].Failure)
 		t.release()
 		return exchange.Answer{}, retryElsewhere
--- a/core/proxy/write.go
+++ b/core/proxy/write.go
@@ -57,6 +57,7 @@
 			if answer.Failure == nil {
 				r.noteCommit(answer.Position)
 				r.reportProof(sentAt, answer)
+				return r.confirm(ctx, answer)
 			}
 			return answer
 		}
@@ -71,7 +72,6 @@
 // noteCommit notes a commit that was acknowledged to this host.
 func (r *request) noteCommit(position group.Position) {
 	r.committed = position
-	r.session.noteCommit(position)
 	r.monitor.ReportCommit()
 }
 
--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -37,6 +37,7 @@
 // orderPromotion orders the promotion of a server. It repeats the order until the
 // platform answers, because an order without an answer may be carried out later.
 func (a *attempt) orderPromotion(ctx context.Context, candidate serverStatus) (err error) {
+	a.promotionOrdered = true
 	for range maxPromotionTries {
 		err = a.orderPromotionOnce(ctx, candidate)
 		switch {
@@ -44,6 +45,7 @@
 			a.promotionPending = false
 			return nil
 		case errors.Is(err, ErrRefused):
+			a.promotionOrdered = a.promotionPending
 			return err
 		}
 		a.promotionPending = true
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -38,7 +38,7 @@
 	era, _ := a.Eras.Newest()
 	next := current
 	next.Epoch = current.Epoch.next(era)
-	next.Holder = a.Self
+	next.Holder, next.Ended = a.Self, false
 	if err := a.updateRecord(ctx, next); err != nil {
 		return err
 	}
@@ -116,15 +116,25 @@
 	return eris.Wrap(a.updateRecord(ctx, next), "record the end of the log")
 }
 
-// recordPromotionAnswered records that no promotion is pending. A failure is only
-// reported. It costs one more call if the next attempt is given up: its replicas
-// then stay suspended until a promotion has been ordered under a higher epoch.
+// recordPromotionAnswered records that the attempt has ended and no promotion is pending.
+// A failure is only reported. It costs one more call if the next attempt is given up: its
+// replicas then stay suspended until a promotion has been ordered under a higher epoch.
 func (a *attempt) recordPromotionAnswered(ctx context.Context) {
-	if !a.record.PromotionPending {
+	next := a.record
+	next.PromotionPending, next.Ended = false, true
+	err := a.updateRecord(ctx, next)
+	a.reportStep(Step{Name: "closed", Epoch: a.record.Epoch, Err: err})
+}
+
+// recordGivenUp records that an attempt which had claimed an epoch has ended, unless a
+// promotion may be pending. A failure is only reported: hosts that know no witness
+// (ack.Receipts) then have to query all replicas.
+func (a *attempt) recordGivenUp(ctx context.Context) {
+	if a.record.Epoch == 0 || a.record.Ended || a.promotionPending || a.promotionOrdered {
 		return
 	}
 	next := a.record
-	next.PromotionPending = false
+	next.PromotionPending, next.Ended = false, true
 	err := a.updateRecord(ctx, next)
-	a.reportStep(Step{Name: "closed", Epoch: a.record.Epoch, Err: err})
+	a.reportStep(Step{Name: "given up", Epoch: a.record.Epoch, Err: err})
 }
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -49,6 +49,9 @@
 	// PromotionPending is set while a promotion may be pending: the order for
 	// it was sent or is about to be, and no answer is recorded.
 	PromotionPending bool
+	// Ended is set once the attempt has ended, so that it orders no further promotion and
+	// none that it has ordered is pending.
+	Ended bool
 	// Updates counts the updates of the record, so that a host can tell whether the
 	// store has lost some of them.
 	Updates int64
@@ -241,6 +244,8 @@
 	// promotionPending is set while a promotion without an answer, ordered by
 	// this attempt or an earlier one, may still be carried out.
 	promotionPending bool
+	// promotionOrdered is set while a promotion that this attempt ordered was not refused.
+	promotionOrdered bool
 	// requiredPosition is the lowest position that a server must have reached to be
 	// promoted.
 	requiredPosition group.Position
@@ -254,6 +259,9 @@
 	defer func() { err = eris.Wrapf(err, "change the primary of %s (%s)", request.Group, request.Cause) }()
 	a := &attempt{Runner: r, Request: request}
 	primary, err = a.run(ctx)
+	if err != nil {
+		a.recordGivenUp(ctx)
+	}
 	if a.suspensionsRemain {
 		err = errors.Join(err, ErrSuspensionsRemain)
 	}
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -140,7 +140,7 @@
 	})
 	h.proxy = proxy.New(proxy.Config{
 		Cache: h.cache, Monitor: func(group.ID) *lead.Monitor { return h.monitor }, Sources: h.sources,
-		DataCentre: dataCentre, Clock: clock, Log: log, Observe: options.onResult,
+		ListServers: lister.Servers, ChangeInProgress: takeover.Inspector{Records: records, Eras: eras}.InProgress, DataCentre: dataCentre, Clock: clock, Log: log, Observe: options.onResult,
 	})
 	eras.OnRise = func(_, _ distribution.Era) { h.monitor.ReportStoreRestored() }
 	eras.Note(cluster.Era())
