e2e/replicated, standin: histories judge what callers were told

The host now holds such a success back. Trace: b is ordered at 11.329 s, the crashed primary is back at 11.303 and acknowledges 3-86-0c on a server that the change did not ask; no caller is told so.

Change: the histories call NoteSuccess when a caller is told that a write or commit succeeded. That is a violation if the primary lacks the commit at this moment, and every later promotion is checked against it, as are reads. Tests of single parts, which have no callers, keep the old check (violationsOf, cluster.Commit). TestMutantsBreakPromises finds its mutants as before.

The schedule becomes TestServerListedDuringAChangeDoesNotConfirmAlone: it fails on the code before (12,529 violations) and passes now.

--- a/e2e/replicated/history_test.go
+++ b/e2e/replicated/history_test.go
@@ -187,6 +187,9 @@
 	default:
 		h.runTransaction(ctx, r, s, id, &o)
 	}
+	if o.id != "" && o.answer.Failure == nil {
+		h.cluster.NoteSuccess(o.id)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.operations = append(h.operations, o)
@@ -210,6 +213,7 @@
 
 // run starts the hosts and runs the faults and the sessions.
 func (h *history) run(faults []fault) {
+	h.cluster.JudgeSuccesses = true
 	h.startHost("h1")
 	h.startHost("h2")
 	time.Sleep(3 * time.Second)
--- a/e2e/replicated/membership_test.go
+++ b/e2e/replicated/membership_test.go
@@ -209,6 +209,18 @@
 	wait.Wait()
 }
 
+// Guards against a success that rests on a server which the store lists between the last
+// list of a change of primary and its effect.
+func TestServerListedDuringAChangeDoesNotConfirmAlone(t *testing.T) {
+	for _, delay := range []time.Duration{0, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond} {
+		violations := runMembershipHistory(t, []membershipChange{
+			{fault: fault{at: 4 * time.Second, kind: "crash", server: "b", duration: 200 * time.Millisecond}, ends: "c"},
+			{fault: fault{at: 8 * time.Second, kind: "crash", server: "a", duration: 303 * time.Millisecond}, newServerDelay: delay},
+		})
+		assert.Equal(t, len(violations), 0, "%v: %v", delay, violations)
+	}
+}
+
 // Guards, under generated changes of the group beside faults, against acknowledged commits
 // that are lost, writes that run twice or after a refusal, and reads that miss a commit
 // which their route requires.
@@ -226,6 +238,7 @@
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		h := &history{cluster: replicated.New()}
+		h.cluster.JudgeSuccesses = true
 		h.startHost("h1")
 		h.startHost("h2")
 		time.Sleep(settleDelay)
--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -46,8 +46,8 @@
 	minHolderChangeInterval = 3 * time.Second
 )
 
-// Commit is a commit that was acknowledged to a caller. Index is its position in
-// the log of the primary.
+// Commit is a commit that was acknowledged: to a host, or to a caller if the cluster
+// judges successes. Index is its position in the log of the primary.
 type Commit struct {
 	ID    string
 	Index int
@@ -59,6 +59,10 @@
 type Cluster struct {
 	// ConnectionLimit bounds the connections to each server; 0 means no limit.
 	ConnectionLimit int
+	// JudgeSuccesses is set if a commit counts as acknowledged once NoteSuccess is called
+	// for it. Otherwise it does when the primary has answered the host, which may hold the
+	// success back.
+	JudgeSuccesses bool
 
 	mu           sync.Mutex
 	servers      map[group.ServerID]*Server
@@ -272,6 +276,20 @@
 	return c.refusedConnections
 }
 
+// NoteSuccess notes that a caller was told that its write or commit succeeded.
+func (c *Cluster) NoteSuccess(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, server := range c.servers {
+		index := slices.IndexFunc(server.log, func(e logEntry) bool { return e.id == id })
+		if index >= 0 && (server.primary || c.primary() == nil) {
+			c.acknowledged = append(c.acknowledged, Commit{ID: id, Index: index, At: time.Now()})
+			return
+		}
+	}
+	c.recordViolation("a caller was told that %s succeeded, and the primary lacks it", id)
+}
+
 // recordViolation records a violated guarantee. The caller must hold the mutex.
 func (c *Cluster) recordViolation(format string, args ...any) {
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
--- a/standin/replicated/stream.go
+++ b/standin/replicated/stream.go
@@ -195,7 +195,9 @@
 		server := st.server
 		failed := !server.primary || !server.up || index >= len(server.log)
 		if !failed && cluster.isConfirmed(server, index) {
-			cluster.acknowledged = append(cluster.acknowledged, Commit{ID: server.log[index].id, Index: index, At: time.Now()})
+			if !cluster.JudgeSuccesses {
+				cluster.acknowledged = append(cluster.acknowledged, Commit{ID: server.log[index].id, Index: index, At: time.Now()})
+			}
 			cluster.mu.Unlock()
 			return nil
 		}
