docs, entry: witnesses of commits, and the metric of what is held back

Why: the page of the users' platform said that a success follows the database's answer, and operators had no way to see that successes are held back.

--- a/cmd/entry/metrics.go
+++ b/cmd/entry/metrics.go
@@ -19,6 +19,7 @@
 	statements         *prometheus.CounterVec
 	statementDurations *prometheus.HistogramVec
 	positionAges       *prometheus.HistogramVec
+	commitHolds        *prometheus.HistogramVec
 	connectionWaits    *prometheus.HistogramVec
 	connectionHolds    *prometheus.HistogramVec
 	limitRefusals      *prometheus.CounterVec
@@ -75,6 +76,7 @@
 		statements:         counter("basilmill_statements_total", "Statements by class of route and outcome.", "class", "outcome"),
 		statementDurations: histogram("basilmill_statement_duration_seconds", "Time from a statement's arrival to its answer.", durationBuckets, "class"),
 		positionAges:       histogram("basilmill_position_age_seconds", "Age of the proof whose position an aged read was served at.", ageBuckets, "class"),
+		commitHolds:        histogram("basilmill_commit_hold_seconds", "Time for which the success of a commit was held back until a replica was known to have it that a change of primary asks.", durationBuckets, "result"),
 		connectionWaits:    histogram("basilmill_connection_wait_seconds", "Wait of a request for a connection.", waitBuckets, "result"),
 		connectionHolds:    histogram("basilmill_connection_hold_seconds", "Time that a request has a connection.", holdBuckets, "use"),
 		limitRefusals:      counter("basilmill_connections_refused_total", "Openings that a server refused over its limit, by group.", "group"),
@@ -137,6 +139,13 @@
 	class := r.Route.Consistency.String()
 	m.statements.WithLabelValues(class, outcome).Inc()
 	m.statementDurations.WithLabelValues(class).Observe(r.Elapsed.Seconds())
+	if r.HeldBack > 0 {
+		result := "confirmed"
+		if r.Answer.Failure != nil {
+			result = "in doubt"
+		}
+		m.commitHolds.WithLabelValues(result).Observe(r.HeldBack.Seconds())
+	}
 	if r.PositionAge > 0 {
 		m.positionAges.WithLabelValues(class).Observe(r.PositionAge.Seconds())
 	}
