takeover, ack: a server that has started again is another one

A replica that starts again under its id has lost its log and its suspension. An attempt compared listed servers by id alone, so that one which started again between the suspension and the last list was promoted by the position that it had before, and lost every commit; and a host took its receipt as that of the suspended server.

Change: an attempt suspends such a server again and decides by what it states then; if nobody else holds what it had received, the group waits (ErrLogIncomplete). Receipts forget a server whose boot has changed.

Ruled out: the primary's own restart is not asked for, because one that does not answer would end every attempt.

Measured: TestReplicaThatStartsAgainIsSuspendedAgain fails before (server c with position 2 is promoted) and passes now. Open: a replica that starts again between the last list and the effect, and whose new entry the hosts do not know yet.

--- a/core/ack/receipts.go
+++ b/core/ack/receipts.go
@@ -35,8 +35,15 @@
 	changed  chan struct{}
 }
 
+// Listed is a server that the store lists. Its boot changes with each start.
+type Listed struct {
+	ID     group.ServerID
+	BootID int64
+}
+
 // replica is what is known of one listed server.
 type replica struct {
+	bootID int64
 	// listedAt is when the server was first seen in the list.
 	listedAt time.Time
 	witness  bool
@@ -68,24 +75,25 @@
 }
 
 // SetListed notes the servers that the store lists at present, and which of them is the
-// primary. What is known of others is forgotten, also if they are listed again later.
-func (r *Receipts) SetListed(servers []group.ServerID, primary group.ServerID) {
+// primary. What is known of others is forgotten, also if they are listed again later. A
+// server that has started again is another one: it has lost its log and its suspension.
+func (r *Receipts) SetListed(servers []Listed, primary group.ServerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.primary = primary
-	for id := range r.replicas {
-		if !slices.Contains(servers, id) {
+	for id, known := range r.replicas {
+		if !slices.Contains(servers, Listed{id, known.bootID}) {
 			delete(r.replicas, id)
 		}
 	}
-	for _, id := range servers {
-		if r.replicas[id] != nil {
+	for _, s := range servers {
+		if r.replicas[s.ID] != nil {
 			continue
 		}
 		if r.replicas == nil {
 			r.replicas = map[group.ServerID]*replica{}
 		}
-		r.replicas[id] = &replica{listedAt: time.Now()}
+		r.replicas[s.ID] = &replica{bootID: s.BootID, listedAt: time.Now()}
 	}
 }
 
--- a/core/ack/receipts_test.go
+++ b/core/ack/receipts_test.go
@@ -21,6 +21,14 @@
 	return group.Position{Term: term, Offset: offset}
 }
 
+// listed returns servers that were started once.
+func listed(ids ...group.ServerID) (servers []ack.Listed) {
+	for _, id := range ids {
+		servers = append(servers, ack.Listed{ID: id, BootID: 1})
+	}
+	return servers
+}
+
 // status returns the answer to a status query that is sent now.
 func status(received group.Position) ack.Status {
 	return ack.Status{QueriedAt: time.Now(), Term: received.Term, Received: received}
@@ -38,7 +46,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		var r ack.Receipts
-		r.SetListed([]group.ServerID{"a", "b", "c"}, "a")
+		r.SetListed(listed("a", "b", "c"), "a")
 		time.Sleep(time.Second)
 		r.NoteStatus("b", status(position(2, 1)))
 		r.NoteStatus("c", status(position(2, 1)))
@@ -79,7 +87,7 @@
 	inBubble(t, func(t *testing.T, r *ack.Receipts) {
 		r.NoteStatus("b", suspended(position(2, 9)))
 		r.NoteStatus("c", suspended(position(2, 9)))
-		r.SetListed([]group.ServerID{"a", "b", "c", "d"}, "a")
+		r.SetListed(listed("a", "b", "c", "d"), "a")
 		time.Sleep(time.Second)
 		r.NoteStatus("d", status(position(2, 10)))
 		assert.Assert(t, !r.Covered(commit))
@@ -96,7 +104,7 @@
 // has dropped, if the change takes effect before the query of a witness that it asked.
 func TestReceiptBeforeAServerCountsIsForgotten(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *ack.Receipts) {
-		r.SetListed([]group.ServerID{"a", "b", "c", "d"}, "a")
+		r.SetListed(listed("a", "b", "c", "d"), "a")
 		time.Sleep(time.Second)
 		early := status(position(2, 10))
 		r.NoteStatus("d", early)
@@ -112,7 +120,7 @@
 	inBubble(t, func(t *testing.T, r *ack.Receipts) {
 		early := status(position(2, 9))
 		time.Sleep(time.Second)
-		r.SetListed([]group.ServerID{"a", "b", "c", "d"}, "a")
+		r.SetListed(listed("a", "b", "c", "d"), "a")
 		r.NoteStatus("d", status(position(2, 10)))
 		r.NoteStatus("b", early)
 		assert.Assert(t, !r.Covered(commit))
@@ -122,7 +130,7 @@
 func TestWithoutAWitnessAllReplicasHaveToAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var r ack.Receipts
-		r.SetListed([]group.ServerID{"a", "b", "c"}, "a")
+		r.SetListed(listed("a", "b", "c"), "a")
 		time.Sleep(time.Second)
 		r.NoteStatus("b", status(position(2, 10)))
 		assert.Assert(t, !r.Covered(commit))
@@ -136,10 +144,10 @@
 func TestRecordWithoutAChangeMakesWitnesses(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var r ack.Receipts
-		r.SetListed([]group.ServerID{"a", "b", "c"}, "a")
+		r.SetListed(listed("a", "b", "c"), "a")
 		time.Sleep(time.Second)
 		inspectedAt := time.Now()
-		r.SetListed([]group.ServerID{"a", "b", "c", "d"}, "a")
+		r.SetListed(listed("a", "b", "c", "d"), "a")
 		time.Sleep(time.Second)
 		r.NoteNoChange(inspectedAt.Add(-time.Millisecond))
 		r.NoteStatus("d", status(position(2, 10)))
@@ -153,7 +161,7 @@
 // ever given again.
 func TestWitnessThatBecomesThePrimaryIsReplaced(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *ack.Receipts) {
-		r.SetListed([]group.ServerID{"b", "d"}, "b")
+		r.SetListed(listed("b", "d"), "b")
 		time.Sleep(time.Second)
 		r.NoteStatus("d", status(position(3, 12)))
 		r.NoteStatus("d", status(position(3, 12)))
@@ -166,8 +174,17 @@
 	inBubble(t, func(t *testing.T, r *ack.Receipts) {
 		r.NotePosition("b", time.Now(), position(2, 10))
 		assert.Assert(t, r.Covered(commit))
-		r.SetListed([]group.ServerID{"a", "c"}, "a")
-		r.SetListed([]group.ServerID{"a", "b", "c"}, "a")
+		r.SetListed(listed("a", "c"), "a")
+		r.SetListed(listed("a", "b", "c"), "a")
+		assert.Assert(t, !r.Covered(commit))
+	})
+}
+
+// Guards against evidence of a replica that started again after a change had suspended it.
+func TestServerThatStartedAgainIsForgotten(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		r.SetListed([]ack.Listed{{ID: "a", BootID: 1}, {ID: "b", BootID: 2}, {ID: "c", BootID: 1}}, "a")
+		r.NotePosition("b", time.Now(), position(2, 10))
 		assert.Assert(t, !r.Covered(commit))
 	})
 }
--- a/core/proxy/confirm.go
+++ b/core/proxy/confirm.go
@@ -136,9 +136,13 @@
 // updateListed notes the servers that are listed at present and returns them.
 func (c *confirmer) updateListed() []catalog.Server {
 	servers := c.listed.all()
+	entries := make([]ack.Listed, 0, len(servers))
+	for _, s := range servers {
+		entries = append(entries, ack.Listed{ID: s.ID, BootID: s.BootID})
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.receipts.SetListed(ids(servers), c.highest.Primary)
+	c.receipts.SetListed(entries, c.highest.Primary)
 	return servers
 }
 
@@ -332,10 +336,3 @@
 	}
 	c.behindUntil[replica] = time.Now().Add(behindBackoff)
 }
-
-func ids(servers []catalog.Server) (ids []group.ServerID) {
-	for _, s := range servers {
-		ids = append(ids, s.ID)
-	}
-	return ids
-}
--- a/core/takeover/latemember_test.go
+++ b/core/takeover/latemember_test.go
@@ -116,3 +116,35 @@
 	assert.Equal(t, len(f.orderedEpochs), 0)
 	assert.DeepEqual(t, len(f.resumed) >= 2, true)
 }
+
+// restartingClient is a group whose replica "c", the one with the highest position, starts
+// again without its log once it has been suspended.
+type restartingClient struct{ *fakeCluster }
+
+func (c restartingClient) Command(ctx context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
+	status, err := c.fakeCluster.Command(ctx, s, statement)
+	if statement.Operation == exchange.Suspend {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if s.ID == "c" && s.BootID == 0 {
+			c.statuses["c"] = replicaAt(2)
+			c.listedServers = []catalog.Server{{ID: "a"}, {ID: "b"}, {ID: "c", BootID: 1}}
+		}
+	}
+	return status, err
+}
+
+// Guards against the promotion of a server that has started again, without its log, since
+// it was suspended.
+func TestReplicaThatStartsAgainIsSuspendedAgain(t *testing.T) {
+	run := func(other group.Offset) (group.ServerID, error) {
+		f := newFakeCluster()
+		f.statuses["b"] = replicaAt(other)
+		return runAttempt(t, f, takeover.PrimaryGone, func(r *takeover.Runner) { r.Client = restartingClient{f} })
+	}
+	server, err := run(9)
+	assert.NilError(t, err)
+	assert.Equal(t, server, group.ServerID("b"))
+	_, err = run(8)
+	assert.ErrorIs(t, err, takeover.ErrLogIncomplete)
+}
--- a/core/takeover/reachable.go
+++ b/core/takeover/reachable.go
@@ -71,10 +71,15 @@
 			continue
 		}
 		if err == nil && listErr == nil && final && a.mayDropCommits(checkedAt) {
-			candidate, err := a.suspendAll(ctx, others, max(demoted.Term, highestTerm(answers))+1)
+			suspended, err := a.suspendAll(ctx, others, max(demoted.Term, highestTerm(answers))+1)
+			var candidate serverStatus
+			if err == nil {
+				candidate, err = a.chooseSuspended(suspended)
+			}
 			if err == nil {
 				return candidate
 			}
+			a.resumeAll(ctx)
 		}
 		return serverStatus{a.Primary, demoted}
 	}
--- a/core/takeover/unreachable.go
+++ b/core/takeover/unreachable.go
@@ -42,11 +42,14 @@
 		return server, ErrPrimaryActive
 	}
 	term := highestTerm(append(before, missing...)) + 1
-	candidate, err := a.suspendAll(ctx, a.otherMembers(), term)
-	if err != nil {
-		return "", err
+	final, err := a.suspendAll(ctx, a.otherMembers(), term)
+	if err == nil {
+		final, err = a.suspendLateMembers(ctx, final, term)
+	}
+	var candidate serverStatus
+	if err == nil {
+		candidate, err = a.chooseSuspended(final)
 	}
-	candidate, err = a.suspendLateMembers(ctx, candidate, term)
 	if err != nil {
 		a.resumeAll(ctx)
 		return "", err
@@ -55,30 +58,44 @@
 }
 
 // suspendLateMembers suspends the servers that the store lists only now, until it lists
-// no other, and returns the server with the highest position. A server may confirm
-// commits for some time before the store lists it.
-func (a *attempt) suspendLateMembers(ctx context.Context, candidate serverStatus, term group.Term) (serverStatus, error) {
+// no other, and returns the final status of all. A server may confirm commits for some time
+// before the store lists it.
+func (a *attempt) suspendLateMembers(ctx context.Context, final []serverStatus, term group.Term) ([]serverStatus, error) {
 	for {
 		late, err := a.addListedMembers(ctx)
 		if err != nil || len(late) == 0 {
-			return candidate, err
+			return final, err
 		}
 		if server, ok := findPrimary(late); ok {
-			return candidate, eris.Wrapf(ErrPrimaryActive, "%s", server)
+			return final, eris.Wrapf(ErrPrimaryActive, "%s", server)
 		}
 		servers := make([]catalog.Server, 0, len(late))
 		for _, l := range late {
 			servers = append(servers, l.server)
 		}
 		a.suspendedServers = slices.Concat(a.suspendedServers, servers)
-		final, err := a.commandAll(ctx, servers, exchange.Statement{Operation: exchange.Suspend, Term: term})
+		suspended, err := a.commandAll(ctx, servers, exchange.Statement{Operation: exchange.Suspend, Term: term})
 		if err != nil {
-			return candidate, err
+			return final, err
 		}
-		candidate = mostAdvanced(append(final, candidate))
+		// One that has started again has lost what it had received.
+		final = slices.DeleteFunc(final, func(f serverStatus) bool {
+			return slices.ContainsFunc(suspended, func(s serverStatus) bool { return s.server.ID == f.server.ID })
+		})
+		final = append(final, suspended...)
 	}
 }
 
+// chooseSuspended returns the suspended server with the highest position. It fails with
+// ErrLogIncomplete if that lacks acknowledged commits.
+func (a *attempt) chooseSuspended(final []serverStatus) (serverStatus, error) {
+	candidate := mostAdvanced(final)
+	if candidate.status.ReceivedPosition.Compare(a.requiredPosition) < 0 {
+		return serverStatus{}, eris.Wrapf(ErrLogIncomplete, "highest position %v is below the required position %v", candidate.status.ReceivedPosition, a.requiredPosition)
+	}
+	return candidate, nil
+}
+
 // checkProgress fails with ErrPrimaryActive if a replica has received anything
 // since the status before: then a primary is active, and only this host cannot
 // reach it.
@@ -100,8 +117,9 @@
 }
 
 // addListedMembers adds the servers that the store lists and the host's view
-// lacks to the members, because they may have confirmed commits. It returns
-// their status.
+// lacks to the members, because they may have confirmed commits, and those that
+// have started again, because they have lost their suspension. It returns their
+// status.
 func (a *attempt) addListedMembers(ctx context.Context) ([]serverStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
@@ -111,35 +129,31 @@
 	}
 	var missing []catalog.Server
 	for _, s := range listed {
-		if !slices.ContainsFunc(a.Members, func(m catalog.Server) bool { return m.ID == s.ID }) {
+		known := func(m catalog.Server) bool {
+			return m.ID == s.ID && (m.BootID == s.BootID || m.ID == a.Primary.ID)
+		}
+		if !slices.ContainsFunc(a.Members, known) {
 			missing = append(missing, s)
 		}
 	}
 	if len(missing) == 0 {
 		return nil, nil
 	}
-	a.Members = slices.Concat(a.Members, missing)
+	isMissing := func(m catalog.Server) bool {
+		return slices.ContainsFunc(missing, func(s catalog.Server) bool { return s.ID == m.ID })
+	}
+	a.Members = slices.Concat(slices.DeleteFunc(slices.Clone(a.Members), isMissing), missing)
 	for _, s := range missing {
 		a.reportStep(Step{Name: "joined", Server: s.ID, Epoch: a.record.Epoch})
 	}
 	return a.commandAll(ctx, missing, exchange.Statement{Operation: exchange.Status})
 }
 
-// suspendAll suspends the servers, so that they stop receiving, and returns the
-// one with the highest position. After a failure it resumes them.
-func (a *attempt) suspendAll(ctx context.Context, servers []catalog.Server, term group.Term) (candidate serverStatus, err error) {
+// suspendAll suspends the servers, so that they stop receiving, and returns their final
+// status.
+func (a *attempt) suspendAll(ctx context.Context, servers []catalog.Server, term group.Term) ([]serverStatus, error) {
 	a.suspendedServers = servers
-	final, err := a.commandAll(ctx, servers, exchange.Statement{Operation: exchange.Suspend, Term: term})
-	if err == nil {
-		candidate = mostAdvanced(final)
-		if candidate.status.ReceivedPosition.Compare(a.requiredPosition) < 0 {
-			err = eris.Wrapf(ErrLogIncomplete, "highest position %v is below the required position %v", candidate.status.ReceivedPosition, a.requiredPosition)
-		}
-	}
-	if err != nil {
-		a.resumeAll(ctx)
-	}
-	return candidate, err
+	return a.commandAll(ctx, servers, exchange.Statement{Operation: exchange.Suspend, Term: term})
 }
 
 // resumeAll resumes the suspended servers after an attempt was given up. While a
