proxy: the store is asked about witnesses only when the replicas do not answer for long

At its first commit for a group a host knows no witness, and the first round of queries never covers a commit: it makes the witnesses, and the next one counts.

Change: it is asked once the queries have gone on for 250 ms without a witness that has the commit.

--- a/core/proxy/confirm.go
+++ b/core/proxy/confirm.go
@@ -30,6 +30,9 @@
 	// behindBackoff is how long a replica that was behind is queried after the others:
 	// the time after which a replica that lags or is cut off is tried first again.
 	behindBackoff = time.Second
+	// inspectionDelay is how long the replicas are queried before the store is asked. It
+	// exceeds the time in which the witnesses of a group become known.
+	inspectionDelay = 250 * time.Millisecond
 	// inspectionTimeout bounds a list of the servers and a read of the record together.
 	inspectionTimeout = 700 * time.Millisecond
 	// inspectionInterval is the least time between two inspections of a group by this host.
@@ -183,6 +186,7 @@
 // query queries the replicas until the highest commit that waits is covered.
 func (c *confirmer) query() {
 	backoff := receiptQueryBackoff
+	startedAt := time.Now()
 	for {
 		commit, ok := c.target()
 		if !ok {
@@ -190,10 +194,12 @@
 		}
 		replicas := slices.DeleteFunc(c.updateListed(), func(s catalog.Server) bool { return s.ID == commit.Primary })
 		if c.queryOnce(commit, replicas) {
-			backoff = receiptQueryBackoff
+			backoff, startedAt = receiptQueryBackoff, time.Now()
 			continue
 		}
-		c.inspect()
+		if time.Since(startedAt) >= inspectionDelay {
+			c.inspect()
+		}
 		time.Sleep(backoff)
 		backoff = min(2*backoff, maxReceiptQueryBackoff)
 	}
