lead: a former primary is asked like any other replica

What callers saw: successes whose rows are gone after a change that a host made which had not learnt of the change before; and a group without a primary for ever.

Cause: an attempt leaves out the primary that it replaces. A host that has lost a primary went on taking it for that, also after it had stated that it does not lead. As a replica of the later primary it may be the only one that has its commits, and it is a witness; where it was demoted and its new promotion was lost, it is the only one with the whole log.

Change: a server that has stated since its last proof that it does not lead, or that this host has replaced, is no longer the primary of a request, so that it is asked and suspended like the others. Open: a host that reaches neither the former nor the later primary leaves the former one out until it has heard from it.

The clock of the hosts in e2e/replicated starts at an hour: a reading of zero stands for 'never', so that hosts which had just started made no change for the cause 'gone'.

--- a/core/lead/change.go
+++ b/core/lead/change.go
@@ -34,6 +34,9 @@
 			return request, false
 		}
 		request.Cause = takeover.PrimaryGone
+		if m.primaryReplaced {
+			request.Primary = catalog.Server{}
+		}
 		// A proof newer than the loss means that another host has reached a
 		// primary since.
 		return request, m.newestProof() < m.lostAt
--- a/core/lead/event.go
+++ b/core/lead/event.go
@@ -72,13 +72,13 @@
 		m.recordProof(e.server, e.sentAt, e.position)
 		return
 	}
-	if !m.primaryKnown || e.server.ID != m.primary.ID {
+	if e.server.ID != m.primary.ID {
 		return
 	}
 	var refusal *exchange.Error
 	switch {
 	case errors.As(e.err, &refusal) && refusal.Code == exchange.ReadOnly:
-		m.primaryStopped = true
+		m.primaryStopped, m.primaryReplaced = true, true
 		m.markLost("does not lead")
 	case isConnectionRefused(e.err):
 		m.primaryStopped = true
@@ -113,7 +113,7 @@
 		m.lostAt = at
 	}
 	m.departures.noteProof(at, position)
-	m.primaryStopped = false
+	m.primaryStopped, m.primaryReplaced = false, false
 	m.provenAt = max(m.provenAt, at)
 	m.unprovenSince = 0
 	m.futileSearches, m.futilePeerQueries = 0, 0
@@ -185,6 +185,7 @@
 	m.leftoverSuspensions, m.mayHaveLeftSuspensions = false, false
 	if m.primaryKnown && m.primary.ID != e.server {
 		m.markLost("replaced by this host")
+		m.primaryReplaced = true
 	}
 	m.nextProbe, m.nextSearch = now, now
 	m.nextAudit = now
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -233,7 +233,11 @@
 	// primaryStopped is set if the last primary stated, since its last proof, that it does
 	// not lead, or its process was found to have ended.
 	primaryStopped bool
-	startedAt      time.Duration // when Run was called
+	// primaryReplaced is set if the last primary stated, since its last proof, that it does
+	// not lead, or was replaced by this host. It may have confirmed commits since, as a
+	// replica.
+	primaryReplaced bool
+	startedAt       time.Duration // when Run was called
 	// lostAt is when the last primary was lost; while one is known, when the
 	// probe or statement that first proved it was sent.
 	lostAt   time.Duration
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -95,7 +95,8 @@
 func startHost(cluster *replicated.Cluster, id host.ID, options hostOptions) *entryHost {
 	dataCentre := cmp.Or(options.dataCentre, "dc-b")
 	started := time.Now()
-	clock := func() time.Duration { return time.Since(started) }
+	// A reading of zero stands for never.
+	clock := func() time.Duration { return time.Hour + time.Since(started) }
 	log := &logevent.Logger{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	h := &entryHost{id: id, cluster: cluster, cache: &catalog.Cache{}}
 	h.cache.SetConfig(testConfig(cmp.Or(options.connectionLimit, defaultConnectionLimit)))
