takeover: only a server that leads is demoted, and a stalled one's replicas are listed again

Cause: (1) between the last list after the demotion and the suspension a server may be listed, become a witness, because the replicas are not suspended yet, and hold commits that nobody asks it for. (2) A leaving server that no longer leads took a DEMOTE that does nothing while the primary which had replaced it went on, and a replica with the same position was promoted.

Change: the suspension of a stalled group is followed by a list, as that of an unreachable primary is; an attempt ends with ErrNoCandidate if the server does not state that it leads. The fake primary of the package's tests stated that it was a replica; it states primary now.

Measured: TestServerListedBeforeTheSuspensionOfAStalledGroupIsAccountedFor and TestLeavingServerThatDoesNotLeadIsNotReplaced fail before and pass now.

--- a/core/takeover/latemember_test.go
+++ b/core/takeover/latemember_test.go
@@ -148,3 +148,12 @@
 	_, err = run(8)
 	assert.ErrorIs(t, err, takeover.ErrLogIncomplete)
 }
+
+// Guards against the loss of commits of a server that the store lists between the last list
+// of the change of a stalled primary and the suspension of the replicas: until then they
+// make it a witness.
+func TestServerListedBeforeTheSuspensionOfAStalledGroupIsAccountedFor(t *testing.T) {
+	_, server, err := replaceWithLateMember(t, takeover.CommitsStalled, exchange.Suspend, 0, -1)
+	assert.NilError(t, err)
+	assert.Assert(t, server == "d" || server == "a", "%s", server)
+}
--- a/core/takeover/reachable.go
+++ b/core/takeover/reachable.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"basilmill/core/catalog"
 	"basilmill/core/exchange"
 	"basilmill/core/group"
@@ -21,6 +23,9 @@
 	if err != nil {
 		return "", err
 	}
+	if status.Role != exchange.Primary {
+		return "", eris.Wrapf(ErrNoCandidate, "%s does not lead", a.Primary.ID)
+	}
 	highestPosition := status.ReceivedPosition
 	checkedAt := time.Now()
 	if a.Cause == CommitsStalled {
@@ -71,7 +76,11 @@
 			continue
 		}
 		if err == nil && listErr == nil && final && a.mayDropCommits(checkedAt) {
-			suspended, err := a.suspendAll(ctx, others, max(demoted.Term, highestTerm(answers))+1)
+			term := max(demoted.Term, highestTerm(answers)) + 1
+			suspended, err := a.suspendAll(ctx, others, term)
+			if err == nil {
+				suspended, err = a.suspendLateMembers(ctx, suspended, term)
+			}
 			var candidate serverStatus
 			if err == nil {
 				candidate, err = a.chooseSuspended(suspended)
--- a/core/takeover/received_test.go
+++ b/core/takeover/received_test.go
@@ -39,7 +39,7 @@
 func TestCommitsOfADepartedReplicaAreKept(t *testing.T) {
 	withDepartedReplica(t, func(f *fakeCluster, run func(takeover.Cause) (group.ServerID, error)) {
 		for _, cause := range []takeover.Cause{takeover.PrimaryUnresponsive, takeover.PrimaryGone, takeover.CommitsStalled} {
-			f.statuses["a"] = replicaAt(14)
+			f.statuses["a"] = primaryAt(14)
 			_, err := run(cause)
 			assert.ErrorIs(t, err, takeover.ErrLogIncomplete, "%v", cause)
 			assert.Equal(t, len(f.orderedEpochs), 0)
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -106,13 +106,20 @@
 	return exchange.ServerStatus{Role: exchange.Replica, Term: 1, ReceivedPosition: group.Position{Term: 1, Offset: offset}}
 }
 
+// primaryAt returns the status of the primary of term 1 at an offset.
+func primaryAt(offset group.Offset) exchange.ServerStatus {
+	status := replicaAt(offset)
+	status.Role = exchange.Primary
+	return status
+}
+
 func members() []catalog.Server {
 	return []catalog.Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}
 }
 
 func newFakeCluster() *fakeCluster {
 	return &fakeCluster{
-		statuses:     map[group.ServerID]exchange.ServerStatus{"a": replicaAt(10), "b": replicaAt(8), "c": replicaAt(9)},
+		statuses:     map[group.ServerID]exchange.ServerStatus{"a": primaryAt(10), "b": replicaAt(8), "c": replicaAt(9)},
 		unresponsive: map[group.ServerID]bool{},
 	}
 }
@@ -337,3 +344,17 @@
 	assert.NilError(t, err)
 	assert.Equal(t, server, group.ServerID("a"))
 }
+
+// Guards against the replacement of a server that leaves and no longer leads: the primary
+// that has replaced it goes on and is not demoted.
+func TestLeavingServerThatDoesNotLeadIsNotReplaced(t *testing.T) {
+	f := newFakeCluster()
+	at := func(offset group.Offset) exchange.ServerStatus {
+		return exchange.ServerStatus{Role: exchange.Replica, Term: 2, ReceivedPosition: group.Position{Term: 2, Offset: offset}}
+	}
+	f.statuses["a"], f.statuses["c"] = at(10), at(10)
+	f.unresponsive["b"] = true // the primary of term 2
+	_, err := runAttempt(t, f, takeover.PrimaryLeaving, nil)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(f.orderedEpochs), 0)
+}
