takeover: attempts that overlap neither resume nor replace what another one relies on

An attempt whose claim was superseded, because it was frozen or the store slow, resumed the replicas that the later attempt had suspended. It leaves them suspended now unless the record still shows its claim or, without an answer of the store, its lease still runs. A promotion that the platform has accepted takes effect some hundred milliseconds later, and a higher epoch does not take it back. The end of left suspensions resumed the replicas and recorded the attempt as ended before that. It waits for the effect now and reads the primary again. Such an order may take effect while a later attempt is between its suspension and its own order, which then drops what the first server had acknowledged. The record names the server whose promotion is pending (Candidate), and the later attempt orders the same one if that holds all acknowledged commits.

Ruled out: a RESUME with a term, which the databases do not have. Open: a RESUME that is delivered late, after its attempt was superseded.

The three share the record and the file of the suspension, so that they land together.

--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -14,7 +14,7 @@
 // and waits until it is the primary.
 func (a *attempt) promote(ctx context.Context, candidate serverStatus) (group.ServerID, error) {
 	server := candidate.server
-	err := a.recordBasePosition(ctx, candidate.status.ReceivedPosition)
+	err := a.recordBasePosition(ctx, candidate)
 	if err == nil {
 		err = a.orderPromotion(ctx, candidate)
 	}
@@ -67,23 +67,37 @@
 // endLeftoverSuspensions resumes replicas that an unfinished attempt left
 // suspended while the primary is active. A promotion of that attempt may be
 // pending. Ordering the promotion of the current primary under a higher epoch
-// changes nothing and makes the platform refuse the pending one.
+// changes nothing and makes the platform refuse the pending one. The platform may have
+// accepted that before, so that the replicas stay suspended until it would have taken effect.
 func (a *attempt) endLeftoverSuspensions(ctx context.Context) (group.ServerID, error) {
-	status, err := a.command(ctx, a.Primary, exchange.Statement{Operation: exchange.Status})
+	status, err := a.primaryStatus(ctx)
 	if err != nil {
 		return "", err
 	}
-	if status.Role != exchange.Primary {
-		return "", ErrNoCandidate
-	}
 	if err := a.claim(ctx, status.ReceivedPosition); err != nil {
 		return "", err
 	}
 	if err := a.orderPromotion(ctx, serverStatus{a.Primary, status}); err != nil {
 		return "", err
 	}
+	if err := sleep(ctx, promotionDelay); err != nil {
+		return "", err
+	}
+	if _, err := a.primaryStatus(ctx); err != nil {
+		return "", err
+	}
 	a.suspendedServers = a.otherMembers()
 	a.resumeAll(ctx)
 	a.recordPromotionAnswered(ctx)
 	return a.Primary.ID, nil
 }
+
+// primaryStatus returns the status of the primary. It fails with ErrNoCandidate if the
+// server does not lead.
+func (a *attempt) primaryStatus(ctx context.Context) (exchange.ServerStatus, error) {
+	status, err := a.command(ctx, a.Primary, exchange.Statement{Operation: exchange.Status})
+	if err == nil && status.Role != exchange.Primary {
+		err = eris.Wrapf(ErrNoCandidate, "%s does not lead", a.Primary.ID)
+	}
+	return status, err
+}
--- a/core/takeover/reachable.go
+++ b/core/takeover/reachable.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"basilmill/core/catalog"
 	"basilmill/core/exchange"
 	"basilmill/core/group"
@@ -19,13 +17,10 @@
 	if !slices.ContainsFunc(others, func(s catalog.Server) bool { return !s.Leaving }) {
 		return "", ErrNoCandidate
 	}
-	status, err := a.command(ctx, a.Primary, exchange.Statement{Operation: exchange.Status})
+	status, err := a.primaryStatus(ctx)
 	if err != nil {
 		return "", err
 	}
-	if status.Role != exchange.Primary {
-		return "", eris.Wrapf(ErrNoCandidate, "%s does not lead", a.Primary.ID)
-	}
 	highestPosition := status.ReceivedPosition
 	checkedAt := time.Now()
 	if a.Cause == CommitsStalled {
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -39,6 +40,7 @@
 	next := current
 	next.Epoch = current.Epoch.next(era)
 	next.Holder, next.Ended = a.Self, false
+	a.claimedAt = time.Now()
 	if err := a.updateRecord(ctx, next); err != nil {
 		return err
 	}
@@ -108,11 +110,21 @@
 	return r.Records.Store(ctx, id, next)
 }
 
+// isSuperseded reports whether another host may have claimed the record since this attempt
+// did. Without an answer of the store that is possible once the lease is over.
+func (a *attempt) isSuperseded(ctx context.Context) bool {
+	stored, err := a.loadRecord(ctx, a.Group, a.Records.Load)
+	if err != nil {
+		return time.Since(a.claimedAt) >= LeaseTTL
+	}
+	return stored.Epoch != a.record.Epoch || stored.Holder != a.Self
+}
+
 // recordBasePosition records the end of the log of the server whose promotion is
 // about to be ordered, and that the promotion is pending.
-func (a *attempt) recordBasePosition(ctx context.Context, base group.Position) error {
+func (a *attempt) recordBasePosition(ctx context.Context, candidate serverStatus) error {
 	next := a.record
-	next.BasePosition, next.PromotionPending = base, true
+	next.BasePosition, next.PromotionPending, next.Candidate = candidate.status.ReceivedPosition, true, candidate.server.ID
 	return eris.Wrap(a.updateRecord(ctx, next), "record the end of the log")
 }
 
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -49,6 +49,8 @@
 	// PromotionPending is set while a promotion may be pending: the order for
 	// it was sent or is about to be, and no answer is recorded.
 	PromotionPending bool
+	// Candidate is the server whose promotion was ordered last.
+	Candidate group.ServerID
 	// Ended is set once the attempt has ended, so that it orders no further promotion and
 	// none that it has ordered is pending.
 	Ended bool
@@ -137,6 +139,9 @@
 	// promoted is the primary: several times the 300 to 1,000 ms that a
 	// promotion takes.
 	promotionTimeout = 4 * time.Second
+	// promotionDelay is how long after the platform has accepted an order the server may
+	// take to lead: 300 to 1,000 ms at present.
+	promotionDelay = 2 * time.Second
 	// promotionPollInterval is the pause between two probes during that wait.
 	promotionPollInterval = 40 * time.Millisecond
 	// maxPromotionTries bounds how often a promotion is ordered while no answer
@@ -246,6 +251,8 @@
 	promotionPending bool
 	// promotionOrdered is set while a promotion that this attempt ordered was not refused.
 	promotionOrdered bool
+	// claimedAt is when the update that claimed the record was about to be sent.
+	claimedAt time.Time
 	// requiredPosition is the lowest position that a server must have reached to be
 	// promoted.
 	requiredPosition group.Position
--- a/core/takeover/unreachable.go
+++ b/core/takeover/unreachable.go
@@ -86,9 +86,18 @@
 	}
 }
 
-// chooseSuspended returns the suspended server with the highest position. It fails with
-// ErrLogIncomplete if that lacks acknowledged commits.
+// chooseSuspended returns the suspended server with the highest position, or the one whose
+// promotion is pending if that holds all acknowledged commits: it may lead at any moment, and
+// what is acknowledged to callers then must not be dropped. It fails with ErrLogIncomplete if
+// there is none.
 func (a *attempt) chooseSuspended(final []serverStatus) (serverStatus, error) {
+	if a.promotionPending {
+		for _, s := range final {
+			if s.server.ID == a.record.Candidate && s.status.ReceivedPosition.Compare(a.requiredPosition) >= 0 {
+				return s, nil
+			}
+		}
+	}
 	candidate := mostAdvanced(final)
 	if candidate.status.ReceivedPosition.Compare(a.requiredPosition) < 0 {
 		return serverStatus{}, eris.Wrapf(ErrLogIncomplete, "highest position %v is below the required position %v", candidate.status.ReceivedPosition, a.requiredPosition)
@@ -158,9 +167,10 @@
 
 // resumeAll resumes the suspended servers after an attempt was given up. While a
 // promotion may be pending they stay suspended: the server that it names would
-// lack the commits acknowledged after they resumed.
+// lack the commits acknowledged after they resumed. So do servers that another attempt may
+// have suspended since.
 func (a *attempt) resumeAll(ctx context.Context) {
-	if a.promotionPending {
+	if a.promotionPending || a.isSuperseded(ctx) {
 		a.suspensionsRemain = len(a.suspendedServers) > 0
 		a.reportStep(Step{Name: "left suspended", Epoch: a.record.Epoch})
 		return
