ack, proxy, takeover: four steps of the witnesses that proved too much

- a witness that was suspended and left the list made all others witnesses by their own word, while an order for it may be pending (TestSuspendedWitnessThatIsNoLongerListedStillCounts): they now need a later term or the record;
- a suspended witness that has started again states an empty log and no suspension before its new entry is listed (TestWitnessThatLostItsLogProvesNothing): a position below one that was stated in the same term proves nothing;
- the position of a commit without one was read from a server that no longer leads (TestPositionOfACommitIsNotReadFromAReplacedPrimary);
- a host that starts soon after the store was restored trusted a record of an earlier era (TestInspectorOfANewHostDoesNotTrustARecordOfAnEarlierEra).

--- a/core/ack/receipts.go
+++ b/core/ack/receipts.go
@@ -32,7 +32,10 @@
 	mu       sync.Mutex
 	primary  group.ServerID
 	replicas map[group.ServerID]*replica // with the primary, which was one or will be
-	changed  chan struct{}
+	// unresolvedTerm is the term of a witness that left the list suspended. A change to a
+	// later one may still take effect.
+	unresolvedTerm group.Term
+	changed        chan struct{}
 }
 
 // Listed is a server that the store lists. Its boot changes with each start.
@@ -52,6 +55,10 @@
 	term         group.Term
 	// received is the highest position that the server stated, as a witness if it is one.
 	received group.Position
+	// stated is the highest position that the server stated in its term.
+	stated group.Position
+	// suspended is set if the server said so in its last answer.
+	suspended bool
 	// notSuspendedAt is when the last query was sent whose answer said that the server is
 	// not suspended.
 	notSuspendedAt time.Time
@@ -83,6 +90,9 @@
 	r.primary = primary
 	for id, known := range r.replicas {
 		if !slices.Contains(servers, Listed{id, known.bootID}) {
+			if known.witness && known.suspended {
+				r.unresolvedTerm = max(r.unresolvedTerm, known.term)
+			}
 			delete(r.replicas, id)
 		}
 	}
@@ -105,6 +115,11 @@
 	if known == nil {
 		return
 	}
+	if s.Term <= known.term && s.Received.Compare(known.stated) < 0 {
+		// It has started again and has lost its suspension with its log.
+		return
+	}
+	known.stated, known.suspended = s.Received, s.Suspended
 	known.note(s.QueriedAt, s.Term, s.Received)
 	if !s.Suspended && s.QueriedAt.After(known.notSuspendedAt) {
 		known.notSuspendedAt = s.QueriedAt
@@ -131,6 +146,7 @@
 func (r *Receipts) NoteNoChange(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.unresolvedTerm = 0
 	r.addWitnesses(at)
 	r.notify()
 }
@@ -176,7 +192,7 @@
 	for id, s := range r.replicas {
 		switch {
 		case id == r.primary:
-		case s.notSuspendedAt.IsZero():
+		case s.notSuspendedAt.IsZero(), s.term <= r.unresolvedTerm:
 			return time.Time{}
 		case earliest.IsZero(), s.notSuspendedAt.Before(earliest):
 			earliest = s.notSuspendedAt
--- a/core/ack/receipts_test.go
+++ b/core/ack/receipts_test.go
@@ -198,6 +198,36 @@
 	})
 }
 
+// Guards against a success that rests on a new server while the replicas that a change has
+// suspended, and may still promote, are not listed.
+func TestSuspendedWitnessThatIsNoLongerListedStillCounts(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		r.NoteStatus("b", suspended(position(2, 9)))
+		r.NoteStatus("c", suspended(position(2, 9)))
+		r.SetListed(listed("a", "b", "c", "d"), "a")
+		time.Sleep(time.Second)
+		r.SetListed(listed("a", "d"), "a")
+		r.NoteStatus("d", status(position(2, 10)))
+		time.Sleep(time.Second)
+		r.NoteStatus("d", status(position(2, 10)))
+		assert.Assert(t, !r.Covered(commit))
+	})
+}
+
+// Guards against a success that rests on a new server because a suspended witness has
+// started again and its new boot is not listed yet.
+func TestWitnessThatLostItsLogProvesNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		r.NoteStatus("b", suspended(position(2, 9)))
+		r.NoteStatus("c", suspended(position(2, 9)))
+		r.SetListed(listed("a", "b", "c", "d"), "a")
+		time.Sleep(time.Second)
+		r.NoteStatus("b", status(position(0, 0)))
+		r.NoteStatus("d", status(position(2, 10)))
+		assert.Assert(t, !r.Covered(commit))
+	})
+}
+
 // await starts a call of Await. The result is sent when it ends.
 func await(r *ack.Receipts, timeout time.Duration) (result chan error, requests *int) {
 	result, requests = make(chan error, 1), new(int)
--- a/core/proxy/confirm.go
+++ b/core/proxy/confirm.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"basilmill/core/ack"
 	"basilmill/core/catalog"
 	"basilmill/core/exchange"
@@ -40,6 +42,9 @@
 			return outcome.Unresolved("the server of a commit without a position has left", nil)
 		}
 		status, err := p.commander().Command(ctx, primary, exchange.Statement{Operation: exchange.Status})
+		if err == nil && status.Role != exchange.Primary {
+			err = eris.Errorf("%s does not lead any more", r.server)
+		}
 		if err != nil {
 			return outcome.Unresolved("the position of the commit is not known", err)
 		}
--- a/core/takeover/ended_test.go
+++ b/core/takeover/ended_test.go
@@ -111,3 +111,17 @@
 		assert.Assert(t, !inProgress)
 	})
 }
+
+// Guards against a host that starts soon after the store was restored and trusts a record
+// that is older than an attempt which may still take effect.
+func TestInspectorOfANewHostDoesNotTrustARecordOfAnEarlierEra(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeCluster()
+		f.record = takeover.Record{Epoch: 3, Holder: "h2", Ended: true}
+		var eras distribution.Eras
+		eras.Note(2)
+		inProgress, err := takeover.Inspector{Records: f, Eras: &eras}.InProgress(context.Background(), "g")
+		assert.NilError(t, err)
+		assert.Assert(t, inProgress)
+	})
+}
--- a/core/takeover/lost.go
+++ b/core/takeover/lost.go
@@ -100,7 +100,7 @@
 	if err != nil {
 		return true, err
 	}
-	if i.Eras.IsOver(record.Epoch.Era()) && time.Since(i.Eras.RoseAt()) < lateOrderTTL {
+	if era, seenAt := i.Eras.Newest(); record.Epoch.Era() < era && time.Since(seenAt) < lateOrderTTL {
 		return true, nil
 	}
 	return record.Epoch != 0 && !record.Ended, nil
