serve: open no status connection after a hand-over

TestPoolLimit/9_hosts failed once on another machine, beside load: "server b: peak 16, opened 16, refused 4" where none may be refused.

Cause: status connections had no owner. Probes, floor queries, refreshes and commands that started after a host had stopped coordinating a group found no connection and opened one, which nobody closed. Hosts that start together each coordinate the group until they have the list of hosts; the goroutines of their first probes often run only after that. Such a connection is in no host's share, so that with two of them at one server the coordinators exceed its limit, although their shares are right.

Change: a coordination owns the status connections and the confirmation loop of a group, from the moment when the host becomes a coordinator until the last loop has ended. A query outside it gets no connection. Close of a ControlClient is final, under the lock that its calls hold. The control thread emits CoordinatorsChanged before the first actions of the failover machine, which need the connections. A read that waits for a session floor is refused as not run at the hand-over, because its queries can no longer succeed on this host.

Ruled out: the division of the limit (the parts add up to 12 of 16 in every run) and the pool (a host that does not coordinate has limit 0).

Open: a server that the record no longer names keeps its status connection until the host stops coordinating; during a hand-over with statements in flight the new coordinators use their shares before the former one has given back its own.

--- a/cmd/serve/callerhost.go
+++ b/cmd/serve/callerhost.go
@@ -59,8 +59,6 @@
 	account account.ID
 }
 
-var errUnknownServer = errors.New("the group's record does not name the server")
-
 // errNoAccount does not reveal to a caller whether the account or the
 // database is wrong.
 var errNoAccount = errors.New("no such account, or the account does not own the database")
--- a/cmd/serve/confirm.go
+++ b/cmd/serve/confirm.go
@@ -24,31 +24,10 @@
 	confirmationQueryBackoff = 20 * time.Millisecond
 )
 
-// updateConfirmationLoop starts the confirmation loop of a group when this
-// host becomes one of its coordinators, and stops it when the host no longer
-// is.
-func (r *runner) updateConfirmationLoop(view *control.GroupView) {
-	id := view.Record.ID
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	stop, running := r.confirmationLoops[id]
-	switch {
-	case view.Rank >= 0 && !running:
-		ctx, cancel := context.WithCancel(r.ctx)
-		r.confirmationLoops[id] = cancel
-		go r.runConfirmationLoop(ctx, id)
-	case view.Rank < 0 && running:
-		stop()
-		delete(r.confirmationLoops, id)
-	}
-}
-
 // runConfirmationLoop confirms the writes that wait in the group's gate until
 // the context ends.
 func (r *runner) runConfirmationLoop(ctx context.Context, id group.ID) {
-	// Status connections count against the connection limits of the servers,
-	// which the new coordinators share.
-	defer r.closeCoalescers(id)
+	defer r.confirmationLoopEnded(id)
 	g := r.awaitGroup(ctx, id)
 	if g == nil {
 		return
@@ -79,22 +58,6 @@
 	}
 }
 
-// closeCoalescers closes the status connections to a group's servers, unless
-// the host has become a coordinator of the group again.
-func (r *runner) closeCoalescers(id group.ID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if _, coordinating := r.confirmationLoops[id]; coordinating {
-		return
-	}
-	for key, coalescer := range r.coalescers {
-		if key.group == id {
-			go coalescer.Close()
-			delete(r.coalescers, key)
-		}
-	}
-}
-
 // awaitGroup waits until the group is in the snapshot, because the
 // coordinators of a new group are determined before the group is published.
 // It returns nil if the context ends first.
--- a/cmd/serve/router.go
+++ b/cmd/serve/router.go
@@ -69,7 +69,7 @@
 		}
 		view := g.View()
 		if view.Rank < 0 {
-			return routeResult{}, outcome.Unavailable("the host does not coordinate the group any more", nil)
+			return routeResult{}, outcome.Unavailable(errNotCoordinator.Error(), nil)
 		}
 		switch d := route.Choose(q, r.viewOf(view, start)).(type) {
 		case route.Serve:
@@ -185,12 +185,17 @@
 // known to contain the floor.
 func (r *router) resolveFloor(ctx context.Context, g *control.Group, view *control.GroupView, q *route.Request) error {
 	startedAt := time.Now()
+	ctx, cancel := r.runner.whileCoordinating(ctx, view.Record.ID)
+	defer cancel()
 	refreshed := make(chan struct{})
 	go func() {
 		defer close(refreshed)
 		r.refreshNearest(ctx, view)
 	}()
 	position, err := r.resolver(view.Record.ID, g).Resolve(ctx)
+	if errors.Is(context.Cause(ctx), errNotCoordinator) {
+		return outcome.Unavailable(errNotCoordinator.Error(), err)
+	}
 	if err != nil {
 		return err
 	}
@@ -295,7 +300,7 @@
 	query := func(ctx context.Context, record *group.Record, server group.ServerID) (group.Status, error) {
 		coalescer, ok := r.runner.coalescer(record, server)
 		if !ok {
-			return group.Status{}, errUnknownServer
+			return group.Status{}, errNoStatusConnection
 		}
 		r.runner.metrics.floorQueries.Inc()
 		status, sentAt, err := coalescer.Status(ctx)
--- a/cmd/serve/runner.go
+++ b/cmd/serve/runner.go
@@ -49,14 +49,13 @@
 	metrics  *metrics
 	local    *backendserver.LocalConnector
 
-	mu         sync.Mutex
-	coalescers map[serverKey]*serverCoalescer
+	mu sync.Mutex
+	// coordinations holds the groups that this host coordinates, and those whose
+	// confirmation loop has not ended yet.
+	coordinations map[group.ID]*coordination
 	// pendingObservations holds the result channels of observation requests from
 	// other coordinators that wait for an answer of the failover state machine.
 	pendingObservations map[observationKey][]chan bool
-	// confirmationLoops cancels the confirmation loop of each group that this
-	// host coordinates.
-	confirmationLoops map[group.ID]context.CancelFunc
 }
 
 // serverKey identifies a backend server among those of all groups.
@@ -65,13 +64,6 @@
 	server group.ServerID
 }
 
-// serverCoalescer combines the concurrent status queries of a server at one
-// address.
-type serverCoalescer struct {
-	*backendserver.StatusCoalescer
-	server group.Server
-}
-
 // observationKey identifies what another coordinator asked: whether this host
 // reaches a server in a term.
 type observationKey struct {
@@ -101,7 +93,7 @@
 		r.log.Write(r.ctx, logevent.HostListChanged, slog.Int("Added", len(a.Added)), slog.Int("Removed", len(a.Removed)))
 	case control.CoordinatorsChanged:
 		r.setConnectionLimits(a.View)
-		r.updateConfirmationLoop(a.View)
+		r.updateCoordination(a.View)
 	case control.ServerLost:
 		r.handleServerLost(a)
 	}
@@ -146,32 +138,6 @@
 	r.post(control.GroupEvent{Group: id, Event: event})
 }
 
-// coalescer returns the coalescer of a server in a record. When the address
-// of the server has changed, it replaces the coalescer. It returns false if
-// the record does not name the server.
-func (r *runner) coalescer(record *group.Record, id group.ServerID) (*serverCoalescer, bool) {
-	server, ok := record.Server(id)
-	if !ok {
-		return nil, false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	key := serverKey{record.ID, id}
-	coalescer := r.coalescers[key]
-	if coalescer != nil && coalescer.server.Address == server.Address {
-		return coalescer, true
-	}
-	if coalescer != nil {
-		go coalescer.Close()
-	}
-	coalescer = &serverCoalescer{
-		StatusCoalescer: backendserver.NewStatusCoalescer(backendserver.NewControlClient(r.dialer, server.Address, controlDatabase(record)), statusTimeout),
-		server:          server,
-	}
-	r.coalescers[key] = coalescer
-	return coalescer, true
-}
-
 // controlDatabase returns the database that status and command connections
 // open. The functions of schema basilmill are the same in each database.
 func controlDatabase(record *group.Record) string {
@@ -187,7 +153,7 @@
 func (r *runner) executeCommand(record *group.Record, command failover.Command) {
 	coalescer, ok := r.coalescer(record, command.Target())
 	if !ok {
-		r.postGroupEvent(record.ID, failover.CommandFailed{Command: command, Err: errors.New("the group's record does not name the server")})
+		r.postGroupEvent(record.ID, failover.CommandFailed{Command: command, Err: errNoStatusConnection})
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, commandTimeout)
--- a/cmd/serve/serve.go
+++ b/cmd/serve/serve.go
@@ -165,9 +165,8 @@
 	h.runner = &runner{
 		ctx: h.ctx, self: h.self, post: h.post, snapshot: h.snapshot, platform: h.platform, peers: h.peers, dialer: dialer,
 		log: h.log, metrics: h.metrics, local: h.local,
-		coalescers:          make(map[serverKey]*serverCoalescer),
+		coordinations:       make(map[group.ID]*coordination),
 		pendingObservations: make(map[observationKey][]chan bool),
-		confirmationLoops:   make(map[group.ID]context.CancelFunc),
 	}
 	h.thread = control.New(control.Config{
 		Self:     h.self,
--- a/core/control/control_test.go
+++ b/core/control/control_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -96,6 +97,24 @@
 	})
 }
 
+// Guards against first probes of a group that find no status connections, which
+// CoordinatorsChanged provides.
+func TestCoordinatorsChangedPrecedesTheProbes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		thread, actions := startThread(t)
+		thread.Post(objectsReceived(5, recordObject(t, 5, 1, "a")))
+		synctest.Wait()
+		isChange := func(a control.Action) bool { _, ok := a.(control.CoordinatorsChanged); return ok }
+		isProbe := func(a control.Action) bool {
+			g, ok := a.(control.GroupAction)
+			_, probe := g.Action.(failover.Probe)
+			return ok && probe
+		}
+		change, probe := slices.IndexFunc(*actions, isChange), slices.IndexFunc(*actions, isProbe)
+		assert.Assert(t, change >= 0 && probe > change, "change %d, probe %d", change, probe)
+	})
+}
+
 // Guards against coordinators that are not reassigned when hosts join or this
 // host leaves.
 func TestCoordinatorsAreReassignedWhenHostsChange(t *testing.T) {
--- a/core/control/group.go
+++ b/core/control/group.go
@@ -57,21 +57,25 @@
 	previous := g.coordinators
 	g.coordinators = placement.Coordinators(g.record, t.usableHosts, t.config.Coordinators)
 	g.rank = slices.IndexFunc(g.coordinators, func(h host.Info) bool { return h.ID == t.self.ID })
+	started := g.machine == nil && g.rank >= 0
 	switch {
 	case g.rank < 0:
 		g.machine = nil
 		g.servers = make(map[group.ServerID]ServerView)
-	case g.machine == nil:
+	case started:
 		config := t.config.Failover
 		config.Group, config.Host, config.DataCentre = g.record.ID, t.self.ID, t.self.DataCentre
 		g.machine = failover.New(config)
-		t.runMachine(g, failover.RecordChanged{Record: g.record, Version: g.version})
 	}
-	t.runMachine(g, failover.CoordinatorsChanged{Coordinators: machineCoordinators(g.coordinators), SingleDataCentre: t.singleDataCentre()})
 	t.publishGroup(g)
+	// The machine's first actions need the connections that this action provides.
 	if !slices.Equal(previous, g.coordinators) {
 		t.config.OnAction(CoordinatorsChanged{View: g.published.View()})
 	}
+	if started {
+		t.runMachine(g, failover.RecordChanged{Record: g.record, Version: g.version})
+	}
+	t.runMachine(g, failover.CoordinatorsChanged{Coordinators: machineCoordinators(g.coordinators), SingleDataCentre: t.singleDataCentre()})
 }
 
 // machineCoordinators returns the hosts as coordinators for a failover machine,
--- a/e2e/pool_test.go
+++ b/e2e/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,8 +16,12 @@
 	"gotest.tools/v3/assert"
 
 	"basilmill/core/account"
+	"basilmill/core/host"
+	"basilmill/core/placement"
+	"basilmill/core/pool"
 	"basilmill/e2e/cluster"
 	"basilmill/standin/backendserver"
+	"basilmill/standin/pipenet"
 )
 
 // serverLimit is the connection limit of each backend server.
@@ -73,6 +78,98 @@
 	}
 }
 
+// Guards against status connections that a host opens after it has stopped coordinating
+// a group. They are in no host's share and stay open, so that servers refuse the
+// connections of the coordinators.
+func TestOnlyCoordinatorsKeepStatusConnections(t *testing.T) {
+	assertOpen := func(t *testing.T, c *cluster.Cluster) {
+		for _, s := range c.Servers {
+			assert.Check(t, s.Counters().Open <= placement.DefaultCoordinators, "server %s: %d connections", s.ID(), s.Counters().Open)
+		}
+	}
+	t.Run("each host coordinates until it has the host list", func(t *testing.T) {
+		conf := config(t)
+		conf.Hosts, conf.StartupDelay = 9, 12*time.Millisecond
+		virtual(t, conf, func(t *testing.T, c *cluster.Cluster, _ *cluster.VirtualNetwork) {
+			time.Sleep(10 * time.Second)
+			assertOpen(t, c)
+		})
+	})
+	t.Run("a session floor is being resolved", func(t *testing.T) {
+		conf := config(t)
+		conf.Account.Sharing = account.Sharing{QueueTimeout: 20 * time.Second}
+		virtual(t, conf, func(t *testing.T, c *cluster.Cluster, v *cluster.VirtualNetwork) {
+			stop := startLoad(t, v, c.Hosts)
+			assert.Equal(t, len(stop()), 0)
+			// The servers refuse connections if two hosts keep theirs: the three
+			// coordinators use the limit but for the one reserved for commands.
+			former := c.Hosts[1]
+			for range 2 {
+				former = handOverDuringRead(t, c, v, former)
+			}
+			time.Sleep(2 * pool.DefaultIdleRetention)
+			assertOpen(t, c)
+			// The reads of all coordinators go to the one replica that is left.
+			c.Servers[2].Kill()
+			for _, s := range c.Servers {
+				s.SetFaults(backendserver.Faults{StatementDelay: 50 * time.Millisecond})
+			}
+			runCallers(t, v, c.Hosts, "vandermeersch", 60, 2*time.Second)()
+			for _, s := range c.Servers {
+				n := s.Counters()
+				t.Logf("server %s: peak %d, refused %d", s.ID(), n.PeakOpen, n.Refused)
+				assert.Check(t, n.Refused == 0)
+			}
+		})
+	})
+}
+
+// handOverDuringRead starts a host that coordinates the group in place of the given
+// one, while that host waits for the primary and its successor on behalf of a read. It
+// returns the new host.
+func handOverDuringRead(t *testing.T, c *cluster.Cluster, v *cluster.VirtualNetwork, former *cluster.Host) *cluster.Host {
+	conn := dial(t, v, 1, former, "orders")
+	for _, server := range []string{"a", "b"} {
+		v.SetLinkState(string(former.Self().ID), server, pipenet.BlackHole)
+	}
+	answered := make(chan error)
+	go func() {
+		_, err := conn.Exec(t.Context(), "SELECT pages FROM report WHERE id = 1")
+		answered <- err
+	}()
+	time.Sleep(time.Second)
+	next, err := c.StartHost(successorOf(t, c, former), former.DataCentre)
+	assert.NilError(t, err)
+	time.Sleep(8 * time.Second)
+	for _, server := range []string{"a", "b"} {
+		v.SetLinkState(string(former.Self().ID), server, pipenet.Up)
+	}
+	t.Logf("answer to the read: %v", <-answered)
+	assert.NilError(t, conn.Close(t.Context()))
+	assert.NilError(t, c.Ready(t.Context()))
+	assert.Check(t, !slices.Contains(former.Status().Groups[0].Coordinators, former.Status().Host))
+	assert.Check(t, slices.Contains(next.Status().Groups[0].Coordinators, next.Status().Host))
+	return next
+}
+
+// successorOf returns the id of a host that, once started in the same data centre,
+// coordinates the group in place of the given one.
+func successorOf(t *testing.T, c *cluster.Cluster, former *cluster.Host) host.ID {
+	record, err := c.Record()
+	assert.NilError(t, err)
+	var hosts []host.Info
+	for _, h := range c.Hosts {
+		hosts = append(hosts, h.Self())
+	}
+	for i := 20; ; i++ {
+		added := host.Info{ID: host.ID(fmt.Sprintf("host-%d", i)), DataCentre: former.DataCentre}
+		coordinators := placement.Coordinators(record, append(hosts, added), placement.DefaultCoordinators)
+		if !slices.ContainsFunc(coordinators, func(h host.Info) bool { return h.ID == former.Self().ID }) {
+			return added.ID
+		}
+	}
+}
+
 // statementCounts counts the statements of a number of callers by their result.
 type statementCounts struct {
 	succeeded, overloaded int64
--- a/io/backendserver/coalescer.go
+++ b/io/backendserver/coalescer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -22,12 +21,8 @@
 	mu      sync.Mutex
 	next    *statusQuery
 	running bool
-	closed  bool
 }
 
-// errCoalescerClosed is the error of queries after Close.
-var errCoalescerClosed = errors.New("the status coalescer is closed")
-
 // statusQuery is one status query. done is closed once the result is set.
 type statusQuery struct {
 	done   chan struct{}
@@ -58,12 +53,7 @@
 func (c *StatusCoalescer) ControlClient() *ControlClient { return c.client }
 
 // Close closes the connection. Later queries fail.
-func (c *StatusCoalescer) Close() {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	c.client.Close()
-}
+func (c *StatusCoalescer) Close() { c.client.Close() }
 
 // enqueue returns the next query to be sent and starts run if it is not running.
 func (c *StatusCoalescer) enqueue() *statusQuery {
@@ -92,13 +82,6 @@
 }
 
 func (c *StatusCoalescer) send(q *statusQuery) {
-	c.mu.Lock()
-	closed := c.closed
-	c.mu.Unlock()
-	if closed {
-		q.err = errCoalescerClosed
-		return
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.queryTimeout)
 	defer cancel()
 	q.sentAt = time.Now()
--- a/io/backendserver/control.go
+++ b/io/backendserver/control.go
@@ -39,16 +39,26 @@
 	dialer   Dialer
 	address  netip.AddrPort
 	database string
-	// slot holds the connection, or nil if none is open. A call takes the value
-	// out and puts it back, which makes calls exclusive.
-	slot chan *pgconn.PgConn
+	// slot holds the connection. A call takes the value out and puts it back, which
+	// makes calls exclusive.
+	slot chan controlConn
 }
 
+// controlConn is the connection of a ControlClient.
+type controlConn struct {
+	conn *pgconn.PgConn // nil if none is open
+	// closed is set by Close. No connection is opened after that.
+	closed bool
+}
+
+// errClientClosed is the error of calls after Close.
+var errClientClosed = errors.New("the client is closed")
+
 // NewControlClient returns a client for the server at the address. It connects at
 // the first call.
 func NewControlClient(dialer Dialer, address netip.AddrPort, database string) *ControlClient {
-	c := &ControlClient{dialer: dialer, address: address, database: database, slot: make(chan *pgconn.PgConn, 1)}
-	c.slot <- nil
+	c := &ControlClient{dialer: dialer, address: address, database: database, slot: make(chan controlConn, 1)}
+	c.slot <- controlConn{}
 	return c
 }
 
@@ -125,13 +135,14 @@
 	return c.callForOffset(ctx, "SELECT basilmill.quiesce("+formatInt(term)+")")
 }
 
-// Close closes the connection after the call in progress, if any.
+// Close closes the connection after the call in progress, if any. Later calls
+// fail.
 func (c *ControlClient) Close() {
-	conn := <-c.slot
-	if conn != nil {
-		closeNow(context.Background(), conn)
+	s := <-c.slot
+	if s.conn != nil {
+		closeNow(context.Background(), s.conn)
 	}
-	c.slot <- nil
+	c.slot <- controlConn{closed: true}
 }
 
 func (c *ControlClient) callForOffset(ctx context.Context, sql string) (group.Offset, error) {
@@ -145,26 +156,29 @@
 
 // call runs a statement that returns one row with the given number of columns.
 func (c *ControlClient) call(ctx context.Context, sql string, columns int) (row [][]byte, err error) {
-	var conn *pgconn.PgConn
+	var s controlConn
 	select {
-	case conn = <-c.slot:
+	case s = <-c.slot:
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 	defer func() {
-		if conn != nil && conn.IsClosed() {
-			conn = nil
+		if s.conn != nil && s.conn.IsClosed() {
+			s.conn = nil
 		}
-		c.slot <- conn
+		c.slot <- s
 	}()
-	if conn == nil {
-		if conn, err = c.dialer.open(ctx, c.address, c.database); err != nil {
+	if s.closed {
+		return nil, errClientClosed
+	}
+	if s.conn == nil {
+		if s.conn, err = c.dialer.open(ctx, c.address, c.database); err != nil {
 			return nil, err
 		}
 	}
-	results, err := conn.Exec(ctx, sql).ReadAll()
+	results, err := s.conn.Exec(ctx, sql).ReadAll()
 	if err != nil {
-		return nil, callError(ctx, conn, err)
+		return nil, callError(ctx, s.conn, err)
 	}
 	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != columns {
 		return nil, eris.Errorf("answer is not one row of %d columns", columns)
--- a/io/backendserver/local_test.go
+++ b/io/backendserver/local_test.go
@@ -242,3 +242,16 @@
 		assert.Equal(t, generation, group.Generation(4))
 	})
 }
+
+// Guards against a connection that a call opens after Close. It would stay open and
+// count against the server's connection limit.
+func TestClosedControlClientOpensNoConnection(t *testing.T) {
+	f := &fakeServer{answer: answerNormally}
+	synctest.Test(t, func(t *testing.T) {
+		c := backendserver.NewControlClient(f.dialer(), address, "d")
+		c.Close()
+		_, err := c.Status(t.Context())
+		assert.Check(t, err != nil)
+		assert.Equal(t, f.takeLog(), "")
+	})
+}
