link: clear the place of an answered call

Callers saw only the host's memory: an idle connection to a backend server kept the answers to the last statements that it carried.

Cause: the queue of calls is shortened at the front with calls[1:]. Its array still refers to the call, and the call to its rows, until append replaces the array.

Change: the place is cleared. The same pattern elsewhere in core, io, platform and cmd holds numbers or ends with its request.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -278,6 +278,8 @@
 	c.answeredAt = time.Now()
 	call.answers = append(call.answers, answer)
 	if len(call.answers) == call.expected {
+		// The array must not keep the call, because the connection may be idle for long.
+		c.calls[0] = nil
 		c.calls = c.calls[1:]
 		if call.usesSlot {
 			c.answeredSentAt = call.sentAt
