--- a/cmd/entry/entry_test.go
+++ b/cmd/entry/entry_test.go
@@ -108,11 +108,14 @@
 // startHost starts a host and waits until it is ready.
 func startHost(t *testing.T) *host {
 	t.Helper()
-	return startHostWith(t, func(c net.Conn) entry.Codec { return platform.NewCallerCodec(c) })
+	return startHostWith(t, newCodec, func(d link.Dialer) link.Dialer { return d })
 }
 
-// startHostWith starts a host with a codec and waits until it is ready.
-func startHostWith(t *testing.T, codec func(net.Conn) entry.Codec) *host {
+func newCodec(c net.Conn) entry.Codec { return platform.NewCallerCodec(c) }
+
+// startHostWith starts a host with a codec and a dialer, which is passed the one of the
+// cluster, and waits until the host is ready.
+func startHostWith(t *testing.T, codec func(net.Conn) entry.Codec, dialer func(link.Dialer) link.Dialer) *host {
 	t.Helper()
 	cluster := replicated.New()
 	t.Cleanup(cluster.Stop)
@@ -122,7 +125,7 @@
 	started := time.Now()
 	e := entry.New(h.settings, entry.Platform{
 		Source: staticSource{cluster}, SavedServerStore: noSavedServers{}, RecordStore: cluster, Hosts: noHosts{}, PromotionService: cluster,
-		Dialer:    func(func(context.Context, catalog.Server) (net.Conn, error)) link.Dialer { return cluster },
+		Dialer:    func(func(context.Context, catalog.Server) (net.Conn, error)) link.Dialer { return dialer(cluster) },
 		Codec:     codec,
 		Readiness: platform.ReadinessHandler,
 		Reload:    func(settings.Entry) {},
@@ -321,7 +324,7 @@
 
 // A statement that the program did not expect may cost its session, but not the host.
 func TestPanicEndsOneSession(t *testing.T) {
-	h := startHostWith(t, func(c net.Conn) entry.Codec { return panickingCodec{platform.NewCallerCodec(c)} })
+	h := startHostWith(t, func(c net.Conn) entry.Codec { return panickingCodec{platform.NewCallerCodec(c)} }, func(d link.Dialer) link.Dialer { return d })
 	healthy, poisoned := h.dial(t, "CONNECT orders u1"), h.dial(t, "CONNECT orders u2")
 	assert.Equal(t, healthy.readLine(), "READY I -")
 	assert.Equal(t, poisoned.readLine(), "READY I -")
