caller, backendserver: idle connections keep no large messages

Cause: pgproto3 decodes the messages of a type into one object for the life of the connection. The text of the last Query and Parse, and the slices of the read buffer in the last Bind, CopyData and DataRow, stay until the next message of the type. The stream to a caller also kept up to 1 MiB of a held answer and 64 KiB of output.

Change: io/caller removes the contents of a message once it has been served, and between two requests keeps at most 4 KiB for each buffer; output buffers go back to a shared pool. io/backendserver removes the contents of the messages that a connection has received when it returns to the pool; Conversation.Receive says so. Prepared statements are kept on purpose.

--- a/io/backendserver/backendserver.go
+++ b/io/backendserver/backendserver.go
@@ -37,7 +37,7 @@
 type Conversation interface {
 	// Send sends the messages in one flush. It copies their contents.
 	Send(ctx context.Context, batch ...pgproto3.FrontendMessage) error
-	// Receive returns the next message, which is valid until the next call.
+	// Receive returns the next message, which is valid until the next call or Release.
 	// After an error nothing more can be sent or received. An ErrorResponse of
 	// severity FATAL or PANIC is returned as an error.
 	Receive(ctx context.Context) (pgproto3.BackendMessage, error)
--- a/io/backendserver/connection.go
+++ b/io/backendserver/connection.go
@@ -44,6 +44,8 @@
 
 	writeResult chan error // receives the result of a background write; used by the sender only
 
+	received receivedMessages // used by the receiver only
+
 	idleWatchDone chan struct{} // closed when watchIdle has ended
 	idleLoss      error
 
@@ -205,6 +207,7 @@
 		if err != nil {
 			return nil, c.fail(err)
 		}
+		c.received.note(m)
 		if e, ok := m.(*pgproto3.ErrorResponse); ok && isFatal(e) {
 			return nil, c.fail(pgconn.ErrorResponseToPgError(e))
 		}
@@ -314,6 +317,7 @@
 // errors can arrive.
 func (c *connection) startIdleWatch(onLoss func(error)) {
 	c.sent = false
+	c.received.forget()
 	c.idleWatchDone = make(chan struct{})
 	go c.watchIdle(onLoss)
 }
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -268,6 +268,7 @@
 		switch m := m.(type) {
 		case *pgproto3.CopyData:
 			err = x.conv.Send(ctx, m)
+			forget(m)
 		case *pgproto3.CopyDone, *pgproto3.CopyFail:
 			return x.conv.Send(ctx, m)
 		case *pgproto3.Flush, *pgproto3.Sync:
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -158,6 +158,7 @@
 	if err != nil {
 		return err
 	}
+	defer forget(m)
 	switch m := m.(type) {
 	case *pgproto3.Query:
 		return s.serveSimple(ctx, m.String)
@@ -176,10 +177,33 @@
 	}
 }
 
+// forget removes the contents of a message that has been served. pgproto3 decodes the
+// messages of a type into the same object, which lives as long as the session.
+func forget(m pgproto3.FrontendMessage) {
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		m.String = ""
+	case *pgproto3.Parse:
+		m.Query = ""
+	case *pgproto3.Bind:
+		clear(m.Parameters)
+		m.Parameters = nil
+	case *pgproto3.CopyData:
+		m.Data = nil
+	case *pgproto3.CopyFail:
+		m.Message = ""
+	case *pgproto3.FunctionCall:
+		m.Arguments = nil
+	}
+}
+
 // receiveRequest receives a message. Outside a request and a transaction it
 // returns an error when the server shuts down.
 func (s *session) receiveRequest() (pgproto3.FrontendMessage, error) {
 	betweenRequests := s.status == statusIdle && !s.inUnfinishedBatch() && len(s.batch.steps) == 0
+	if betweenRequests {
+		s.releaseBuffers()
+	}
 	for {
 		if err := s.prepareReceive(betweenRequests); err != nil {
 			return nil, err
--- a/io/caller/stream.go
+++ b/io/caller/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,10 @@
 	// host copies each row once more.
 	flushSize = 16 << 10
 
+	// maxIdleBufferSize bounds each buffer in bytes that a session keeps between two
+	// requests.
+	maxIdleBufferSize = 4 << 10
+
 	// maxHeldSize bounds the bytes of one answer that are held until a write is
 	// confirmed.
 	maxHeldSize = 1 << 20
@@ -54,6 +59,7 @@
 }
 
 func (s *stream) send(m pgproto3.BackendMessage) {
+	s.reserveOutput()
 	s.out = s.encode(s.out, m)
 	if len(s.out) >= flushSize {
 		s.flush()
@@ -78,6 +84,7 @@
 
 // release adds the held messages to the output.
 func (s *stream) release() {
+	s.reserveOutput()
 	s.out = append(s.out, s.held...)
 	s.held = s.held[:0]
 	if len(s.out) >= flushSize {
@@ -120,6 +127,33 @@
 	}
 }
 
+// outputBuffers holds output buffers of more than maxIdleBufferSize, as *[]byte.
+// Sessions take one for the time of a request.
+var outputBuffers sync.Pool
+
+// reserveOutput takes an output buffer if the session has none.
+func (s *stream) reserveOutput() {
+	if s.out != nil {
+		return
+	}
+	if pooled, ok := outputBuffers.Get().(*[]byte); ok {
+		s.out = *pooled
+	}
+}
+
+// releaseBuffers gives back the buffers that a session does not need between two
+// requests.
+func (s *stream) releaseBuffers() {
+	if cap(s.held) > maxIdleBufferSize {
+		s.held = nil
+	}
+	if cap(s.out) > maxIdleBufferSize && len(s.out) == 0 {
+		pooled := s.out
+		s.out = nil
+		outputBuffers.Put(&pooled)
+	}
+}
+
 // setError keeps the first error, after which nothing more is written.
 func (s *stream) setError(err error) {
 	if s.err == nil {
