gateway: hosts that are gone cost requests no time

Cause: a host that could not be reached was avoided for 2 s at most and then tried again with a request, which cost that request 250 ms. About eight dead hosts could be avoided at a time; with more before the first live one in rank no request and no probe reached it. They were also tried one after the other, so that a host that starts needs 250 ms for each.

Change: a host that failed is unusable until it answers a check, a probe that names no server and needs no connection. Requests start the checks that are due and never serve as one: the first after 250 ms, later ones each second. Without requests for 2 s a host counts as unverified instead, which keeps it from being given up by a gateway that stood in for it. A host that has not answered for 30 s is checked before its first request. For each unusable host that it passes, a request has two more checked at the same time, so that the number of rounds is the logarithm of that of dead hosts. Meanwhile the gateway that served before goes on: at once if it served within 2 s, after 50 ms otherwise. The state of hosts that leave the list is dropped, and hosts that are unusable do not count for who stands by.

Ruled out: longer backoffs alone (a host that is back would wait as long, and hosts that start would still try one after the other); checks in the background (goroutines for hosts that nobody wants); checks of the whole list at the start (325 connections for each of 325 hosts of a data centre). Tried and changed: using the stand-in in any case before the checks failed TestSlowGatewayKeepsItsConnections, because a host that reaches no server itself then kept its requests; hence the 50 ms.

Evidence: TestDeadGatewaysCostNoRequestItsTime failed before (1 dead host: 272 ms for each request that met it; 8, 25 and 70: no answer within 1.5 s) and TestRemovedHostIsNotChecked too (no answer within 1.5 s).

--- a/core/gateway/choose.go
+++ b/core/gateway/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"basilmill/core/catalog"
@@ -20,10 +19,10 @@
 	// unanswered before it is avoided. It is several times the duration of a
 	// statement.
 	unresponsiveThreshold = 250 * time.Millisecond
-	// failureBackoff is how long a host is avoided after it could not be reached.
-	// It doubles with each consecutive failure up to maxFailureBackoff.
+	// failureBackoff is how long after a failure a host is checked again. It doubles
+	// with each consecutive failure up to maxFailureBackoff.
 	failureBackoff    = 250 * time.Millisecond
-	maxFailureBackoff = 2 * time.Second
+	maxFailureBackoff = time.Second
 	// leavingBackoff is how long a stopping host is avoided. It covers the usual
 	// grace time.
 	leavingBackoff = 6 * time.Second
@@ -46,6 +45,12 @@
 	quietSince  time.Time
 	avoidUntil  time.Time
 	lastBackoff time.Duration
+	// answeredAt is when the host last answered anything.
+	answeredAt time.Time
+	// unreachable is set after a failure until the host answers a check.
+	unreachable bool
+	// checking is set while a check is in flight.
+	checking bool
 }
 
 // isUnresponsive reports whether statements in flight have been unanswered for too
@@ -65,6 +70,9 @@
 	version int64
 	limit   int
 	hosts   []host.Info
+	// current is the gateway that was chosen last, at currentAt.
+	current   host.ID
+	currentAt time.Time
 }
 
 // awaitHosts waits until the list of hosts is known, for at most hostListTimeout from
@@ -86,35 +94,22 @@
 	_ = c.Network.AwaitHosts(ctx)
 }
 
-// choose returns the gateway to a server: the host with the highest rank that is
-// not avoided, or this host.
-func (c *Client) choose(server catalog.Server) host.Info {
-	hosts, version := c.Network.Hosts()
-	limit := c.connectionLimit(server)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r := c.ranked(server, hosts, version, limit)
-	now := time.Now()
-	for _, h := range r {
-		if h.ID == c.Self.ID || c.isAvailable(h.ID, server.ID, now) {
-			return h
-		}
-	}
-	return c.Self
-}
-
 // ranked returns the hosts that share connections to a server with this host, in the
 // order in which they are chosen. The caller holds the mutex.
-func (c *Client) ranked(server catalog.Server, hosts []host.Info, version int64, limit int) []host.Info {
+func (c *Client) ranked(server catalog.Server, hosts []host.Info, version int64, limit int) *ranking {
 	r, ok := c.rankings[server.ID]
-	if !ok || r.version != version || r.limit != limit {
-		r = ranking{version: version, limit: limit, hosts: rank(c.Self, hosts, server.ID, limit)}
+	if !ok {
+		r = &ranking{}
 		if c.rankings == nil {
-			c.rankings = map[group.ServerID]ranking{}
+			c.rankings = map[group.ServerID]*ranking{}
 		}
 		c.rankings[server.ID] = r
 	}
-	return r.hosts
+	if !ok || r.version != version || r.limit != limit {
+		r.version, r.limit, r.hosts = version, limit, rank(c.Self, hosts, server.ID, limit)
+		c.pruneHosts(hosts, version)
+	}
+	return r
 }
 
 // IsStandby reports whether this host is one of the next in rank after the gateway to a
@@ -127,8 +122,19 @@
 	limit := c.connectionLimit(server)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ranked := c.ranked(server, hosts, version, limit)
-	return slices.ContainsFunc(ranked[:min(len(ranked), standbyHosts+1)], func(h host.Info) bool { return h.ID == c.Self.ID })
+	now, before := time.Now(), 0
+	for _, h := range c.ranked(server, hosts, version, limit).hosts {
+		switch {
+		case h.ID == c.Self.ID:
+			return true
+		case c.usability(h.ID, server.ID, now) == unusable:
+		case before == standbyHosts:
+			return false
+		default:
+			before++
+		}
+	}
+	return false
 }
 
 // Elsewhere returns the gateways to a server of the hosts that do not share connections
@@ -157,16 +163,6 @@
 	return config.Groups[server.Group].ConnectionLimit
 }
 
-// isAvailable reports whether a host may be used as the gateway to a server. The
-// caller holds the mutex.
-func (c *Client) isAvailable(id host.ID, server group.ServerID, now time.Time) bool {
-	if now.Before(c.noPathUntil[pathKey{id, server}]) {
-		return false
-	}
-	s := c.hosts[id]
-	return s == nil || !now.Before(s.avoidUntil) && !s.isUnresponsive(now)
-}
-
 // rank returns the hosts that share connections to a server with this host, in
 // order of preference. It returns only this host if the connection limit suffices
 // for every host.
@@ -211,14 +207,7 @@
 func (c *Client) began(id host.ID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.hosts == nil {
-		c.hosts = map[host.ID]*hostState{}
-	}
-	s := c.hosts[id]
-	if s == nil {
-		s = &hostState{}
-		c.hosts[id] = s
-	}
+	s := c.state(id)
 	if s.inFlight == 0 {
 		s.quietSince = time.Now()
 	}
@@ -232,6 +221,7 @@
 	s := c.hosts[id]
 	s.inFlight--
 	s.quietSince = time.Now()
+	s.answeredAt = s.quietSince
 	s.lastBackoff = 0
 }
 
@@ -256,8 +246,7 @@
 	if closedHere && !unresponsive || now.Before(s.avoidUntil) {
 		return false
 	}
-	s.lastBackoff = min(max(2*s.lastBackoff, failureBackoff), maxFailureBackoff)
-	s.avoidUntil = now.Add(s.lastBackoff)
+	s.markUnreachable(now)
 	return true
 }
 
@@ -265,7 +254,8 @@
 func (c *Client) avoidHost(id host.ID, period time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.hosts[id].avoidUntil = time.Now().Add(period)
+	s := c.hosts[id]
+	s.avoidUntil, s.unreachable = time.Now().Add(period), true
 }
 
 // avoidPath avoids a host for one server. It also removes expired entries.
--- a/core/gateway/choose_test.go
+++ b/core/gateway/choose_test.go
@@ -23,6 +23,8 @@
 
 func (fixedNetwork) Open(host.Info) gateway.Stream { return nil }
 
+func (fixedNetwork) Check(context.Context, host.Info) error { return nil }
+
 func (fixedNetwork) Probe(context.Context, host.Info, group.ServerID) (gateway.ProbeResult, error) {
 	return gateway.ProbeResult{}, nil
 }
--- a/core/gateway/client.go
+++ b/core/gateway/client.go
@@ -28,9 +28,15 @@
 	// the gateway is avoided for all servers. It must not block.
 	OnAvoid func(via host.ID, server group.ServerID, reason string)
 
-	mu          sync.Mutex
-	rankings    map[group.ServerID]ranking
-	hosts       map[host.ID]*hostState
+	mu       sync.Mutex
+	rankings map[group.ServerID]*ranking
+	hosts    map[host.ID]*hostState
+	// prunedVersion is the version of the list of hosts that hosts was pruned to.
+	prunedVersion int64
+	// checks is the number of checks in flight; checked, if set, is closed at the end of
+	// the next one.
+	checks      int
+	checked     chan struct{}
 	noPathUntil map[pathKey]time.Time
 	// firstRequestAt is when awaitHosts was first called without a list.
 	firstRequestAt time.Time
@@ -43,11 +49,14 @@
 	if _, version := c.Network.Hosts(); version == 0 {
 		return undecidedSource{client: c, server: server}
 	}
-	return c.chosenSource(server)
+	via, settled := c.route(server, false)
+	if !settled {
+		return undecidedSource{client: c, server: server}
+	}
+	return c.sourceVia(via, server)
 }
 
-func (c *Client) chosenSource(server catalog.Server) link.Source {
-	via := c.choose(server)
+func (c *Client) sourceVia(via host.Info, server catalog.Server) link.Source {
 	if via.ID == c.Self.ID {
 		return c.Pools(server)
 	}
@@ -55,7 +64,10 @@
 }
 
 // IsGateway reports whether this host uses its own connections to a server.
-func (c *Client) IsGateway(server catalog.Server) bool { return c.choose(server).ID == c.Self.ID }
+func (c *Client) IsGateway(server catalog.Server) bool {
+	via, _ := c.choose(server)
+	return via.ID == c.Self.ID
+}
 
 // IsGatewayToAny reports whether this host uses its own connections to one of the
 // servers. It returns false while the other hosts are not known.
@@ -66,7 +78,8 @@
 	return slices.ContainsFunc(servers, c.IsGateway)
 }
 
-// undecidedSource is the source of a host that does not know the others yet.
+// undecidedSource is the source of a host that does not know the others yet, or whose
+// gateway has yet to answer a check.
 type undecidedSource struct {
 	client *Client
 	server catalog.Server
@@ -75,17 +88,25 @@
 // Load implements link.Source.
 func (u undecidedSource) Load() int { return 0 }
 
-// Acquire implements link.Source. It waits until the other hosts are known.
+// Acquire implements link.Source. It waits until the other hosts are known and the
+// gateway is settled.
 func (u undecidedSource) Acquire(ctx context.Context, request link.Request) (*link.Lease, error) {
 	u.client.awaitHosts(ctx)
-	return u.client.chosenSource(u.server).Acquire(ctx, request)
+	via, err := u.client.settle(ctx, u.server)
+	if err != nil {
+		return nil, link.ErrQueueTimeout
+	}
+	return u.client.sourceVia(via, u.server).Acquire(ctx, request)
 }
 
 // Probe checks that a server is the primary, on this host's own connections or
 // through its gateway.
 func (c *Client) Probe(ctx context.Context, server catalog.Server) (Proof, error) {
 	c.awaitHosts(ctx)
-	via := c.choose(server)
+	via, err := c.settle(ctx, server)
+	if err != nil {
+		return Proof{}, link.ErrNoConnection
+	}
 	if via.ID == c.Self.ID {
 		return c.Prober.Run(ctx, server)
 	}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -95,6 +95,8 @@
 	AwaitHosts(ctx context.Context) error
 	// Open returns a stream to a host. It does not block.
 	Open(info host.Info) Stream
+	// Check returns an error unless a host answers that it accepts batches.
+	Check(ctx context.Context, info host.Info) error
 	// Probe requests the result of a probe of a server from a host.
 	Probe(ctx context.Context, info host.Info, server group.ServerID) (ProbeResult, error)
 }
--- a/core/gateway/service_test.go
+++ b/core/gateway/service_test.go
@@ -37,6 +37,8 @@
 
 func (pairedNetwork) AwaitHosts(context.Context) error { return nil }
 
+func (pairedNetwork) Check(context.Context, host.Info) error { return nil }
+
 func (pairedNetwork) Probe(context.Context, host.Info, group.ServerID) (gateway.ProbeResult, error) {
 	return gateway.ProbeResult{}, nil
 }
--- a/e2e/replicated/network_test.go
+++ b/e2e/replicated/network_test.go
@@ -111,6 +111,12 @@
 	return s
 }
 
+// Check implements gateway.Network.
+func (n *hostNetwork) Check(ctx context.Context, info host.Info) error {
+	_, err := n.Probe(ctx, info, "")
+	return err
+}
+
 // Probe implements gateway.Network.
 func (n *hostNetwork) Probe(ctx context.Context, info host.Info, server group.ServerID) (gateway.ProbeResult, error) {
 	n.mu.Lock()
--- a/io/peer/gateway.go
+++ b/io/peer/gateway.go
@@ -141,6 +141,19 @@
 	_ = s.stream.CloseRequest()
 }
 
+// Check returns an error unless the gateway on a host answers that it accepts batches. It
+// requests a probe of no server, which needs no connection.
+func (c *GatewayClient) Check(ctx context.Context, info host.Info) error {
+	result, err := c.Probe(ctx, info, "")
+	if err != nil {
+		return err
+	}
+	if errors.Is(result.Err, gateway.ErrLeaving) {
+		return result.Err
+	}
+	return nil
+}
+
 // Probe requests the result of a probe from the gateway on a host.
 func (c *GatewayClient) Probe(ctx context.Context, info host.Info, server group.ServerID) (gateway.ProbeResult, error) {
 	response, err := c.client(info.PeerAddress).Probe(ctx, connect.NewRequest(&peerpb.ProbeRequest{Server: string(server)}))
