gateway: checks do not wait for those before them

Cause: further hosts were checked only when a check had failed, after the 250 ms of a dial.

Change: a check that has no answer after 50 ms counts for the look-ahead as a failed one. Which host is chosen does not change: the first in rank is used unless its check fails, so that hosts that are slow while all start are not passed over. 64 checks may be in flight.

Evidence: the bound of TestDeadGatewaysCostNoRequestItsTime for the first request is the time limit of a statement now, 800 ms instead of 1.5 s; it failed before with 8, 25 and 70 dead hosts.

--- a/core/gateway/check.go
+++ b/core/gateway/check.go
@@ -18,15 +18,16 @@
 	unreachableTTL = 2 * time.Second
 	// checkTimeout bounds a check: the opening of a connection and a round trip.
 	checkTimeout = 500 * time.Millisecond
-	// checkDelay is how long a request waits for the checks of hosts that precede the
-	// gateway that was used before them: a few round trips.
-	checkDelay = 50 * time.Millisecond
-	// lookAheadFactor is the number of further hosts in rank that are checked at the same
-	// time for each one that is unusable. The checks of n unusable hosts then take the
-	// time of log(n).
+	// slowCheckThreshold is the duration, a few round trips, from which on a check is not
+	// waited for alone: further hosts in rank are checked beside it, and the gateway that
+	// was used before serves.
+	slowCheckThreshold = 50 * time.Millisecond
+	// lookAheadFactor is the number of further hosts in rank that are checked for each one
+	// that is unusable or slow to answer, so that the number of rounds is the logarithm of
+	// that of dead hosts.
 	lookAheadFactor = 2
 	// maxChecks bounds the checks in flight.
-	maxChecks = 32
+	maxChecks = 64
 )
 
 // usability says whether a host may be used as the gateway to a server.
@@ -128,8 +129,8 @@
 
 // settle returns the gateway to a server. It waits until it is settled.
 func (c *Client) settle(ctx context.Context, server catalog.Server) (via host.Info, err error) {
-	delay := time.NewTimer(checkDelay)
-	defer delay.Stop()
+	slow := time.NewTicker(slowCheckThreshold)
+	defer slow.Stop()
 	for impatient := false; ; {
 		checked := c.awaitCheck()
 		via, settled := c.route(server, impatient)
@@ -138,7 +139,7 @@
 		}
 		select {
 		case <-checked:
-		case <-delay.C:
+		case <-slow.C:
 			impatient = true
 		case <-ctx.Done():
 			return host.Info{}, ctx.Err()
@@ -157,8 +158,8 @@
 }
 
 // startChecks starts checks of the hosts that precede the first usable one in rank: of the
-// first unverified ones, and of the unusable ones whose backoff is over. The caller holds
-// the mutex.
+// first unverified ones, more for each one that is unusable or slow, and of the unusable
+// ones whose backoff is over. The caller holds the mutex.
 func (c *Client) startChecks(r *ranking, server group.ServerID, now time.Time) {
 	lookAhead := 1
 	for _, h := range r.hosts {
@@ -166,28 +167,33 @@
 		case usable:
 			return
 		case unverified:
-			c.startCheck(h)
-			if lookAhead--; lookAhead == 0 {
+			if c.startCheck(h, now) {
+				lookAhead += lookAheadFactor
+			} else if lookAhead--; lookAhead == 0 {
 				return
 			}
 		case unusable:
 			lookAhead += lookAheadFactor
 			if s := c.hosts[h.ID]; s != nil && s.unreachable && !now.Before(s.avoidUntil) {
-				c.startCheck(h)
+				c.startCheck(h, now)
 			}
 		}
 	}
 }
 
-// startCheck starts a check of a host unless one is in flight. The caller holds the mutex.
-func (c *Client) startCheck(info host.Info) {
+// startCheck starts a check of a host unless one is in flight. It reports whether that one
+// is slow. The caller holds the mutex.
+func (c *Client) startCheck(info host.Info, now time.Time) (slow bool) {
 	s := c.state(info.ID)
-	if s.checking || c.checks == maxChecks {
-		return
+	if s.checking {
+		return now.Sub(s.checkedAt) >= slowCheckThreshold
+	}
+	if c.checks < maxChecks {
+		s.checking, s.checkedAt = true, now
+		c.checks++
+		go c.check(info)
 	}
-	s.checking = true
-	c.checks++
-	go c.check(info)
+	return false
 }
 
 // check checks whether a host answers.
--- a/core/gateway/check_test.go
+++ b/core/gateway/check_test.go
@@ -24,9 +24,9 @@
 	dialTimeout = 250 * time.Millisecond
 	// roundTrip is the time of an answer of a live host.
 	roundTrip = 2 * time.Millisecond
-	// startTime is the time in which a request must be answered at the start, promptTime
-	// that of any later request.
-	startTime, promptTime = 1500 * time.Millisecond, 50 * time.Millisecond
+	// startTime is the time in which a request must be answered at the start, the time limit
+	// of a statement. promptTime is that of any later request.
+	startTime, promptTime = 800 * time.Millisecond, 50 * time.Millisecond
 	// returnTime is the time in which a host must be used that is back.
 	returnTime = 2 * time.Second
 )
--- a/core/gateway/choose.go
+++ b/core/gateway/choose.go
@@ -49,8 +49,9 @@
 	answeredAt time.Time
 	// unreachable is set after a failure until the host answers a check.
 	unreachable bool
-	// checking is set while a check is in flight.
-	checking bool
+	// checking is set while a check is in flight, which started at checkedAt.
+	checking  bool
+	checkedAt time.Time
 }
 
 // isUnresponsive reports whether statements in flight have been unanswered for too
