membership: entries of hosts that are gone leave the list

Cause: a host writes its entry of kind hosts when it starts; nothing removed one.

Change: each host checks two random hosts of its data centre a minute, and those that did not answer before. After five failed checks in a row it marks the entry, and after three more it removes it, if it is still marked; both calls require the version that was read. A host whose entry is marked or missing writes it again, by the code that did so after a restoration of the store. So the store itself is the second vantage point: a live host that reaches it keeps its entry, whoever does not reach the host. Checks are counted, so that a suspended host removes nobody. An entry whose address belongs to a later one counts as not answering. HostSuspected and HostRemoved are logged. The stand-in of the store serves conditional removals.

Checks use the connection for statements, because that for pulls is pinged each second for 90 s.

Evidence: TestEntriesOfReplacedHostsLeaveTheList and TestHostThatIsBackIsListedAgain fail without the sweeper (entries of replaced hosts stay), and TestUnreachableLiveHostKeepsItsEntry if a host ignores its mark.

Not done: entries of a data centre without any live host stay; the clients of other hosts by address (io/peer) are kept for every address ever called.

--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -187,6 +187,7 @@
 	add(syncer.SyncSavedServers)
 	add(h.groups.run)
 	add(h.peers.registration.Run)
+	add(h.peers.sweeper.Run)
 	add(func(ctx context.Context) error { return h.pruneLoop(ctx) })
 	add(func(ctx context.Context) error { return h.reload(ctx, reload) })
 }
--- a/cmd/entry/entry_test.go
+++ b/cmd/entry/entry_test.go
@@ -22,6 +22,7 @@
 	"basilmill/core/group"
 	corehost "basilmill/core/host"
 	"basilmill/core/link"
+	"basilmill/core/membership"
 	"basilmill/core/settings"
 	"basilmill/platform"
 	"basilmill/standin/replicated"
@@ -65,7 +66,13 @@
 	return distribution.Update{Version: 1}, nil
 }
 
-func (noHosts) DecodeHost(distribution.Object) (corehost.Info, bool) { return corehost.Info{}, false }
+func (noHosts) DecodeHost(distribution.Object) (membership.Entry, bool) {
+	return membership.Entry{}, false
+}
+
+func (noHosts) SuspectHost(context.Context, membership.Entry, corehost.ID) error { return nil }
+
+func (noHosts) RemoveHost(context.Context, membership.Entry) error { return nil }
 
 // noSavedServers is a store of saved servers that stays empty.
 type noSavedServers struct{}
--- a/cmd/entry/peers.go
+++ b/cmd/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -13,6 +14,7 @@
 	"basilmill/core/group"
 	"basilmill/core/host"
 	"basilmill/core/lead"
+	"basilmill/core/logevent"
 	"basilmill/core/membership"
 	"basilmill/io/peer"
 )
@@ -37,13 +39,14 @@
 
 // Hosts is the platform's registry of entry hosts.
 type Hosts interface {
+	membership.Registry
 	// RegisterHost creates or replaces the entry of this host.
 	RegisterHost(ctx context.Context, info host.Info) error
 	// ListHosts returns the entries of all hosts, with allowStale as of some seconds
 	// ago at most.
 	ListHosts(ctx context.Context, allowStale bool) (distribution.Update, error)
 	// DecodeHost decodes an entry. It returns false if that is not possible.
-	DecodeHost(entry distribution.Object) (info host.Info, ok bool)
+	DecodeHost(entry distribution.Object) (decoded membership.Entry, ok bool)
 }
 
 // peers queries the other hosts for the positions that they have proven. It also
@@ -54,12 +57,15 @@
 	// directory is the list of hosts in the store. Only refresh uses it.
 	directory    distribution.Directory
 	registration membership.Registration
+	sweeper      membership.Sweeper
 
 	// listed is closed when the first list has been read.
 	listed chan struct{}
 
 	mu    sync.Mutex
 	hosts []host.Info
+	// entries are those of the data centre in the last list.
+	entries []membership.Entry
 	// version changes with each change of hosts; zero before the first list.
 	version int64
 	// refreshing is set while the list is being read.
@@ -72,6 +78,8 @@
 	p := &peers{host: h, client: peer.ProvenPositionClient{HTTP: &http.Client{}}, listed: make(chan struct{})}
 	// Errors are not logged, because syncReporter logs that the store is unavailable.
 	p.registration.Register = func(ctx context.Context) error { return h.platform.Hosts.RegisterHost(ctx, h.info()) }
+	p.sweeper = membership.Sweeper{Self: h.info(), Entries: p.knownEntries, Registry: h.platform.Hosts, OnChange: p.observeEntryChange}
+	p.sweeper.Check = func(ctx context.Context, info host.Info) error { return h.gateways.peers.Check(ctx, info) }
 	return p
 }
 
@@ -181,11 +189,18 @@
 // refresh reads the list. If that fails, the old list stays in use, and the error
 // is not logged because syncReporter logs that the store is unavailable.
 func (p *peers) refresh() {
-	hosts, err := p.listHosts()
+	entries, err := p.listEntries()
+	hosts := make([]host.Info, len(entries))
+	for i, e := range entries {
+		hosts[i] = e.Info
+	}
 	slices.SortFunc(hosts, func(a, b host.Info) int { return cmp.Compare(a.ID, b.ID) })
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refreshing = false
+	if err == nil {
+		p.entries = slices.DeleteFunc(entries, func(e membership.Entry) bool { return e.DataCentre != p.host.settings.DataCentre })
+	}
 	switch {
 	case err != nil && p.version == 0:
 		p.refreshInterval = firstHostListInterval
@@ -209,20 +224,40 @@
 // kindHosts is the kind of the hosts' entries.
 const kindHosts distribution.Kind = "hosts"
 
-// listHosts returns the registered hosts. Entries that cannot be decoded are skipped.
-func (p *peers) listHosts() (hosts []host.Info, err error) {
+// listEntries returns the entries of the registered hosts. Those that cannot be decoded
+// are skipped.
+func (p *peers) listEntries() (entries []membership.Entry, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), hostListReadTimeout)
 	defer cancel()
-	entries, err := p.directory.Refresh(ctx)
+	objects, err := p.directory.Refresh(ctx)
+	for _, o := range objects {
+		if entry, ok := p.host.platform.Hosts.DecodeHost(o); ok {
+			entries = append(entries, entry)
+		}
+	}
 	if err == nil {
-		p.registration.NoteListed(p.directory.Has(string(p.host.settings.HostID)))
+		self := p.host.settings.HostID
+		p.registration.NoteListed(p.directory.Has(string(self)) && !membership.Suspected(entries, self))
 	}
-	for _, entry := range entries {
-		if info, ok := p.host.platform.Hosts.DecodeHost(entry); ok {
-			hosts = append(hosts, info)
-		}
+	return entries, err
+}
+
+// knownEntries returns the entries of the data centre in the last list. The result must not be modified.
+func (p *peers) knownEntries() []membership.Entry {
+	p.knownHosts()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.entries
+}
+
+// observeEntryChange logs that the entry of an unreachable host was marked or removed.
+func (p *peers) observeEntryChange(entry membership.Entry, removed bool) {
+	event := logevent.HostSuspected
+	if removed {
+		event = logevent.HostRemoved
 	}
-	return hosts, err
+	p.host.log.Write(context.Background(), event, slog.String("host", string(entry.ID)), slog.String("address", entry.PeerAddress.String()),
+		slog.String("suspected_by", string(entry.SuspectedBy)), slog.Int64("revision", entry.Version.Revision()), slog.Int64("era", int64(entry.Version.Era())))
 }
 
 // latestProof returns the newest position of a group's primary that this host has
--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -31,6 +31,8 @@
 	StoreRestored         Number = 2007
 	ObjectIgnored         Number = 2008
 	ObjectWrittenAgain    Number = 2009
+	HostSuspected         Number = 2010
+	HostRemoved           Number = 2011
 	PrimarySuspected      Number = 3001
 	SuspicionWithdrawn    Number = 3002
 	ChangeDecided         Number = 3003
@@ -91,6 +93,8 @@
 	{StoreRestored, "StoreRestored", slog.LevelWarn, "platform's store was restored from a copy", "Expect changes of the last seconds to be written again; compare the era and the configuration version of all hosts."},
 	{ObjectIgnored, "ObjectIgnored", slog.LevelWarn, "object ignored, because a newer version is known", "None for a late answer. If it repeats, compare the era and the revision with the store's."},
 	{ObjectWrittenAgain, "ObjectWrittenAgain", slog.LevelWarn, "object written again that the platform had lost", "None; Changed says that another host or operator was first."},
+	{HostSuspected, "HostSuspected", slog.LevelInfo, "entry of an unreachable host marked", "None if the machine is gone. If it runs, check the network between the two hosts; it registers again."},
+	{HostRemoved, "HostRemoved", slog.LevelInfo, "entry of an unreachable host removed", "None. A host that comes back registers again."},
 	{PrimarySuspected, "PrimarySuspected", slog.LevelWarn, "primary suspected", "None unless it repeats without a change; then check the links to the primary."},
 	{SuspicionWithdrawn, "SuspicionWithdrawn", slog.LevelInfo, "suspicion withdrawn", "None."},
 	{ChangeDecided, "ChangeDecided", slog.LevelWarn, "change of primary decided", "None; find out why the old primary was lost."},
--- a/core/membership/registration.go
+++ b/core/membership/registration.go
@@ -17,7 +17,8 @@
 )
 
 // Registration keeps the entry of a host in the platform's list of hosts. The platform
-// may lose it when its store is restored from a copy.
+// may lose it when its store is restored from a copy, and other hosts mark and remove the
+// entry of a host that they cannot reach.
 type Registration struct {
 	// Register creates or replaces the entry.
 	Register func(ctx context.Context) error
@@ -59,7 +60,8 @@
 	return r.Register(ctx) == nil
 }
 
-// NoteListed notes whether the last list of the platform has the host. It never blocks.
+// NoteListed notes whether the last list of the platform has the host, not marked by
+// another one. It never blocks.
 func (r *Registration) NoteListed(listed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/e2e/restored/fleet_test.go
+++ b/e2e/restored/fleet_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"sync"
 	"testing"
@@ -29,17 +31,24 @@
 	// aloneHosts and fleetHosts are numbers of hosts of a data centre with which each
 	// host reads the store itself, and with which two of them do so for the others.
 	aloneHosts, fleetHosts = 4, 12
+	// checkTimeout bounds a check of a host.
+	checkTimeout = 500 * time.Millisecond
 )
 
 // fleet is a number of hosts of one data centre that follow a store.
 type fleet struct {
 	store *objectstore.Server
-	hosts []host.Info
-	nodes map[host.ID]*node
 	wait  sync.WaitGroup
 	stop  context.CancelFunc
 	// empty is a copy of the store from before the hosts started.
 	empty objectstore.Copy
+
+	mu sync.Mutex
+	// hosts are those that have not been replaced.
+	hosts []host.Info
+	nodes map[host.ID]*node
+	// unreachable hosts answer no other host.
+	unreachable map[host.ID]bool
 }
 
 // node is the part of an entry host that follows the store.
@@ -50,66 +59,135 @@
 	relay     distribution.Relay
 	follower  distribution.Follower
 	directory distribution.Directory
-	// registration keeps the host in the list of hosts.
+	// registration keeps the host in the list of hosts, sweeper removes others.
 	registration membership.Registration
+	sweeper      membership.Sweeper
+	stop         context.CancelFunc
 
 	mu sync.Mutex
+	// cutOff is set while the host does not reach the store.
+	cutOff bool
 	// listed are the hosts of the last list.
 	listed []distribution.Object
 }
 
 // Ranked implements distribution.RelayNetwork.
-func (n *node) Ranked() []host.Info { return n.fleet.hosts }
+func (n *node) Ranked() []host.Info {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.fleet.hosts
+}
 
 // AwaitRanked implements distribution.RelayNetwork.
 func (*node) AwaitRanked(context.Context) error { return nil }
 
 // Pull implements distribution.RelayNetwork.
 func (n *node) Pull(ctx context.Context, info host.Info, kind distribution.Kind, after distribution.Version, wait time.Duration) (distribution.Update, bool, error) {
-	time.Sleep(hop)
-	u, current := n.fleet.nodes[info.ID].relay.Pull(ctx, kind, after, wait)
+	target, err := n.fleet.reach(ctx, info)
+	if err != nil {
+		return distribution.Update{}, false, err
+	}
+	u, current := target.relay.Pull(ctx, kind, after, wait)
 	time.Sleep(hop)
 	return u, current, ctx.Err()
 }
 
+// reach returns the node of a host if it answers.
+func (f *fleet) reach(ctx context.Context, info host.Info) (*node, error) {
+	time.Sleep(hop)
+	f.mu.Lock()
+	target, unreachable := f.nodes[info.ID], f.unreachable[info.ID]
+	f.mu.Unlock()
+	if unreachable {
+		<-ctx.Done()
+	}
+	return target, ctx.Err()
+}
+
+// RoundTrip implements http.RoundTripper with the fleet's store.
+func (n *node) RoundTrip(request *http.Request) (*http.Response, error) {
+	n.mu.Lock()
+	cutOff := n.cutOff
+	n.mu.Unlock()
+	if cutOff {
+		return nil, errCutOff
+	}
+	return n.fleet.store.RoundTrip(request)
+}
+
+// errCutOff is the error of a call of a host that does not reach the store.
+var errCutOff = errors.New("the host is cut off from the store")
+
 // newFleet returns hosts that have not been started.
 func newFleet(count int) *fleet {
-	f := &fleet{store: &objectstore.Server{}, nodes: map[host.ID]*node{}}
+	f := &fleet{store: &objectstore.Server{}, nodes: map[host.ID]*node{}, unreachable: map[host.ID]bool{}}
 	for i := range count {
-		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7440)
-		f.hosts = append(f.hosts, host.Info{ID: host.ID(fmt.Sprint("h", i)), DataCentre: "dc", PeerAddress: address})
+		f.hosts = append(f.hosts, hostInfo(i))
 	}
 	f.hosts = placement.Relays("dc", f.hosts, count)
-	started := time.Now()
 	for _, info := range f.hosts {
-		n := &node{fleet: f, client: platform.NewStoreClient(netip.MustParseAddrPort("10.9.0.1:80"))}
-		n.client.SetTransport(f.store)
-		n.relay.Clock = func() time.Duration { return time.Hour + time.Since(started) }
-		n.follower = distribution.Follower{Self: info.ID, Store: n.client, Relay: &n.relay, Network: n}
-		n.directory = distribution.Directory{Kind: "hosts", Follower: &n.follower, List: n.client.ListHosts}
-		n.registration.Register = func(ctx context.Context) error { return n.client.RegisterHost(ctx, info) }
-		f.nodes[info.ID] = n
+		f.nodes[info.ID] = f.newNode(info)
 	}
 	return f
 }
 
+func hostInfo(i int) host.Info {
+	address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7440)
+	return host.Info{ID: host.ID(fmt.Sprint("h", i)), DataCentre: "dc", PeerAddress: address}
+}
+
+func (f *fleet) newNode(info host.Info) *node {
+	started := time.Now()
+	n := &node{fleet: f, client: platform.NewStoreClient(netip.MustParseAddrPort("10.9.0.1:80"))}
+	n.client.SetTransport(n)
+	n.relay.Clock = func() time.Duration { return time.Hour + time.Since(started) }
+	n.follower = distribution.Follower{Self: info.ID, Store: n.client, Relay: &n.relay, Network: n}
+	n.directory = distribution.Directory{Kind: "hosts", Follower: &n.follower, List: n.client.ListHosts}
+	n.registration.Register = func(ctx context.Context) error { return n.client.RegisterHost(ctx, info) }
+	n.sweeper = membership.Sweeper{Self: info, Entries: n.entries, Registry: n.client, Check: func(ctx context.Context, info host.Info) error {
+		ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+		defer cancel()
+		_, err := f.reach(ctx, info)
+		return err
+	}}
+	return n
+}
+
 // start starts the hosts.
 func (f *fleet) start() {
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
 	f.empty = f.store.Copy()
 	for id, n := range f.nodes {
-		f.wait.Go(func() { _ = n.registration.Run(ctx) })
-		syncer := &catalog.Syncer{
-			Cache: &n.cache, Source: platform.Catalog{Objects: &n.follower}, ConfigTTL: calmTime, ServersTTL: 7 * time.Second,
-			Eras: &n.client.Eras, SavedServerStore: n.client, IsSaver: n.follower.IsRelay,
+		f.startNode(ctx, id, n)
+	}
+}
+
+func (f *fleet) startNode(ctx context.Context, id host.ID, n *node) {
+	ctx, n.stop = context.WithCancel(ctx)
+	f.wait.Go(func() { _ = n.registration.Run(ctx) })
+	f.wait.Go(func() { _ = n.sweeper.Run(ctx) })
+	syncer := &catalog.Syncer{
+		Cache: &n.cache, Source: platform.Catalog{Objects: &n.follower}, ConfigTTL: calmTime, ServersTTL: 7 * time.Second,
+		Eras: &n.client.Eras, SavedServerStore: n.client, IsSaver: n.follower.IsRelay,
+	}
+	f.wait.Go(func() { _ = syncer.SyncServers(ctx) })
+	f.wait.Go(func() { _ = syncer.SyncConfig(ctx) })
+	f.wait.Go(func() { _ = syncer.SyncSavedServers(ctx) })
+	f.wait.Go(func() { n.listHosts(ctx, id) })
+	f.wait.Go(func() { n.expire(ctx) })
+}
+
+// entries returns the entries of the last list.
+func (n *node) entries() (entries []membership.Entry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, o := range n.listed {
+		if entry, ok := n.client.DecodeHost(o); ok {
+			entries = append(entries, entry)
 		}
-		f.wait.Go(func() { _ = syncer.SyncServers(ctx) })
-		f.wait.Go(func() { _ = syncer.SyncConfig(ctx) })
-		f.wait.Go(func() { _ = syncer.SyncSavedServers(ctx) })
-		f.wait.Go(func() { n.listHosts(ctx, id) })
-		f.wait.Go(func() { n.expire(ctx) })
 	}
+	return entries
 }
 
 // listHosts refreshes the list of hosts until ctx ends.
@@ -119,7 +197,7 @@
 			n.mu.Lock()
 			n.listed = entries
 			n.mu.Unlock()
-			n.registration.NoteListed(n.directory.Has(string(self)))
+			n.registration.NoteListed(n.directory.Has(string(self)) && !membership.Suspected(n.entries(), self))
 		}
 	}
 }
--- a/standin/objectstore/http.go
+++ b/standin/objectstore/http.go
@@ -92,6 +92,8 @@
 		s.answer(w, http.StatusNotFound, "{}")
 	case r.Method == http.MethodPost, r.Method == http.MethodPut:
 		s.serveUpdate(w, r, k)
+	case r.Method == http.MethodDelete:
+		s.serveDelete(w, r, k)
 	default:
 		s.answer(w, http.StatusMethodNotAllowed, "{}")
 	}
@@ -184,3 +186,18 @@
 		s.answer(w, http.StatusOK, encodeObject(s.put(k, object.Spec)))
 	}
 }
+
+// serveDelete removes an object. The caller holds the lock.
+func (s *Server) serveDelete(w http.ResponseWriter, r *http.Request, k key) {
+	current, exists := s.objects[k]
+	revision := r.URL.Query().Get("revision")
+	switch {
+	case !exists:
+		s.answer(w, http.StatusNotFound, "{}")
+	case revision != "" && revision != strconv.FormatInt(current.Revision, 10):
+		s.answer(w, http.StatusConflict, encodeObject(current))
+	default:
+		s.remove(k)
+		s.answer(w, http.StatusOK, encodeObject(current))
+	}
+}
