takeover: a refused promotion does not raise the base position, one that took effect is not repeated

What callers saw: a group without a primary for ever. A leaving primary is demoted with a commit that no replica has received, nobody was told of, and ends before it can be promoted again. The base position had been raised to its log before the order, which is refused; no other server reaches it. An order without an answer was repeated after it had taken effect. If the server loses its log between the two, the second one promotes it empty. The order is not repeated once the server leads, unless it led before: ordering the present primary must be seen by the platform to make it refuse older orders.

TestBasePositionIsRecordedBeforePromotion looks at Record.Base, which holds the position from before the order on, as before.

Measured: TestRefusedPromotionDoesNotRaiseTheBasePosition fails before.

--- a/core/takeover/ended_test.go
+++ b/core/takeover/ended_test.go
@@ -125,3 +125,15 @@
 		assert.Assert(t, inProgress)
 	})
 }
+
+// Guards against a group without a primary for ever, because the server whose promotion was
+// refused had a commit that no other one has and nobody was told of.
+func TestRefusedPromotionDoesNotRaiseTheBasePosition(t *testing.T) {
+	f := newFakeCluster()
+	f.refusedPromotions = 1
+	_, err := runAttempt(t, f, takeover.PrimaryLeaving, nil)
+	assert.ErrorIs(t, err, takeover.ErrRefused)
+	f.statuses["b"], f.statuses["c"] = replicaAt(9), replicaAt(9)
+	_, err = runAttempt(t, f, takeover.PrimaryGone, nil)
+	assert.NilError(t, err)
+}
--- a/core/takeover/lost.go
+++ b/core/takeover/lost.go
@@ -59,7 +59,7 @@
 // hasLost reports whether the store has lost updates of the record that this host knows.
 func (r *Runner) hasLost(stored Record) bool {
 	known := r.complete(stored)
-	return known.Epoch != stored.Epoch || known.Updates != stored.Updates || known.BasePosition != stored.BasePosition
+	return known.Epoch != stored.Epoch || known.Updates != stored.Updates || known.Base() != stored.Base()
 }
 
 // writeAgain writes what this host knows of the record, unless another host has changed
--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -6,15 +6,16 @@
 
 	"github.com/rotisserie/eris"
 
+	"basilmill/core/catalog"
 	"basilmill/core/exchange"
 	"basilmill/core/group"
 )
 
-// promote records the candidate's position as the new base, orders its promotion
+// promote records the candidate with its position, orders its promotion
 // and waits until it is the primary.
 func (a *attempt) promote(ctx context.Context, candidate serverStatus) (group.ServerID, error) {
 	server := candidate.server
-	err := a.recordBasePosition(ctx, candidate)
+	err := a.recordCandidate(ctx, candidate)
 	if err == nil {
 		err = a.orderPromotion(ctx, candidate)
 	}
@@ -52,10 +53,22 @@
 		if ctx.Err() != nil {
 			return err
 		}
+		if candidate.status.Role == exchange.Replica && a.leads(ctx, candidate.server) {
+			a.promotionPending = false
+			return nil
+		}
 	}
 	return err
 }
 
+// leads reports whether a server that was a replica leads, because an order without an answer
+// was carried out. A repeated one could take effect after the server has lost its log.
+func (a *attempt) leads(ctx context.Context, server catalog.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	return a.Client.IsPrimary(ctx, server)
+}
+
 func (a *attempt) orderPromotionOnce(ctx context.Context, candidate serverStatus) error {
 	ctx, cancel := context.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -23,14 +23,14 @@
 		return ErrLeaseHeld
 	}
 	current := a.complete(stored)
-	if highestPosition.Compare(current.BasePosition) < 0 {
-		return eris.Wrapf(ErrLogIncomplete, "highest position %v is below the base position %v", highestPosition, current.BasePosition)
+	if highestPosition.Compare(current.Base()) < 0 {
+		return eris.Wrapf(ErrLogIncomplete, "highest position %v is below the base position %v", highestPosition, current.Base())
 	}
 	if err := a.checkDepartures(highestPosition); err != nil {
 		return err
 	}
-	a.requiredPosition = current.BasePosition
-	if received := a.received.since(current.BasePosition); received.Compare(a.requiredPosition) > 0 {
+	a.requiredPosition = current.Base()
+	if received := a.received.since(current.Base()); received.Compare(a.requiredPosition) > 0 {
 		a.requiredPosition = received
 	}
 	if highestPosition.Compare(a.requiredPosition) < 0 {
@@ -120,11 +120,13 @@
 	return stored.Epoch != a.record.Epoch || stored.Holder != a.Self
 }
 
-// recordBasePosition records the end of the log of the server whose promotion is
-// about to be ordered, and that the promotion is pending.
-func (a *attempt) recordBasePosition(ctx context.Context, candidate serverStatus) error {
+// recordCandidate records the server whose promotion is about to be ordered with the end
+// of its log, and that the promotion is pending.
+func (a *attempt) recordCandidate(ctx context.Context, candidate serverStatus) error {
 	next := a.record
-	next.BasePosition, next.PromotionPending, next.Candidate = candidate.status.ReceivedPosition, true, candidate.server.ID
+	// A promotion that is still pending may take effect before the order.
+	next.BasePosition, next.CandidatePosition = next.Base(), candidate.status.ReceivedPosition
+	next.PromotionPending, next.Candidate = true, candidate.server.ID
 	return eris.Wrap(a.updateRecord(ctx, next), "record the end of the log")
 }
 
@@ -133,6 +135,7 @@
 // replicas then stay suspended until a promotion has been ordered under a higher epoch.
 func (a *attempt) recordPromotionAnswered(ctx context.Context) {
 	next := a.record
+	next.BasePosition = next.Base()
 	next.PromotionPending, next.Ended = false, true
 	err := a.updateRecord(ctx, next)
 	a.reportStep(Step{Name: "closed", Epoch: a.record.Epoch, Err: err})
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -42,15 +42,17 @@
 	// UpdateID identifies the update that wrote the record, so that a host
 	// whose answer was lost recognises its own update.
 	UpdateID string
-	// BasePosition is the end of the log of the last server whose promotion was
-	// ordered, as of that order. Only servers that have reached it may be
-	// promoted later.
+	// BasePosition is the end of the log of the last server whose promotion the platform
+	// accepted, as of the order. Only servers that have reached it may be promoted
+	// later.
 	BasePosition group.Position
 	// PromotionPending is set while a promotion may be pending: the order for
 	// it was sent or is about to be, and no answer is recorded.
 	PromotionPending bool
-	// Candidate is the server whose promotion was ordered last.
-	Candidate group.ServerID
+	// Candidate is the server whose promotion was ordered last, and CandidatePosition the
+	// end of its log then.
+	Candidate         group.ServerID
+	CandidatePosition group.Position
 	// Ended is set once the attempt has ended, so that it orders no further promotion and
 	// none that it has ordered is pending.
 	Ended bool
@@ -62,6 +64,15 @@
 	Version distribution.Version
 }
 
+// Base returns the position that a server must have reached to be promoted: that of the last
+// promotion, or of the one that is pending.
+func (r Record) Base() group.Position {
+	if r.PromotionPending && r.CandidatePosition.Compare(r.BasePosition) > 0 {
+		return r.CandidatePosition
+	}
+	return r.BasePosition
+}
+
 // ServerClient sends commands to backend servers.
 type ServerClient interface {
 	// Command runs Status, Suspend, Resume or Demote.
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -205,7 +205,7 @@
 	f.unansweredPromotions = 100
 	_, err := runAttempt(t, f, takeover.PrimaryGone, nil)
 	assert.Assert(t, err != nil)
-	assert.Equal(t, f.record.BasePosition, group.Position{Term: 1, Offset: 9})
+	assert.Equal(t, f.record.Base(), group.Position{Term: 1, Offset: 9})
 }
 
 // A server that the store lists and the host's view lacks may hold acknowledged
--- a/core/takeover/unreachable.go
+++ b/core/takeover/unreachable.go
@@ -19,7 +19,7 @@
 		return "", ErrNoCandidate
 	}
 	before, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
-	a.received.note(before, a.known.BasePosition)
+	a.received.note(before, a.known.Base())
 	if err != nil {
 		return "", err
 	}
@@ -113,7 +113,7 @@
 		return err
 	}
 	after, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
-	a.received.note(after, a.known.BasePosition)
+	a.received.note(after, a.known.Base())
 	if err != nil {
 		return err
 	}
