replicated: servers that are cut off from one another, reborn or reset

Cause: the stand-in has one cut for a replica and none for a pair of servers, a server keeps its id for good, the delay of promotions is fixed, and the store carries an update out at once.

Change: SeparateServers cuts a pair of servers; StartAs starts a server under another id with its log and role, StartEmpty under its id without its log and with another boot; Cluster.PromotionDelay replaces the default; DelayStoreUpdates makes updates of the record late. DroppedCommits lists what promotions drop from the logs of servers that exist then, acknowledged or not. A promotion of a server that has lost its log since the platform accepted the order has no effect. A started server gets an address of its own also after another has ended, and one that has ended does not start again. Replication runs in one goroutine and wakes those that wait for a confirmation, instead of a poll of each connection every millisecond. Violations stays as it is.

--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -8,6 +8,7 @@
 package replicated
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -34,10 +35,10 @@
 	NetDelay = 4 * time.Millisecond
 	// ExecutionDelay is the time that a server takes for a read, write or commit.
 	ExecutionDelay = 5 * time.Millisecond
-	// replicationInterval is the interval at which a replica copies the log of
+	// replicationInterval is the interval at which the replicas copy the log of
 	// the primary.
 	replicationInterval = 5 * time.Millisecond
-	// PromotionDelay is the time from the acceptance of a promotion by the
+	// PromotionDelay is the default time from the acceptance of a promotion by the
 	// platform until the server is the primary.
 	PromotionDelay = 300 * time.Millisecond
 	// minHolderChangeInterval is the minimum time between promotions ordered
@@ -54,11 +55,28 @@
 	At    time.Time
 }
 
+// DroppedCommit is a commit that an existing server held when a promotion dropped it,
+// whether or not it had been acknowledged.
+type DroppedCommit struct {
+	ID string
+	// Promoted is the server that lacked the commit.
+	Promoted group.ServerID
+	At       time.Time
+}
+
+// serverPair is a pair of servers, in order of their ids.
+type serverPair struct{ first, second group.ServerID }
+
+func newServerPair(a, b group.ServerID) serverPair { return serverPair{min(a, b), max(a, b)} }
+
 // Cluster is a simulated group of backend servers together with the platform that
 // promotes them and stores the record of the group.
 type Cluster struct {
 	// ConnectionLimit bounds the connections to each server; 0 means no limit.
 	ConnectionLimit int
+	// PromotionDelay is the time from the acceptance of a promotion until the server is
+	// the primary; 0 selects the default.
+	PromotionDelay time.Duration
 	// JudgeSuccesses is set if a commit counts as acknowledged once NoteSuccess is called
 	// for it. Otherwise it does when the primary has answered the host, which may hold the
 	// success back.
@@ -69,8 +87,16 @@
 	term         group.Term
 	acknowledged []Commit
 	violations   []string
-	executions   []Execution
+	executions   []recordedExecution
+	dropped      []DroppedCommit
 	stopped      chan struct{}
+	// changed is closed and replaced when commits may have been confirmed or may no
+	// longer be confirmed.
+	changed chan struct{}
+	// separations counts the faults that separate the servers of a pair.
+	separations map[serverPair]int
+	// startedServers counts the servers, so that each gets another address.
+	startedServers byte
 
 	fencingEpoch takeover.Epoch
 	lastHolder   host.ID
@@ -86,6 +112,9 @@
 	storeVersion      distribution.Version
 	storeUnavailable  bool
 	storeLosesAnswers bool
+	// storeUpdateDelay is not 0 while the store leaves updates unanswered. An update is
+	// then carried out after this delay.
+	storeUpdateDelay time.Duration
 }
 
 // Execution is the record of one read, write or commit that a server ran for a
@@ -108,30 +137,44 @@
 	At            time.Time
 }
 
+// recordedExecution is an Execution with the log from which its Log is made.
+type recordedExecution struct {
+	Execution
+	log []logEntry
+}
+
 // New returns a cluster with a primary "a" and replicas "b" and "c", each in
 // its own data centre. The caller must call Stop when done.
 func New() *Cluster {
-	c := &Cluster{servers: map[group.ServerID]*Server{}, term: 1, stopped: make(chan struct{})}
+	c := &Cluster{servers: map[group.ServerID]*Server{}, separations: map[serverPair]int{}, term: 1, stopped: make(chan struct{}), changed: make(chan struct{})}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range []group.ServerID{"a", "b", "c"} {
 		c.add(id)
 	}
 	c.servers["a"].primary = true
+	go c.replicate()
 	return c
 }
 
+// notify wakes the connections that wait for the confirmation of a commit. The caller
+// must hold the mutex.
+func (c *Cluster) notify() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
 // add starts a replica without a log. The caller must hold the mutex.
 func (c *Cluster) add(id group.ServerID) *Server {
+	c.startedServers++
 	s := &Server{
 		cluster: c, id: id, term: c.term, up: true,
 		catalogEntry: catalog.Server{
-			ID: id, Group: Group, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(c.servers) + 1)}), 5432),
+			ID: id, Group: Group, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, c.startedServers}), 5432),
 			DataCentre: host.DataCentre("dc-" + string(id)),
 		},
 	}
 	c.servers[id] = s
-	go s.replicate()
 	return s
 }
 
@@ -146,6 +189,19 @@
 	return s
 }
 
+// SeparateServers cuts two servers off from each other, but not from the other servers and
+// the hosts, until the returned function is called.
+func (c *Cluster) SeparateServers(a, b group.ServerID) (reconnect func()) {
+	pair := newServerPair(a, b)
+	separate := func(change int) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.separations[pair] += change
+	}
+	separate(1)
+	return func() { separate(-1) }
+}
+
 // isStopped reports whether Stop has been called.
 func (c *Cluster) isStopped() bool {
 	select {
@@ -233,6 +289,14 @@
 	return slices.Clone(c.violations)
 }
 
+// DroppedCommits returns the commits that promotions have dropped from the logs of the
+// servers that existed then.
+func (c *Cluster) DroppedCommits() []DroppedCommit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.dropped)
+}
+
 // Acknowledged returns all acknowledged commits.
 func (c *Cluster) Acknowledged() []Commit {
 	c.mu.Lock()
@@ -244,7 +308,26 @@
 func (c *Cluster) Executions() []Execution {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Clone(c.executions)
+	executions := make([]Execution, 0, len(c.executions))
+	for _, r := range c.executions {
+		e := r.Execution
+		for _, entry := range r.log {
+			e.Log = append(e.Log, entry.id)
+		}
+		executions = append(executions, e)
+	}
+	return executions
+}
+
+// ExecutionCounts returns how often servers ran each statement of callers.
+func (c *Cluster) ExecutionCounts() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := map[string]int{}
+	for _, e := range c.executions {
+		counts[e.ID]++
+	}
+	return counts
 }
 
 // Promotions returns the number of promotions that changed the primary.
@@ -311,6 +394,14 @@
 	c.storeUnavailable, c.storeLosesAnswers = unavailable, losesAnswers
 }
 
+// DelayStoreUpdates makes the platform's store leave updates unanswered and carry them out
+// after the delay, if their condition still holds. A delay of 0 ends the fault.
+func (c *Cluster) DelayStoreUpdates(delay time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeUpdateDelay = delay
+}
+
 // StoreCopy is the state of the platform's store at one moment.
 type StoreCopy struct {
 	record  takeover.Record
@@ -414,17 +505,19 @@
 	if s.primary {
 		return nil
 	}
-	time.AfterFunc(PromotionDelay, func() { c.promote(s) })
+	boot := s.catalogEntry.BootID
+	time.AfterFunc(cmp.Or(c.PromotionDelay, PromotionDelay), func() { c.promote(s, boot) })
 	return nil
 }
 
 // promote makes the server the primary of the next term. Commits that the server
 // has not received are dropped from all servers. Dropping an acknowledged one is
-// a violation.
-func (c *Cluster) promote(s *Server) {
+// a violation. The server must not have lost its log since the order, in the given boot,
+// because no order can prevent that.
+func (c *Cluster) promote(s *Server, boot int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s.primary || !s.up {
+	if s.primary || !s.up || s.catalogEntry.BootID != boot {
 		return
 	}
 	for _, commit := range c.acknowledged {
@@ -432,6 +525,7 @@
 			c.recordViolation("promotion of %s loses the acknowledged commit %s", s.id, commit.ID)
 		}
 	}
+	c.noteDroppedCommits(s)
 	c.promotions++
 	c.term++
 	for _, other := range c.servers {
@@ -445,6 +539,21 @@
 	s.primary = true
 	s.term = c.term
 	s.appliedCount = len(s.log)
+	c.notify()
+}
+
+// noteDroppedCommits notes the commits that the promotion of a server drops from the logs
+// of the others. The caller must hold the mutex.
+func (c *Cluster) noteDroppedCommits(promoted *Server) {
+	longest := promoted.log
+	for _, s := range c.servers {
+		if len(s.log) > len(longest) {
+			longest = s.log
+		}
+	}
+	for _, e := range longest[len(promoted.log):] {
+		c.dropped = append(c.dropped, DroppedCommit{ID: e.id, Promoted: promoted.id, At: time.Now()})
+	}
 }
 
 // Load implements takeover.RecordStore.
@@ -475,15 +584,30 @@
 	if c.storeUnavailable {
 		return takeover.Record{}, errNoAnswer
 	}
+	if c.storeUpdateDelay > 0 {
+		time.AfterFunc(c.storeUpdateDelay, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			_, _ = c.updateRecord(r)
+		})
+		return takeover.Record{}, errNoAnswer
+	}
+	stored, err := c.updateRecord(r)
+	if err == nil && c.storeLosesAnswers {
+		return takeover.Record{}, errNoAnswer
+	}
+	return stored, err
+}
+
+// updateRecord replaces the record if its version is still that of the update. The caller
+// must hold the mutex.
+func (c *Cluster) updateRecord(r takeover.Record) (takeover.Record, error) {
 	if r.Version != c.record.Version {
 		return takeover.Record{}, takeover.ErrConflict
 	}
 	c.storeVersion++
 	r.Version = c.storeVersion
 	c.record = r
-	if c.storeLosesAnswers {
-		return takeover.Record{}, errNoAnswer
-	}
 	return r, nil
 }
 
--- a/standin/replicated/server.go
+++ b/standin/replicated/server.go
@@ -1,7 +1,6 @@
 package replicated
 
 import (
-	"slices"
 	"time"
 
 	"basilmill/core/catalog"
@@ -49,16 +48,62 @@
 	defer s.cluster.mu.Unlock()
 	s.up = false
 	s.closeStreams()
+	s.cluster.notify()
 }
 
 // End stops the server for good. Its entry and its log are gone.
 func (s *Server) End() {
 	s.cluster.mu.Lock()
 	defer s.cluster.mu.Unlock()
+	s.end()
+}
+
+// end stops the server for good. The caller must hold the cluster's mutex.
+func (s *Server) end() {
+	if s.cluster.servers[s.id] != s {
+		return
+	}
 	s.up, s.primary, s.unlisted = false, false, true
 	s.log, s.appliedCount = nil, 0
 	s.closeStreams()
 	delete(s.cluster.servers, s.id)
+	s.cluster.notify()
+}
+
+// StartEmpty restarts the server under its id as a replica without a log. Its entry shows
+// another boot.
+func (s *Server) StartEmpty() {
+	s.cluster.mu.Lock()
+	defer s.cluster.mu.Unlock()
+	if s.cluster.servers[s.id] != s {
+		return
+	}
+	s.up, s.primary, s.suspendedTerm = true, false, 0
+	s.log, s.appliedCount = nil, 0
+	s.catalogEntry.BootID++
+	s.closeStreams()
+	s.cluster.notify()
+}
+
+// StartAs starts the server under another id, with its log and term, and as the primary
+// unless another server has been promoted meanwhile. The store lists it after the delay.
+// It returns nil if the server has ended.
+func (s *Server) StartAs(id group.ServerID, listingDelay time.Duration) *Server {
+	c := s.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.servers[s.id] != s {
+		return nil
+	}
+	primary, term, log := s.primary, s.term, s.log
+	address := s.catalogEntry.Address
+	s.end()
+	started := c.add(id)
+	started.primary, started.term, started.log, started.appliedCount = primary, term, log, len(log)
+	started.catalogEntry.Address = address
+	started.unlisted = true
+	time.AfterFunc(listingDelay, func() { started.SetUnlisted(false) })
+	return started
 }
 
 // Start restarts the server with its log. It is a replica afterwards if another
@@ -66,6 +111,9 @@
 func (s *Server) Start() {
 	s.cluster.mu.Lock()
 	defer s.cluster.mu.Unlock()
+	if s.cluster.servers[s.id] != s {
+		return
+	}
 	s.up = true
 	s.suspendedTerm = 0
 }
@@ -158,47 +206,73 @@
 	s.streams = nil
 }
 
-// replicate copies the primary's log to the server at intervals, until the
-// cluster is stopped.
-func (s *Server) replicate() {
+// replicate copies the primary's log to the replicas at intervals, until the cluster is
+// stopped.
+func (c *Cluster) replicate() {
 	ticker := time.NewTicker(replicationInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-s.cluster.stopped:
+		case <-c.stopped:
 			return
 		case <-ticker.C:
-			s.replicateOnce()
+			c.replicateOnce()
 		}
 	}
 }
 
-// replicateOnce copies the primary's log to the server if it is a replica and no
-// fault prevents it.
-func (s *Server) replicateOnce() {
-	cluster := s.cluster
-	cluster.mu.Lock()
-	defer cluster.mu.Unlock()
-	primary := cluster.primary()
-	if primary == nil || primary == s || !s.up || !primary.up || s.unreachable || primary.unreachable || s.replicationStopped || s.isolated || primary.isolated || s.suspendedTerm > primary.term {
+// replicateOnce copies the primary's log to each replica unless a fault prevents it.
+func (c *Cluster) replicateOnce() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	primary := c.primary()
+	if primary == nil || !primary.up || primary.unreachable || primary.isolated {
 		return
 	}
+	copied := false
+	for _, s := range c.servers {
+		if s != primary && s.receivesFrom(primary) {
+			copied = s.copyLog(primary) || copied
+		}
+	}
+	if copied {
+		c.notify()
+	}
+}
+
+// receivesFrom reports whether a replica receives the log of a primary that sends it.
+func (s *Server) receivesFrom(primary *Server) bool {
+	return s.up && !s.unreachable && !s.replicationStopped && !s.isolated && s.suspendedTerm <= primary.term &&
+		s.cluster.separations[newServerPair(s.id, primary.id)] == 0
+}
+
+// copyLog copies the primary's log to the server and reports whether that changed it. The
+// caller must hold the cluster's mutex.
+func (s *Server) copyLog(primary *Server) bool {
 	s.term = primary.term
-	if slices.Equal(s.log, primary.log) {
-		return
+	if sharesLog(s, primary) {
+		return false
 	}
-	s.log = slices.Clone(primary.log)
+	// The servers can share the log, because appending to it copies it.
+	s.log = primary.log
 	length := len(s.log)
 	s.appliedCount = min(s.appliedCount, length)
 	if s.applyDelay == 0 {
 		s.appliedCount = length
-		return
+		return true
 	}
+	cluster := s.cluster
 	time.AfterFunc(s.applyDelay, func() {
 		cluster.mu.Lock()
 		defer cluster.mu.Unlock()
 		s.appliedCount = max(s.appliedCount, min(length, len(s.log)))
 	})
+	return true
+}
+
+// sharesLog reports whether a replica has the same log as the primary since it copied it.
+func sharesLog(s, primary *Server) bool {
+	return len(s.log) == len(primary.log) && (len(s.log) == 0 || &s.log[0] == &primary.log[0])
 }
 
 // isConfirmed reports whether a replica has received the primary's log up to the
@@ -239,6 +313,7 @@
 	case exchange.Demote:
 		if s.primary && statement.Term > s.term {
 			s.primary = false
+			s.cluster.notify()
 		}
 	default:
 	}
--- a/standin/replicated/stream.go
+++ b/standin/replicated/stream.go
@@ -17,6 +17,9 @@
 	"basilmill/core/link"
 )
 
+// streamBuffer bounds the statements and the answers that a connection holds.
+const streamBuffer = 128
+
 // Dial implements link.Dialer.
 func (c *Cluster) Dial(ctx context.Context, server catalog.Server) (link.Stream, error) {
 	if err := sleep(ctx, 2*NetDelay); err != nil {
@@ -39,7 +42,7 @@
 	}
 	defer c.mu.Unlock()
 	s.openedConnections++
-	st := &stream{server: s, number: s.openedConnections, requests: make(chan exchange.Statement, 1024), answers: make(chan exchange.Answer, 1024), closed: make(chan struct{})}
+	st := &stream{server: s, number: s.openedConnections, requests: make(chan exchange.Statement, streamBuffer), answers: make(chan exchange.Answer, streamBuffer), closed: make(chan struct{})}
 	s.streams = append(s.streams, st)
 	go st.serve()
 	return st, nil
@@ -201,6 +204,7 @@
 			cluster.mu.Unlock()
 			return nil
 		}
+		changed := cluster.changed
 		cluster.mu.Unlock()
 		if failed {
 			return errUnanswered
@@ -208,7 +212,7 @@
 		select {
 		case <-st.closed:
 			return errors.New("connection ended before " + id + " was confirmed")
-		case <-time.After(time.Millisecond):
+		case <-changed:
 		}
 	}
 }
@@ -331,9 +335,6 @@
 		ID: string(statement.ID), Server: s.id, Digest: digest, Values: maps.Clone(st.sessionValues), Text: text,
 		Connection: st.number, InTransaction: st.state == exchange.InTransaction, At: time.Now(),
 	}
-	for _, e := range s.log[:s.appliedCount] {
-		execution.Log = append(execution.Log, e.id)
-	}
-	cluster.executions = append(cluster.executions, execution)
+	cluster.executions = append(cluster.executions, recordedExecution{execution, s.log[:s.appliedCount]})
 	return digest
 }
