ack, takeover: log the witness of a success and the promotion that may be pending

The lines of requests and of changes did not tell the three hypotheses apart: which server had confirmed a commit, whether it was suspended, and whether an earlier order could still take effect. RequestServed states the witness, ChangeStep the suspended term, the role and the pending server. No logic is changed.

--- a/cmd/entry/groups.go
+++ b/cmd/entry/groups.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"basilmill/core/catalog"
+	"basilmill/core/exchange"
 	"basilmill/core/group"
 	"basilmill/core/lead"
 	"basilmill/core/logevent"
@@ -119,5 +120,6 @@
 	}
 	g.host.log.Write(context.Background(), logevent.ChangeStep, slog.String("group", string(id)), slog.String("step", s.Name),
 		slog.String("server", string(s.Server)), slog.Int64("epoch", int64(s.Epoch)), slog.Int64("era", int64(g.host.era())), slog.String("received", s.Status.ReceivedPosition.String()),
-		slog.Int64("term", int64(s.Status.Term)), slog.String("error", errorText))
+		slog.Int64("term", int64(s.Status.Term)), slog.Int64("suspended_term", int64(s.Status.SuspendedTerm)), slog.Bool("leads", s.Status.Role == exchange.Primary),
+		slog.String("pending", string(s.Pending)), slog.String("error", errorText))
 }
--- a/core/ack/receipts.go
+++ b/core/ack/receipts.go
@@ -229,6 +229,19 @@
 	return covered
 }
 
+// Witness returns a witness that is known to have received the commit, an empty id if
+// there is none.
+func (r *Receipts) Witness(commit Commit) (witness group.ServerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, s := range r.replicas {
+		if s.witness && id != commit.Primary && s.has(commit.Position) && (witness == "" || id < witness) {
+			witness = id
+		}
+	}
+	return witness
+}
+
 // has reports whether the server is known to have received its log up to the position.
 func (r *replica) has(position group.Position) bool {
 	return r.received.Term == position.Term && r.received.Offset >= position.Offset
--- a/core/ack/receipts_test.go
+++ b/core/ack/receipts_test.go
@@ -278,3 +278,11 @@
 	assert.Assert(t, errors.As(err, &unresolved), "%v", err)
 	assert.Equal(t, unresolved.Outcome, outcome.Unknown)
 }
+
+func TestWitnessThatHasTheCommitIsNamed(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		assert.Equal(t, r.Witness(commit), group.ServerID(""))
+		r.NoteStatus("c", status(position(2, 10)))
+		assert.Equal(t, r.Witness(commit), group.ServerID("c"))
+	})
+}
--- a/core/proxy/confirm.go
+++ b/core/proxy/confirm.go
@@ -50,7 +50,13 @@
 		}
 		commit = status.ReceivedPosition
 	}
-	return p.confirmer(r.route.Group).await(ctx, ack.Commit{Primary: r.server, Position: commit})
+	confirmer := p.confirmer(r.route.Group)
+	acknowledged := ack.Commit{Primary: r.server, Position: commit}
+	if err := confirmer.await(ctx, acknowledged); err != nil {
+		return err
+	}
+	r.witness = confirmer.receipts.Witness(acknowledged)
+	return nil
 }
 
 // commander returns a client for commands to backend servers.
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -224,7 +224,9 @@
 	Server group.ServerID
 	Epoch  Epoch
 	Status exchange.ServerStatus
-	Err    error
+	// Pending is the server whose promotion may be pending, as of the step.
+	Pending group.ServerID
+	Err     error
 }
 
 // Runner makes attempts to change the primary of one group on behalf of a host.
@@ -342,6 +344,9 @@
 }
 
 func (a *attempt) reportStep(s Step) {
+	if a.promotionPending {
+		s.Pending = a.record.Candidate
+	}
 	if a.Observe != nil {
 		a.Observe(a.Group, s)
 	}
