standin/replicated: a promotion keeps suspensions for higher terms

On the users' platform, a replica that is suspended for term 5 stays suspended, at term 1, when another server is promoted to term 2. The stand-in ended every suspension with every promotion, so that such a replica confirmed commits again. TestPromotionKeepsSuspensionsForHigherTerms fails without the change.

--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -512,8 +512,8 @@
 
 // promote makes the server the primary of the next term. Commits that the server
 // has not received are dropped from all servers. Dropping an acknowledged one is
-// a violation. The server must not have lost its log since the order, in the given boot,
-// because no order can prevent that.
+// a violation. Suspensions for a term above the new one remain. The server must not have
+// lost its log since the order, in the given boot, because no order can prevent that.
 func (c *Cluster) promote(s *Server, boot int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -530,7 +530,9 @@
 	c.term++
 	for _, other := range c.servers {
 		other.primary = false
-		other.suspendedTerm = 0
+		if other.suspendedTerm <= c.term {
+			other.suspendedTerm = 0
+		}
 		if len(other.log) > len(s.log) {
 			other.log = slices.Clone(other.log[:len(s.log)])
 			other.appliedCount = min(other.appliedCount, len(other.log))
@@ -538,6 +540,7 @@
 	}
 	s.primary = true
 	s.term = c.term
+	s.suspendedTerm = 0
 	s.appliedCount = len(s.log)
 	c.notify()
 }
