standin/replicated: test orders that are refused, repeated or change nothing

The stand-in already does as the users' platform does: an order that is refused because its server is down or unknown still fences lower epochs, an order for the present primary changes nothing, and a demoted primary leads the next term when it is ordered again with the same epoch. Nothing checked that.

--- a/standin/replicated/promotion_test.go
+++ b/standin/replicated/promotion_test.go
@@ -68,6 +68,22 @@
 	return err
 }
 
+// Guards against a fencing token that does not count because its order is refused.
+func TestRefusedOrderFencesLowerEpochs(t *testing.T) {
+	for name, server := range map[string]group.ServerID{"server that is down": "c", "unknown server": "z"} {
+		t.Run(name, func(t *testing.T) {
+			inCluster(t, func(t *testing.T, g *testGroup) {
+				g.Server("c").Crash()
+				assert.ErrorIs(t, g.order(server, 5), takeover.ErrRefused)
+				assert.ErrorIs(t, g.order("b", 4), takeover.ErrRefused)
+				assert.Equal(t, g.Primary(), group.ServerID("a"))
+				assert.NilError(t, g.order("b", 5))
+				assert.Equal(t, g.Primary(), group.ServerID("b"))
+			})
+		})
+	}
+}
+
 // Guards against a promotion that ends suspensions for terms above the new one.
 func TestPromotionKeepsSuspensionsForHigherTerms(t *testing.T) {
 	inCluster(t, func(t *testing.T, g *testGroup) {
@@ -90,3 +106,24 @@
 		assert.Equal(t, status.Term, group.Term(2))
 	})
 }
+
+// Guards against an order for the present primary that begins another term.
+func TestOrderForThePrimaryChangesNothing(t *testing.T) {
+	inCluster(t, func(t *testing.T, g *testGroup) {
+		assert.NilError(t, g.order("a", 1))
+		assert.Equal(t, g.Promotions(), 0)
+		assert.Equal(t, g.command("a", exchange.Status, 0).Term, group.Term(1))
+	})
+}
+
+// Guards against a demoted primary that an order with the same epoch does not promote.
+func TestDemotedPrimaryLeadsAgainWhenOrdered(t *testing.T) {
+	inCluster(t, func(t *testing.T, g *testGroup) {
+		assert.NilError(t, g.order("b", 1))
+		g.command("b", exchange.Demote, 3)
+		assert.Equal(t, g.Primary(), group.ServerID(""))
+		assert.NilError(t, g.order("b", 1))
+		assert.Equal(t, g.Primary(), group.ServerID("b"))
+		assert.Equal(t, g.command("b", exchange.Status, 0).Term, group.Term(3))
+	})
+}
