standin/replicated: calls that get no answer and are carried out late

A share of the orders of promotions, or of the commands Suspend, Resume and Demote, gets no answer and is carried out after a delay that is drawn for each. The stand-in had one delay for all orders, and answered every command.

--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -105,6 +105,8 @@
 	// lostPromotionDelay is not 0 while the platform loses the answers to
 	// promotions. A promotion is then carried out after this delay.
 	lostPromotionDelay time.Duration
+	latePromotions     lateFaults
+	lateCommands       lateFaults
 	refusedConnections int
 
 	record takeover.Record
@@ -469,10 +471,7 @@
 	if err := sleep(ctx, NetDelay); err != nil {
 		return err
 	}
-	c.mu.Lock()
-	delay := c.lostPromotionDelay
-	c.mu.Unlock()
-	if delay > 0 {
+	if delay, late := c.promotionDelay(); late {
 		time.AfterFunc(delay, func() { _ = c.orderPromotion(id, holder, epoch) })
 		<-ctx.Done()
 		return errNoAnswer
--- a/standin/replicated/promotion_test.go
+++ b/standin/replicated/promotion_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,18 +47,19 @@
 // command runs a command on a server and returns its status.
 func (g *testGroup) command(server group.ServerID, operation exchange.Operation, term group.Term) exchange.ServerStatus {
 	g.t.Helper()
+	status, err := g.tryCommand(server, operation, term)
+	assert.NilError(g.t, err)
+	return status
+}
+
+// tryCommand runs a command on a server that is listed.
+func (g *testGroup) tryCommand(server group.ServerID, operation exchange.Operation, term group.Term) (exchange.ServerStatus, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	commander := link.Commander{Sources: func(s catalog.Server) link.Source { return g.registry.Pool(s) }}
-	for _, entry := range g.ServerEntries() {
-		if entry.ID == server {
-			status, err := commander.Command(ctx, entry, exchange.Statement{Operation: operation, Term: term})
-			assert.NilError(g.t, err)
-			return status
-		}
-	}
-	g.t.Fatalf("%s is not listed", server)
-	return exchange.ServerStatus{}
+	entries := g.ServerEntries()
+	i := slices.IndexFunc(entries, func(e catalog.Server) bool { return e.ID == server })
+	return commander.Command(ctx, entries[i], exchange.Statement{Operation: operation, Term: term})
 }
 
 // order orders the promotion of a server, and waits until it has taken effect if the order
--- a/standin/replicated/stream.go
+++ b/standin/replicated/stream.go
@@ -134,6 +134,9 @@
 		case <-time.After(replicationInterval):
 		}
 	}
+	if cluster.deferCommand(st.server.id, statement) {
+		return false
+	}
 	answer, err := st.run(statement)
 	if err != nil {
 		return false
