--- a/e2e/replicated/changes_test.go
+++ b/e2e/replicated/changes_test.go
@@ -1,6 +1,7 @@
 package replicated_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -44,6 +45,37 @@
 	mu         sync.Mutex
 	cuts       []*activeCut
 	operations []clientOperation
+	// replacements counts the servers that planned replacements have started.
+	replacements int
+}
+
+// resolve returns the id of the present primary for presentPrimary, and other ids as they
+// are. The id is empty if there is no primary.
+func (r *changesRun) resolve(id group.ServerID) group.ServerID {
+	if id == presentPrimary {
+		return r.cluster.Primary()
+	}
+	return id
+}
+
+func (r *changesRun) resolveAll(ids []group.ServerID) (resolved []group.ServerID) {
+	for _, id := range ids {
+		resolved = append(resolved, r.resolve(id))
+	}
+	return resolved
+}
+
+// server returns the server that a step names, or nil.
+func (r *changesRun) server(id group.ServerID) *replicated.Server {
+	return r.cluster.Server(r.resolve(id))
+}
+
+// startReplacement starts a server under an id of its own.
+func (r *changesRun) startReplacement(listingDelay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.replacements++
+	r.cluster.StartServer(group.ServerID(fmt.Sprint("n", r.replacements)), listingDelay)
 }
 
 // activeCut is what a step cuts a host off from at present.
@@ -159,11 +191,11 @@
 		r.cluster.PromotionDelay = s.promotionDelay.duration()
 		for h := range s.hosts {
 			dataCentre := host.DataCentre("dc-" + string(initialServers[h]))
-			r.hosts = append(r.hosts, startHost(r.cluster, host.ID(fmt.Sprint("h", h)), hostOptions{dataCentre: dataCentre, partition: &partition{}}))
+			r.hosts = append(r.hosts, startHost(r.cluster, host.ID(fmt.Sprint("h", h)), hostOptions{dataCentre: dataCentre, partition: &partition{}, onStep: r.traceStep}))
 		}
 		time.Sleep(settleDelay)
 		r.started = time.Now().Add(calmDuration)
-		until := r.started.Add(changesDuration)
+		until := r.started.Add(cmp.Or(s.duration.duration(), changesDuration))
 		var wait sync.WaitGroup
 		for h := range r.hosts {
 			for _, inTransaction := range []bool{false, true} {
@@ -171,12 +203,18 @@
 			}
 		}
 		time.Sleep(calmDuration)
+		endTrace := r.trace()
 		for _, step := range s.steps {
 			wait.Go(func() { step.run(r) })
 		}
 		wait.Wait()
-		time.Sleep(lateOrderWait)
+		if s.duration > 0 {
+			time.Sleep(seriesOrderWait)
+		} else {
+			time.Sleep(lateOrderWait)
+		}
 		violations = r.violations()
+		endTrace()
 		for _, h := range r.hosts {
 			h.cancel()
 		}
@@ -191,10 +229,14 @@
 // were refused. It runs more schedules by hand with, for example,
 //
 //	go test ./e2e/replicated/ -run TestPromisesUnderGeneratedSchedules -cpu=1 -timeout=0 -rapid.checks=100000 -rapid.seed=1
-func TestPromisesUnderGeneratedSchedules(t *testing.T) {
+func TestPromisesUnderGeneratedSchedules(t *testing.T) { checkSchedules(t, drawSchedule) }
+
+// checkSchedules runs the schedules that draw returns.
+func checkSchedules(t *testing.T, draw func(*rapid.T) schedule) {
+	t.Helper()
 	runs := 1
 	rapid.Check(t, func(rt *rapid.T) {
-		s := drawSchedule(rt)
+		s := draw(rt)
 		for range runs {
 			if violations := runSchedule(t, s); len(violations) > 0 {
 				runs = confirmingRuns
--- a/e2e/replicated/draw_test.go
+++ b/e2e/replicated/draw_test.go
@@ -1,7 +1,9 @@
 package replicated_test
 
 import (
+	"flag"
 	"slices"
+	"strings"
 
 	"pgregory.net/rapid"
 
@@ -19,6 +21,9 @@
 // stepKinds are the kinds of steps that drawStep draws. New servers are drawn more often.
 var stepKinds = []string{"start", "start", "crash", "leave", "split", "host cut", "server cut", "rebirth", "reset", "unlist", "store down", "store loses answers", "late updates", "late orders"}
 
+// flagWithout leaves kinds of steps out by hand, so that known faults do not hide others.
+var flagWithout = flag.String("schedule.without", "", "kinds of steps that are not drawn, such as reset,crash")
+
 func drawMS(t *rapid.T, label string, least, most int) ms {
 	const unit = 50
 	return ms(rapid.IntRange(least/unit, most/unit).Draw(t, label) * unit)
@@ -38,33 +43,48 @@
 	return subset
 }
 
-// drawStep draws one step. Each ends before changesDuration.
-func drawStep(t *rapid.T, hosts int) step {
-	at := drawMS(t, "at", 0, 4000)
+// leftOut reports whether flagWithout names a kind of steps.
+func leftOut(kind string) bool { return slices.Contains(strings.Split(*flagWithout, ","), kind) }
+
+// stepDraws bounds the steps that are drawn. Each lasts 3 s at most.
+type stepDraws struct {
+	hosts int
+	// latest is the latest time at which a step begins.
+	latest ms
+	// started and reborn are the servers that start and that others start again as.
+	started, reborn []group.ServerID
+	// replaced are the servers that start again under another id.
+	replaced []group.ServerID
+	// all are the servers that other steps name.
+	all []group.ServerID
+}
+
+func (d stepDraws) draw(t *rapid.T) step {
+	at := drawMS(t, "at", 0, int(d.latest))
 	lasts := func() ms { return drawMS(t, "lasts", 50, 3000) }
 	listing := func() ms { return drawMS(t, "listing", 0, 600) }
-	hostNumbers := numbers(hosts)
-	switch rapid.SampledFrom(stepKinds).Draw(t, "kind") {
+	hostNumbers := numbers(d.hosts)
+	switch rapid.SampledFrom(slices.DeleteFunc(slices.Clone(stepKinds), leftOut)).Draw(t, "kind") {
 	case "start":
 		// An entry may be missing until the end.
 		l := rapid.OneOf(rapid.Just(ms(0)), rapid.Custom(func(t *rapid.T) ms { return listing() }), rapid.Just(ms(10_000))).Draw(t, "listed after")
-		return start{at, drawServer(t, startedServers), l}
+		return start{at, drawServer(t, d.started), l}
 	case "leave":
-		return leave{at, drawMS(t, "lasts", 500, 3000), drawServer(t, allServers)}
+		return leave{at, drawMS(t, "lasts", 500, 3000), drawServer(t, d.all)}
 	case "crash":
-		return crash{at, lasts(), drawServer(t, allServers)}
+		return crash{at, lasts(), drawServer(t, d.all)}
 	case "split":
-		return split{at, lasts(), drawServer(t, allServers), drawSubset(t, "beside", hostNumbers), rapid.Bool().Draw(t, "store")}
+		return split{at, lasts(), drawServer(t, d.all), drawSubset(t, "beside", hostNumbers), rapid.Bool().Draw(t, "store")}
 	case "host cut":
-		return hostCut{at, lasts(), rapid.SampledFrom(hostNumbers).Draw(t, "host"), drawSubset(t, "servers", allServers), rapid.Bool().Draw(t, "store")}
+		return hostCut{at, lasts(), rapid.SampledFrom(hostNumbers).Draw(t, "host"), drawSubset(t, "servers", d.all), rapid.Bool().Draw(t, "store")}
 	case "server cut":
-		return serverCut{at, lasts(), drawServer(t, allServers), drawServer(t, allServers)}
+		return serverCut{at, lasts(), drawServer(t, d.all), drawServer(t, d.all)}
 	case "rebirth":
-		return rebirth{at, lasts(), drawServer(t, initialServers), drawServer(t, rebornServers), listing()}
+		return rebirth{at, lasts(), drawServer(t, d.replaced), drawServer(t, d.reborn), listing()}
 	case "reset":
-		return reset{at, lasts(), drawServer(t, allServers)}
+		return reset{at, lasts(), drawServer(t, d.all)}
 	case "unlist":
-		return unlist{at, lasts(), drawServer(t, allServers)}
+		return unlist{at, lasts(), drawServer(t, d.all)}
 	case "store down":
 		return storeDown{at, lasts()}
 	case "store loses answers":
@@ -107,6 +127,7 @@
 		promotionDelay: rapid.SampledFrom([]ms{300, 600, 1000}).Draw(t, "promotion delay"),
 	}
 	s.steps = append(s.steps, drawPrimaryFault(t, s.hosts))
-	s.steps = append(s.steps, rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step { return drawStep(t, s.hosts) }), 0, 7).Draw(t, "steps")...)
+	d := stepDraws{hosts: s.hosts, latest: 4000, started: startedServers, reborn: rebornServers, replaced: initialServers, all: allServers}
+	s.steps = append(s.steps, rapid.SliceOfN(rapid.Custom(d.draw), 0, 7).Draw(t, "steps")...)
 	return s
 }
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -64,6 +64,8 @@
 	filterServers func([]catalog.Server) []catalog.Server
 	// onResult is called with the result of each statement.
 	onResult func(proxy.Result)
+	// onStep, if set, is called with the steps of the host's changes of primary.
+	onStep func(host.ID, takeover.Step)
 	// dataCentre is the host's data centre; empty selects "dc-b".
 	dataCentre host.DataCentre
 	// connectionLimit is the configured limit of each server; zero selects 16.
@@ -136,6 +138,9 @@
 		Self: id, Client: client, Records: records, ServerLister: lister, Promotions: cluster, Eras: eras,
 		NewUpdateID: func() string { updates++; return fmt.Sprint(id, "-", updates) },
 	}
+	if options.onStep != nil {
+		runner.Observe = func(_ group.ID, s takeover.Step) { options.onStep(id, s) }
+	}
 	h.monitor = lead.New(lead.Config{
 		Group: replicated.Group, Cache: h.cache, Client: h, PrimaryChanger: runner, Clock: clock, Log: log, DataCentre: dataCentre,
 	})
--- a/e2e/replicated/steps_test.go
+++ b/e2e/replicated/steps_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"basilmill/core/group"
+	"basilmill/standin/replicated"
 )
 
 // ms is a number of milliseconds.
@@ -18,13 +20,16 @@
 type schedule struct {
 	hosts          int
 	promotionDelay ms
-	steps          []step
+	// duration is the time from the start of the steps during which writes are made; 0
+	// selects changesDuration.
+	duration ms
+	steps    []step
 }
 
 // String returns the schedule as a Go literal.
 func (s schedule) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "schedule{hosts: %d, promotionDelay: %d, steps: []step{\n", s.hosts, s.promotionDelay)
+	fmt.Fprintf(&b, "schedule{hosts: %d, promotionDelay: %d, duration: %d, steps: []step{\n", s.hosts, s.promotionDelay, s.duration)
 	for _, step := range s.steps {
 		literal := strings.ReplaceAll(fmt.Sprintf("%#v", step), "replicated_test.", "")
 		fmt.Fprintf(&b, "\t%s,\n", literal)
@@ -33,8 +38,11 @@
 	return b.String()
 }
 
+// presentPrimary stands for the server that leads when a step begins.
+const presentPrimary group.ServerID = "primary"
+
 // step is a fault or a change of the group. The field at of each is the time from the
-// start of the steps.
+// start of the steps. A step of a server that does not exist does nothing.
 type step interface {
 	// run waits until the step is due, begins it and ends it again.
 	run(r *changesRun)
@@ -50,7 +58,7 @@
 
 func (s hostCut) run(r *changesRun) {
 	time.Sleep(s.at.duration())
-	end := r.cut(s.host, s.servers, s.store)
+	end := r.cut(s.host, r.resolveAll(s.servers), s.store)
 	time.Sleep(s.lasts.duration())
 	end()
 }
@@ -63,7 +71,7 @@
 
 func (s serverCut) run(r *changesRun) {
 	time.Sleep(s.at.duration())
-	reconnect := r.cluster.SeparateServers(s.server, s.and)
+	reconnect := r.cluster.SeparateServers(r.resolve(s.server), r.resolve(s.and))
 	time.Sleep(s.lasts.duration())
 	reconnect()
 }
@@ -80,19 +88,20 @@
 
 func (s split) run(r *changesRun) {
 	time.Sleep(s.at.duration())
+	server := r.resolve(s.server)
 	var others []group.ServerID
 	var ends []func()
 	for _, e := range r.cluster.ServerEntries() {
-		if e.ID != s.server {
+		if e.ID != server {
 			others = append(others, e.ID)
-			ends = append(ends, r.cluster.SeparateServers(s.server, e.ID))
+			ends = append(ends, r.cluster.SeparateServers(server, e.ID))
 		}
 	}
 	for h := range r.hosts {
 		if slices.Contains(s.beside, h) {
 			ends = append(ends, r.cut(h, others, s.store))
 		} else {
-			ends = append(ends, r.cut(h, []group.ServerID{s.server}, false))
+			ends = append(ends, r.cut(h, []group.ServerID{server}, false))
 		}
 	}
 	time.Sleep(s.lasts.duration())
@@ -109,7 +118,7 @@
 
 func (s crash) run(r *changesRun) {
 	time.Sleep(s.at.duration())
-	server := r.cluster.Server(s.server)
+	server := r.server(s.server)
 	if server == nil {
 		return
 	}
@@ -129,7 +138,7 @@
 
 func (s rebirth) run(r *changesRun) {
 	time.Sleep(s.at.duration())
-	server := r.cluster.Server(s.server)
+	server := r.server(s.server)
 	if server == nil {
 		return
 	}
@@ -150,7 +159,7 @@
 
 func (s reset) run(r *changesRun) {
 	time.Sleep(s.at.duration())
-	server := r.cluster.Server(s.server)
+	server := r.server(s.server)
 	if server == nil {
 		return
 	}
@@ -181,7 +190,7 @@
 
 func (s leave) run(r *changesRun) {
 	time.Sleep(s.at.duration())
-	server := r.cluster.Server(s.server)
+	server := r.server(s.server)
 	if server == nil {
 		return
 	}
@@ -198,7 +207,7 @@
 
 func (s unlist) run(r *changesRun) {
 	time.Sleep(s.at.duration())
-	server := r.cluster.Server(s.server)
+	server := r.server(s.server)
 	if server == nil {
 		return
 	}
@@ -253,6 +262,61 @@
 	r.cluster.LosePromotionAnswers(0)
 }
 
+// replaceAll replaces the servers that are listed, one after the other. For each, a new one
+// starts, which the store lists after a time, and the old one leaves and ends after a time.
+type replaceAll struct{ at, every, listing, lasts ms }
+
+func (s replaceAll) run(r *changesRun) {
+	time.Sleep(s.at.duration())
+	var wait sync.WaitGroup
+	for _, old := range r.cluster.ServerEntries() {
+		wait.Go(func() { replacement{0, s.lasts, old.ID, s.listing}.run(r) })
+		time.Sleep(s.every.duration())
+	}
+	wait.Wait()
+}
+
+// replacement replaces one server.
+type replacement struct {
+	at, lasts ms
+	server    group.ServerID
+	listing   ms
+}
+
+func (s replacement) run(r *changesRun) {
+	time.Sleep(s.at.duration())
+	if r.server(s.server) == nil {
+		return
+	}
+	r.startReplacement(s.listing.duration())
+	leave{0, s.lasts, s.server}.run(r)
+}
+
+// lateCalls are calls that get no answer and are carried out late: a share of them in
+// percent, each after a delay drawn in a range.
+type lateCalls struct {
+	at, lasts     ms
+	least, most   ms
+	percent, seed int
+}
+
+func (s lateCalls) run(delay func(replicated.LateCalls) (end func())) {
+	time.Sleep(s.at.duration())
+	end := delay(replicated.LateCalls{Least: s.least.duration(), Most: s.most.duration(), Percent: s.percent, Seed: uint64(s.seed)})
+	time.Sleep(s.lasts.duration())
+	end()
+}
+
+// latePromotions makes the platform carry out promotions late.
+type latePromotions struct{ lateCalls }
+
+func (s latePromotions) run(r *changesRun) { s.lateCalls.run(r.cluster.DelayPromotions) }
+
+// lateCommands makes servers carry out Suspend, Resume and Demote late.
+type lateCommands struct{ lateCalls }
+
+func (s lateCommands) run(r *changesRun) { s.lateCalls.run(r.cluster.DelayCommands) }
+
 var (
 	_ step = hostCut{}
 	_ step = serverCut{}
@@ -267,4 +331,8 @@
 	_ step = storeLosesAnswers{}
 	_ step = lateUpdates{}
 	_ step = lateOrders{}
+	_ step = replaceAll{}
+	_ step = replacement{}
+	_ step = latePromotions{}
+	_ step = lateCommands{}
 )
--- a/standin/replicated/server.go
+++ b/standin/replicated/server.go
@@ -1,6 +1,10 @@
 package replicated
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"basilmill/core/catalog"
@@ -319,3 +323,26 @@
 	}
 	return exchange.Answer{Status: s.status(), Position: s.position(s.appliedCount)}
 }
+
+// States describes the servers, without the ends of their logs. The primary is marked by an
+// asterisk, a server that is down by an exclamation mark.
+func (c *Cluster) States() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var states []string
+	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
+		s := c.servers[id]
+		state := fmt.Sprintf("%s term %d", id, s.term)
+		if s.primary {
+			state += "*"
+		}
+		if !s.up {
+			state += "!"
+		}
+		if s.suspendedTerm != 0 {
+			state += fmt.Sprintf(" suspended for %d", s.suspendedTerm)
+		}
+		states = append(states, state)
+	}
+	return strings.Join(states, ", ")
+}
