e2e/replicated: failing schedules with orders that are carried out late

Callers saw successful writes missing at the server promoted last. An order that gets no answer is repeated; the copies, and the orders of an attempt that gave up without an answer, can be carried out until an order with a higher epoch reaches the platform.

- a copy of an order is carried out after its server led and was demoted, before the order of the attempt that demoted it;
- an attempt ends without an answer, the next one claims and orders the primary that is back, and the order of the former is carried out before that of the latter;
- the same after the later attempt has demoted the primary.

In each, the server that the late order promotes leads for a second or more, a witness (a former primary, or a replica) confirms its commits, and the server that is promoted next is cut off from it.

--- a/e2e/replicated/recorded_test.go
+++ b/e2e/replicated/recorded_test.go
@@ -8,7 +8,7 @@
 )
 
 // recordedSchedules are schedules that lost successful writes, by what confirmed the
-// writes.
+// writes, or by the order that was carried out late.
 var recordedSchedules = map[string]schedule{
 	"unlisted server": {hosts: 2, promotionDelay: 300, steps: []step{
 		start{at: 0, server: "d", listing: 10_000},
@@ -57,6 +57,26 @@
 		crash{at: 0, lasts: 600, server: "a"},
 		rebirth{at: 700, lasts: 50, server: "c", as: "r"},
 	}},
+	"late copy of an order whose server was demoted": {hosts: 1, promotionDelay: 300, duration: 8000, steps: []step{
+		latePromotions{lateCalls{at: 0, lasts: 8000, least: 2500, most: 2500, percent: 100}},
+		leave{at: 100, lasts: 9000, server: "a"},
+		leave{at: 3200, lasts: 9000, server: "b"},
+		serverCut{at: 3800, lasts: 4000, server: "b", and: "c"},
+	}},
+	"late order beside an order of the next attempt": {hosts: 1, promotionDelay: 300, duration: 8000, steps: []step{
+		latePromotions{lateCalls{at: 0, lasts: 8000, least: 3300, most: 3300, percent: 100}},
+		crash{at: 100, lasts: 1500, server: "a"},
+		serverCut{at: 2000, lasts: 6000, server: "a", and: "b"},
+	}},
+	"late order after the next attempt has demoted": {hosts: 1, promotionDelay: 300, duration: 13_000, steps: []step{
+		start{at: 0, server: "d"},
+		latePromotions{lateCalls{at: 0, lasts: 3200, least: 2500, most: 2500, percent: 100}},
+		latePromotions{lateCalls{at: 3200, lasts: 10_000, least: 5000, most: 5000, percent: 100}},
+		leave{at: 100, lasts: 13_000, server: "a"},
+		leave{at: 3200, lasts: 13_000, server: "b"},
+		leave{at: 5000, lasts: 13_000, server: "c"},
+		serverCut{at: 7500, lasts: 6000, server: "c", and: "d"},
+	}},
 }
 
 // Guards against the loss of successful writes in schedules that were generated earlier.
