--- /dev/null
+++ b/e2e/replicated/recorded_test.go
@@ -0,0 +1,92 @@
+package replicated_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// recordedSchedules are schedules that lost successful writes, by what confirmed the
+// writes, or by the order that was carried out late.
+var recordedSchedules = map[string]schedule{
+	"unlisted server": {hosts: 2, promotionDelay: 300, steps: []step{
+		start{at: 0, server: "d", listing: 10_000},
+		split{at: 0, lasts: 2550, server: "a", beside: []int{1}},
+	}},
+	"server listed after the order": {hosts: 2, promotionDelay: 1000, steps: []step{
+		split{at: 0, lasts: 5000, server: "a", beside: []int{1}},
+		start{at: 1700, server: "d"},
+	}},
+	"unlisted server beside a reborn primary": {hosts: 2, promotionDelay: 600, steps: []step{
+		start{at: 0, server: "d", listing: 10_000},
+		rebirth{at: 250, lasts: 150, server: "a", as: "r", listing: 550},
+	}},
+	"unlisted server beside a restarted primary": {hosts: 2, promotionDelay: 1000, steps: []step{
+		crash{at: 0, lasts: 600, server: "a"},
+		start{at: 150, server: "d", listing: 10_000},
+	}},
+	"restarted replica": {hosts: 2, promotionDelay: 1000, steps: []step{
+		split{at: 0, lasts: 1700, server: "a", beside: []int{1}},
+		crash{at: 1750, lasts: 50, server: "c"},
+	}},
+	"leaving replica": {hosts: 2, promotionDelay: 300, steps: []step{
+		crash{at: 100, lasts: 2600, server: "b"},
+		leave{at: 50, lasts: 1050, server: "c"},
+		crash{at: 1750, lasts: 1650, server: "a"},
+	}},
+	"restarted witness": {hosts: 2, promotionDelay: 300, steps: []step{
+		crash{at: 250, lasts: 450, server: "a"},
+		crash{at: 700, lasts: 50, server: "c"},
+	}},
+	"reset witness": {hosts: 2, promotionDelay: 1000, steps: []step{
+		crash{at: 250, lasts: 600, server: "a"},
+		reset{at: 900, lasts: 50, server: "c"},
+	}},
+	"reset replica beside a crashed primary": {hosts: 2, promotionDelay: 300, steps: []step{
+		serverCut{at: 0, lasts: 3000, server: "a", and: "b"},
+		reset{at: 650, lasts: 50, server: "c"},
+		crash{at: 650, lasts: 1000, server: "a"},
+	}},
+	"order repeated after it took effect": {hosts: 2, promotionDelay: 300, steps: []step{
+		crash{at: 0, lasts: 3000, server: "a"},
+		lateOrders{at: 0, lasts: 3000, delay: 100},
+		reset{at: 1400, lasts: 50, server: "b"},
+	}},
+	"reborn replica": {hosts: 2, promotionDelay: 1000, steps: []step{
+		crash{at: 0, lasts: 600, server: "a"},
+		rebirth{at: 700, lasts: 50, server: "c", as: "r"},
+	}},
+	"late copy of an order whose server was demoted": {hosts: 1, promotionDelay: 300, duration: 8000, steps: []step{
+		latePromotions{lateCalls{at: 0, lasts: 8000, least: 2500, most: 2500, percent: 100}},
+		leave{at: 100, lasts: 9000, server: "a"},
+		leave{at: 3200, lasts: 9000, server: "b"},
+		serverCut{at: 3800, lasts: 4000, server: "b", and: "c"},
+	}},
+	"late order beside an order of the next attempt": {hosts: 1, promotionDelay: 300, duration: 8000, steps: []step{
+		latePromotions{lateCalls{at: 0, lasts: 8000, least: 3300, most: 3300, percent: 100}},
+		crash{at: 100, lasts: 1500, server: "a"},
+		serverCut{at: 2000, lasts: 6000, server: "a", and: "b"},
+	}},
+	"late order after the next attempt has demoted": {hosts: 1, promotionDelay: 300, duration: 13_000, steps: []step{
+		start{at: 0, server: "d"},
+		latePromotions{lateCalls{at: 0, lasts: 3200, least: 2500, most: 2500, percent: 100}},
+		latePromotions{lateCalls{at: 3200, lasts: 10_000, least: 5000, most: 5000, percent: 100}},
+		leave{at: 100, lasts: 13_000, server: "a"},
+		leave{at: 3200, lasts: 13_000, server: "b"},
+		leave{at: 5000, lasts: 13_000, server: "c"},
+		serverCut{at: 7500, lasts: 6000, server: "c", and: "d"},
+	}},
+}
+
+// Guards against the loss of successful writes in schedules that were generated earlier.
+func TestPromisesUnderRecordedSchedules(t *testing.T) {
+	for name, s := range recordedSchedules {
+		t.Run(name, func(t *testing.T) {
+			for range recordedRuns {
+				violations := runSchedule(t, s)
+				assert.Equal(t, len(violations), 0, "%s", strings.Join(descriptions(violations), "\n"))
+			}
+		})
+	}
+}
--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -105,6 +105,8 @@
 	// lostPromotionDelay is not 0 while the platform loses the answers to
 	// promotions. A promotion is then carried out after this delay.
 	lostPromotionDelay time.Duration
+	latePromotions     lateFaults
+	lateCommands       lateFaults
 	refusedConnections int
 
 	record takeover.Record
@@ -469,10 +471,7 @@
 	if err := sleep(ctx, NetDelay); err != nil {
 		return err
 	}
-	c.mu.Lock()
-	delay := c.lostPromotionDelay
-	c.mu.Unlock()
-	if delay > 0 {
+	if delay, late := c.promotionDelay(); late {
 		time.AfterFunc(delay, func() { _ = c.orderPromotion(id, holder, epoch) })
 		<-ctx.Done()
 		return errNoAnswer
@@ -512,8 +511,8 @@
 
 // promote makes the server the primary of the next term. Commits that the server
 // has not received are dropped from all servers. Dropping an acknowledged one is
-// a violation. The server must not have lost its log since the order, in the given boot,
-// because no order can prevent that.
+// a violation. Suspensions for a term above the new one remain. The server must not have
+// lost its log since the order, in the given boot, because no order can prevent that.
 func (c *Cluster) promote(s *Server, boot int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -530,7 +529,9 @@
 	c.term++
 	for _, other := range c.servers {
 		other.primary = false
-		other.suspendedTerm = 0
+		if other.suspendedTerm <= c.term {
+			other.suspendedTerm = 0
+		}
 		if len(other.log) > len(s.log) {
 			other.log = slices.Clone(other.log[:len(s.log)])
 			other.appliedCount = min(other.appliedCount, len(other.log))
@@ -538,6 +539,7 @@
 	}
 	s.primary = true
 	s.term = c.term
+	s.suspendedTerm = 0
 	s.appliedCount = len(s.log)
 	c.notify()
 }
