takeover: suspend replicas for the term of the next primary

Callers saw writes in doubt for seconds after a change of primary that followed one which was given up: the replicas stayed suspended under the new primary until an audit had resumed them.

Cause: the term of a suspension was one above the highest term that any server stated, with the terms of earlier suspensions.

The term is now one above the highest term that a primary has led.

--- a/core/takeover/command.go
+++ b/core/takeover/command.go
@@ -90,10 +90,13 @@
 	return "", false
 }
 
+// highestTerm returns the highest term that a server has seen a primary in. Suspensions of
+// earlier attempts don't count: the next promotion ends only suspensions for its term or a
+// lower one.
 func highestTerm(answers []serverStatus) group.Term {
 	var highest group.Term
 	for _, a := range answers {
-		highest = max(highest, a.status.Term, a.status.SuspendedTerm, a.status.ReceivedPosition.Term)
+		highest = max(highest, a.status.Term, a.status.ReceivedPosition.Term)
 	}
 	return highest
 }
--- a/standin/replicated/server.go
+++ b/standin/replicated/server.go
@@ -310,7 +310,7 @@
 	switch statement.Operation {
 	case exchange.Suspend:
 		if !s.primary && statement.Term > s.cluster.term {
-			s.suspendedTerm = max(s.suspendedTerm, statement.Term)
+			s.suspendedTerm = statement.Term
 		}
 	case exchange.Resume:
 		s.suspendedTerm = 0
