takeover: one server at most has an order that can still take effect

Cause: the platform refuses an order only once it has seen a higher epoch, and the claim of an attempt in the store does not reach it. An order without an answer is carried out seconds later, in the middle of a later attempt that has chosen another server: the first one leads, its commits are confirmed, and the later order drops them. An attempt whose server led recorded the promotion as settled while copies of its order were under way, so that the next change demoted that server and a copy promoted it again. To fence by ordering the present primary, as was done before replicas were resumed, only added an order that could be carried out after another server had taken over.

Change: each call to the platform has an epoch of its own, so that an answer ends all calls before it. An attempt that finds a promotion pending orders the same server again, or settles it first: it calls the platform for an id that no server has, which changes nothing whenever it is carried out, until one call is answered, and waits until an order that was carried out before would have taken effect. The record keeps the promotion pending until then. The holder renews its lease before it repeats calls.

Why it works: whoever may lead next is the present primary or the one pending server, so that the set of servers that decide does not change between the choice and its effect.

Ruled out: one more list or status query before the order, which leaves the time until its effect open; keeping replicas suspended for a higher term, which a promotion does not end, because the next primary would lack replicas too.

Two tests changed with it: an order is repeated under 1, 2, 3 in place of 1, 1, 1, and a leftover suspension is ended by a fence in place of an order of the present primary. The two tests of replicas that stay suspended leave the fence unanswered now; with an answer nothing is pending.

--- a/core/takeover/lost_test.go
+++ b/core/takeover/lost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -66,14 +67,15 @@
 	for name, wait := range map[string]time.Duration{"soon": takeover.LeaseTTL, "later": time.Minute} {
 		t.Run(name, func(t *testing.T) {
 			f := newFakeCluster()
-			f.refusedPromotions = 1
+			f.refusedPromotions, f.unansweredFences = 1, 100
 			_, err := runAttempt(t, f, takeover.PrimaryGone, func(r *takeover.Runner) {
 				r.Eras = &distribution.Eras{}
 				r.Eras.Note(1)
 				r.Eras.Note(2)
 				time.Sleep(wait)
 			})
-			assert.ErrorIs(t, err, takeover.ErrRefused)
+			assert.Equal(t, errors.Is(err, takeover.ErrSuspensionsRemain), name == "soon")
+			assert.Equal(t, errors.Is(err, takeover.ErrRefused), name == "later")
 			assert.Equal(t, len(f.resumed) > 0, name == "later")
 		})
 	}
--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -31,30 +31,38 @@
 		}
 	}
 	a.reportStep(Step{Name: "leads", Server: server.ID, Epoch: a.record.Epoch})
+	if err := a.settle(ctx); err != nil {
+		// The next attempt settles it.
+		a.reportStep(Step{Name: "left pending", Server: server.ID, Epoch: a.record.Epoch, Err: err})
+		return server.ID, nil
+	}
 	a.recordPromotionAnswered(ctx)
 	return server.ID, nil
 }
 
 // orderPromotion orders the promotion of a server. It repeats the order until the
-// platform answers, because an order without an answer may be carried out later.
+// platform answers or the server leads. Orders without an answer stay pending also then:
+// they would promote the server again after the next change.
 func (a *attempt) orderPromotion(ctx context.Context, candidate serverStatus) (err error) {
 	a.promotionOrdered = true
 	for range maxPromotionTries {
-		err = a.orderPromotionOnce(ctx, candidate)
+		if err = a.renewLease(ctx); err == nil {
+			err = a.orderPromotionOnce(ctx, candidate)
+		}
 		switch {
 		case err == nil:
-			a.promotionPending = false
 			return nil
 		case errors.Is(err, ErrRefused):
 			a.promotionOrdered = a.promotionPending
 			return err
+		case errors.Is(err, ErrConflict):
+			return err
 		}
 		a.promotionPending = true
 		if ctx.Err() != nil {
 			return err
 		}
 		if candidate.status.Role == exchange.Replica && a.leads(ctx, candidate.server) {
-			a.promotionPending = false
 			return nil
 		}
 	}
@@ -70,18 +78,20 @@
 }
 
 func (a *attempt) orderPromotionOnce(ctx context.Context, candidate serverStatus) error {
+	epoch, err := a.nextEpoch()
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, platformCallTimeout)
 	defer cancel()
-	err := a.Promotions.Promote(ctx, a.Group, candidate.server.ID, a.Self, a.record.Epoch)
-	a.reportStep(Step{Name: "ordered", Server: candidate.server.ID, Epoch: a.record.Epoch, Status: candidate.status, Err: err})
+	err = a.Promotions.Promote(ctx, a.Group, candidate.server.ID, a.Self, epoch)
+	a.reportStep(Step{Name: "ordered", Server: candidate.server.ID, Epoch: epoch, Status: candidate.status, Err: err})
 	return err
 }
 
-// endLeftoverSuspensions resumes replicas that an unfinished attempt left
-// suspended while the primary is active. A promotion of that attempt may be
-// pending. Ordering the promotion of the current primary under a higher epoch
-// changes nothing and makes the platform refuse the pending one. The platform may have
-// accepted that before, so that the replicas stay suspended until it would have taken effect.
+// endLeftoverSuspensions resumes replicas that an unfinished attempt left suspended while
+// the primary is active. They stay suspended until no promotion of that attempt can take
+// effect any more.
 func (a *attempt) endLeftoverSuspensions(ctx context.Context) (group.ServerID, error) {
 	status, err := a.primaryStatus(ctx)
 	if err != nil {
@@ -90,13 +100,7 @@
 	if err := a.claim(ctx, status.ReceivedPosition); err != nil {
 		return "", err
 	}
-	if err := a.orderPromotion(ctx, serverStatus{a.Primary, status}); err != nil {
-		return "", err
-	}
-	if err := sleep(ctx, promotionDelay); err != nil {
-		return "", err
-	}
-	if _, err := a.primaryStatus(ctx); err != nil {
+	if err := a.settlePrimary(ctx, &status); err != nil {
 		return "", err
 	}
 	a.suspendedServers = a.otherMembers()
--- a/core/takeover/reachable.go
+++ b/core/takeover/reachable.go
@@ -31,6 +31,9 @@
 	if err := a.claim(ctx, highestPosition); err != nil {
 		return "", err
 	}
+	if err := a.settlePrimary(ctx, &status); err != nil {
+		return "", err
+	}
 	if _, err := a.addListedMembers(ctx); err != nil {
 		return "", err
 	}
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -29,10 +29,8 @@
 	if err := a.checkDepartures(highestPosition); err != nil {
 		return err
 	}
-	a.requiredPosition = current.Base()
-	if received := a.received.since(current.Base()); received.Compare(a.requiredPosition) > 0 {
-		a.requiredPosition = received
-	}
+	a.claimedBase = current.Base()
+	a.requiredPosition = a.lowestPosition(current)
 	if highestPosition.Compare(a.requiredPosition) < 0 {
 		return eris.Wrapf(ErrLogIncomplete, "highest position %v is below %v, which a replica had received", highestPosition, a.requiredPosition)
 	}
@@ -44,11 +42,21 @@
 	if err := a.updateRecord(ctx, next); err != nil {
 		return err
 	}
-	a.promotionPending = current.PromotionPending || a.mayHaveLostPromotion(current)
+	a.candidateUnknown = a.mayHaveLostPromotion(current)
+	a.promotionPending = current.PromotionPending || a.candidateUnknown
 	a.reportStep(Step{Name: "claimed", Epoch: a.record.Epoch})
 	return nil
 }
 
+// lowestPosition returns the lowest position that a server must have reached to be
+// promoted: what the record demands, and what replicas were seen to have received since.
+func (a *attempt) lowestPosition(record Record) group.Position {
+	if received := a.received.since(a.claimedBase); received.Compare(record.Base()) > 0 {
+		return received
+	}
+	return record.Base()
+}
+
 // checkDepartures fails with ErrLogIncomplete if a server at the position may lack
 // commits that a departed server confirmed. A primary that answers holds them; one that
 // does not answer may never return, and only a departure that this host has seen counts.
@@ -68,6 +76,7 @@
 func (a *attempt) updateRecord(ctx context.Context, next Record) (err error) {
 	next.UpdateID = a.NewUpdateID()
 	next.Updates++
+	sentAt := time.Now()
 	for range maxUpdateTries {
 		var stored Record
 		stored, err = a.storeRecord(ctx, a.Group, next)
@@ -76,7 +85,7 @@
 		}
 		if err == nil {
 			a.NoteRecord(stored)
-			a.record = stored
+			a.record, a.renewedAt = stored, sentAt
 			return nil
 		}
 		if errors.Is(err, ErrConflict) {
@@ -86,6 +95,19 @@
 	return err
 }
 
+// renewLease updates the record if the last update is some time ago, because other hosts
+// count the lease from there. It fails if another host has claimed the record or may have.
+func (a *attempt) renewLease(ctx context.Context) error {
+	if time.Since(a.renewedAt) < leaseRenewInterval {
+		return nil
+	}
+	err := a.updateRecord(ctx, a.record)
+	if err != nil && !errors.Is(err, ErrConflict) && time.Since(a.renewedAt) < LeaseTTL {
+		return nil
+	}
+	return eris.Wrap(err, "renew the lease")
+}
+
 // resolveUpdate finds out the outcome of an update without an answer. It returns
 // the record if the update was applied. It fails with ErrConflict if another
 // host changed the record, and with cause, the error of the update, if the
@@ -126,7 +148,7 @@
 	next := a.record
 	// A promotion that is still pending may take effect before the order.
 	next.BasePosition, next.CandidatePosition = next.Base(), candidate.status.ReceivedPosition
-	next.PromotionPending, next.Candidate = true, candidate.server.ID
+	next.PromotionPending, next.Candidate, next.CandidateTerm = true, candidate.server.ID, candidate.status.Term
 	return eris.Wrap(a.updateRecord(ctx, next), "record the end of the log")
 }
 
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -10,13 +10,19 @@
 // is reachable, it is demoted first, and a replica that has reached its position
 // holds its whole log.
 //
-// Each attempt has an epoch, a number that it claims by a conditional update of
-// the group's record in the platform's store. The platform refuses a promotion
-// with a lower epoch than it has seen, so that one that arrives late changes
-// nothing. The record also holds the end of the log that the last primary
-// started from, because a server that has not reached it may lack commits
-// acknowledged under earlier primaries, and whether a promotion may be pending:
-// ordered from the platform without a recorded answer.
+// Each attempt has epochs, numbers that it claims by a conditional update of the
+// group's record in the platform's store. The platform refuses a promotion with a
+// lower epoch than it has seen. The record also holds the end of the log that the
+// last primary started from, because a server that has not reached it may lack
+// commits acknowledged under earlier primaries, and whether a promotion may be
+// pending: ordered from the platform without a recorded answer.
+//
+// A claim does not reach the platform. An order without an answer may be carried
+// out until the platform has seen a higher epoch, and makes its server the primary,
+// whose commits are then acknowledged. At most one server may therefore have an
+// order that can still take effect: an attempt that finds a promotion pending either
+// orders the same server again or fences the orders of earlier epochs before it stops
+// the primary or orders another server.
 package takeover
 
 import (
@@ -37,6 +43,7 @@
 // Record describes the last attempt to change the primary of a group. It is kept
 // in the platform's store. Holder is the host that made the attempt.
 type Record struct {
+	// Epoch is the last epoch that the attempt has claimed.
 	Epoch  Epoch
 	Holder host.ID
 	// UpdateID identifies the update that wrote the record, so that a host
@@ -49,10 +56,11 @@
 	// PromotionPending is set while a promotion may be pending: the order for
 	// it was sent or is about to be, and no answer is recorded.
 	PromotionPending bool
-	// Candidate is the server whose promotion was ordered last, and CandidatePosition the
-	// end of its log then.
+	// Candidate is the server whose promotion was ordered last, CandidatePosition the end
+	// of its log and CandidateTerm its term then.
 	Candidate         group.ServerID
 	CandidatePosition group.Position
+	CandidateTerm     group.Term
 	// Ended is set once the attempt has ended, so that it orders no further promotion and
 	// none that it has ordered is pending.
 	Ended bool
@@ -105,6 +113,10 @@
 	// Promote returns nil if the platform accepted the order and ErrRefused if
 	// it refused it. After any other error the platform may still carry it out.
 	Promote(ctx context.Context, id group.ID, server group.ServerID, holder host.ID, epoch Epoch) error
+	// Fence makes the platform refuse orders of lower epochs for the group, and changes
+	// nothing else, whenever it is carried out. It returns nil once the platform has
+	// answered, so that it has seen this epoch or a higher one.
+	Fence(ctx context.Context, id group.ID, holder host.ID, epoch Epoch) error
 }
 
 // Errors that end an attempt without a change of primary.
@@ -123,6 +135,9 @@
 	// LeaseTTL is how long after one host's attempt no other host may make one:
 	// the 3 s that the platform demands between two holders, plus timer drift.
 	LeaseTTL = 3200 * time.Millisecond
+	// leaseRenewInterval is the age of the last update of the record from which on the
+	// holder renews its lease before it calls the platform again.
+	leaseRenewInterval = time.Second
 	// commandTimeout bounds one command: several round trips between regions.
 	commandTimeout = 400 * time.Millisecond
 	// statusRetryTimeout and changeRetryTimeout bound a status query and a
@@ -158,6 +173,10 @@
 	// maxPromotionTries bounds how often a promotion is ordered while no answer
 	// comes.
 	maxPromotionTries = 4
+	// fenceTimeout bounds the wait for an answer to a fence, and fenceInterval is the
+	// time after which the call is repeated beside those without an answer.
+	fenceTimeout  = 2500 * time.Millisecond
+	fenceInterval = 150 * time.Millisecond
 	// platformCallTimeout bounds one order of a promotion, or one list of the
 	// servers together with the status queries to those that it adds.
 	platformCallTimeout = 700 * time.Millisecond
@@ -259,13 +278,20 @@
 	Request
 	record           Record
 	suspendedServers []catalog.Server
+	// calls counts the epochs that the attempt has used for calls to the platform.
+	calls Epoch
 	// promotionPending is set while a promotion without an answer, ordered by
 	// this attempt or an earlier one, may still be carried out.
 	promotionPending bool
+	// candidateUnknown is set if the store may have lost which server is to be promoted.
+	candidateUnknown bool
 	// promotionOrdered is set while a promotion that this attempt ordered was not refused.
 	promotionOrdered bool
-	// claimedAt is when the update that claimed the record was about to be sent.
-	claimedAt time.Time
+	// claimedAt is when the update that claimed the record was about to be sent, and
+	// renewedAt the same of the last update.
+	claimedAt, renewedAt time.Time
+	// claimedBase is the base position of the record that was claimed.
+	claimedBase group.Position
 	// requiredPosition is the lowest position that a server must have reached to be
 	// promoted.
 	requiredPosition group.Position
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -32,6 +32,8 @@
 	orderedEpochs            []takeover.Epoch
 	refusedPromotions        int
 	unansweredPromotions     int
+	fencedEpochs             []takeover.Epoch
+	unansweredFences         int
 	resumed                  []group.ServerID
 	listedServers            []catalog.Server
 	primary                  group.ServerID
@@ -101,6 +103,17 @@
 	return nil
 }
 
+func (f *fakeCluster) Fence(_ context.Context, _ group.ID, _ host.ID, epoch takeover.Epoch) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unansweredFences > 0 {
+		f.unansweredFences--
+		return errors.New("no answer")
+	}
+	f.fencedEpochs = append(f.fencedEpochs, epoch)
+	return nil
+}
+
 // replicaAt returns the status of a replica at an offset of term 1.
 func replicaAt(offset group.Offset) exchange.ServerStatus {
 	return exchange.ServerStatus{Role: exchange.Replica, Term: 1, ReceivedPosition: group.Position{Term: 1, Offset: offset}}
@@ -275,14 +288,15 @@
 	}
 }
 
-// An order without an answer may be carried out later, so that it must be
-// repeated under the same epoch until the platform answers.
+// An order without an answer may be carried out later, so that it must be repeated until
+// the platform answers, each time under a higher epoch of the same claim: the answer then
+// shows that the platform refuses those before.
 func TestOrderIsRepeatedUntilAnswered(t *testing.T) {
 	f := newFakeCluster()
 	f.unansweredPromotions = 2
 	_, err := runAttempt(t, f, takeover.PrimaryGone, nil)
 	assert.NilError(t, err)
-	assert.DeepEqual(t, f.orderedEpochs, []takeover.Epoch{1, 1, 1})
+	assert.DeepEqual(t, f.orderedEpochs, []takeover.Epoch{1, 2, 3})
 }
 
 // After the platform refused an epoch, the order must not be repeated under it,
@@ -298,7 +312,7 @@
 
 // While a promotion may be pending, replicas must stay suspended: the server that
 // it names would lack commits that they confirm. A later attempt resumes them
-// after it has ordered the promotion of the current primary under a higher epoch.
+// after it has fenced the orders of lower epochs.
 func TestOutstandingOrderKeepsServersSuspended(t *testing.T) {
 	f := newFakeCluster()
 	f.unansweredPromotions = 4
@@ -311,7 +325,8 @@
 	server, err := runAttempt(t, f, takeover.ReplicasSuspended, nil)
 	assert.NilError(t, err)
 	assert.Equal(t, server, group.ServerID("a"))
-	assert.DeepEqual(t, f.orderedEpochs, []takeover.Epoch{1, 1, 1, 1, 2})
+	assert.DeepEqual(t, f.orderedEpochs, []takeover.Epoch{1, 2, 3, 4})
+	assert.DeepEqual(t, f.fencedEpochs, []takeover.Epoch{17})
 	assert.Equal(t, len(f.resumed), 2)
 	assert.Assert(t, !f.record.PromotionPending)
 }
@@ -321,10 +336,53 @@
 func TestPendingPromotionOfEarlierAttemptKeepsServersSuspended(t *testing.T) {
 	f := newFakeCluster()
 	f.record = takeover.Record{Epoch: 4, Holder: "h1", PromotionPending: true, Version: 4}
-	f.refusedPromotions = 1
+	f.unansweredFences = 100
 	_, err := runAttempt(t, f, takeover.PrimaryGone, nil)
 	assert.Assert(t, errors.Is(err, takeover.ErrSuspensionsRemain))
 	assert.Equal(t, len(f.resumed), 0)
+	assert.Equal(t, len(f.orderedEpochs), 0)
+	assert.Assert(t, f.record.PromotionPending)
+}
+
+// Guards against an order for one server while an order for another may still be carried
+// out.
+func TestPendingPromotionOfAnotherServerIsFencedBeforeTheOrder(t *testing.T) {
+	for _, cause := range []takeover.Cause{takeover.PrimaryGone, takeover.PrimaryLeaving} {
+		f := newFakeCluster()
+		f.record = takeover.Record{Epoch: 4, Holder: "h1", PromotionPending: true, Candidate: "b", CandidatePosition: group.Position{Term: 1, Offset: 8}, CandidateTerm: 1, Version: 4}
+		f.statuses["c"] = replicaAt(10)
+		server, err := runAttempt(t, f, cause, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, server, group.ServerID("c"))
+		assert.DeepEqual(t, f.fencedEpochs, []takeover.Epoch{5})
+		assert.DeepEqual(t, f.orderedEpochs, []takeover.Epoch{6})
+	}
+}
+
+// Guards against a group without a primary while the platform leaves calls unanswered: to
+// order the pending server again needs no answer.
+func TestPendingPromotionIsRepeatedForTheSameServer(t *testing.T) {
+	f := newFakeCluster()
+	f.record = takeover.Record{Epoch: 4, Holder: "h1", PromotionPending: true, Candidate: "b", CandidatePosition: group.Position{Term: 1, Offset: 9}, CandidateTerm: 1, Version: 4}
+	f.statuses["b"] = replicaAt(9)
+	f.unansweredFences = 100
+	server, err := runAttempt(t, f, takeover.PrimaryGone, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, server, group.ServerID("b"))
+	assert.DeepEqual(t, f.orderedEpochs, []takeover.Epoch{5})
+	assert.Assert(t, f.record.PromotionPending)
+}
+
+// Guards against copies of an order that promote its server again after the next change.
+func TestPromotionWithUnansweredOrdersStaysPendingUntilFenced(t *testing.T) {
+	for _, unanswered := range []int{0, 100} {
+		f := newFakeCluster()
+		f.unansweredPromotions, f.unansweredFences = 1, unanswered
+		_, err := runAttempt(t, f, takeover.PrimaryGone, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, f.record.PromotionPending, unanswered > 0)
+		assert.Equal(t, f.record.Ended, unanswered == 0)
+	}
 }
 
 // A leaving primary must be replaced by a replica that holds its whole log.
--- a/core/takeover/unreachable.go
+++ b/core/takeover/unreachable.go
@@ -46,6 +46,9 @@
 	if err == nil {
 		final, err = a.suspendLateMembers(ctx, final, term)
 	}
+	if err == nil {
+		final, err = a.settleUnlessRepeated(ctx, final)
+	}
 	var candidate serverStatus
 	if err == nil {
 		candidate, err = a.chooseSuspended(final)
@@ -86,19 +89,18 @@
 	}
 }
 
-// chooseSuspended returns the suspended server with the highest position, or the one whose
-// promotion is pending if that holds all acknowledged commits: it may lead at any moment, and
-// what is acknowledged to callers then must not be dropped. It fails with ErrLogIncomplete if
-// there is none.
+// chooseSuspended returns the suspended server with the highest position, and among these
+// the one whose promotion is pending. It fails with ErrLogIncomplete if acknowledged commits
+// may lie beyond that position.
 func (a *attempt) chooseSuspended(final []serverStatus) (serverStatus, error) {
+	candidate := mostAdvanced(final)
 	if a.promotionPending {
-		for _, s := range final {
-			if s.server.ID == a.record.Candidate && s.status.ReceivedPosition.Compare(a.requiredPosition) >= 0 {
-				return s, nil
-			}
+		pending, ok := a.pendingCandidate(final)
+		if !ok {
+			return serverStatus{}, eris.Wrapf(ErrLogIncomplete, "the promotion of %s is pending", a.record.Candidate)
 		}
+		candidate = pending
 	}
-	candidate := mostAdvanced(final)
 	if candidate.status.ReceivedPosition.Compare(a.requiredPosition) < 0 {
 		return serverStatus{}, eris.Wrapf(ErrLogIncomplete, "highest position %v is below the required position %v", candidate.status.ReceivedPosition, a.requiredPosition)
 	}
--- a/e2e/replicated/latecopy_test.go
+++ b/e2e/replicated/latecopy_test.go
@@ -26,7 +26,7 @@
 }
 
 // replacePrimary makes an attempt to replace a primary that leaves.
-func replacePrimary(cluster *replicated.Cluster, h *entryHost, r *takeover.Runner, id group.ServerID) error {
+func replacePrimary(cluster *replicated.Cluster, r *takeover.Runner, id group.ServerID) error {
 	request := takeover.Request{Group: replicated.Group, Cause: takeover.PrimaryLeaving}
 	for _, s := range cluster.ServerEntries() {
 		s.Leaving = s.ID == id
@@ -61,7 +61,7 @@
 			written := make(chan []clientOperation, 1)
 			go func() { written <- recordWrites(h1, time.Now().Add(8*time.Second)) }()
 			time.AfterFunc(3*time.Second, func() { cluster.LosePromotionAnswers(0) })
-			err = replacePrimary(cluster, h1, runnerOf(cluster, h1), "a")
+			err = replacePrimary(cluster, runnerOf(cluster, h1), "a")
 			operations := <-written
 			stop(cluster, h1)
 			lost = lostSuccesses(cluster, operations)
@@ -90,12 +90,12 @@
 			for _, s := range cluster.ServerEntries() {
 				cluster.Server(s.ID).SetReplicationStopped(s.ID == "c" || s.ID == "d") // "b" is chosen
 			}
-			errs = append(errs, replacePrimary(cluster, h1, r, "a"))
+			errs = append(errs, replacePrimary(cluster, r, "a"))
 			for _, s := range cluster.ServerEntries() {
 				cluster.Server(s.ID).SetReplicationStopped(false)
 			}
 			time.Sleep(100 * time.Millisecond)
-			errs = append(errs, replacePrimary(cluster, h1, r, "b"))
+			errs = append(errs, replacePrimary(cluster, r, "b"))
 			operations := <-written
 			stop(cluster, h1)
 			lost = lostSuccesses(cluster, operations)
--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -482,6 +482,18 @@
 	return sleep(ctx, NetDelay)
 }
 
+// noServer is an id that no server has.
+const noServer group.ServerID = "none"
+
+// Fence implements takeover.PromotionService.
+func (c *Cluster) Fence(ctx context.Context, id group.ID, holder host.ID, epoch takeover.Epoch) error {
+	err := c.Promote(ctx, id, noServer, holder, epoch)
+	if errors.Is(err, takeover.ErrRefused) {
+		return nil
+	}
+	return err
+}
+
 // orderPromotion checks an order of a host to promote a server and schedules the
 // promotion.
 func (c *Cluster) orderPromotion(id group.ServerID, holder host.ID, epoch takeover.Epoch) error {
