takeover: repeat an order without an answer after 250 ms

Callers were refused for up to 6 s in the middle of a change of primary while the platform left most calls unanswered: an order was repeated four times, each after 0.7 s, because each copy was one more that could be carried out late.

An order waits for its answer for 250 ms and is made ten times. A platform that answers more slowly carries the order out all the same; the attempt sees the server lead.

--- a/core/lead/event.go
+++ b/core/lead/event.go
@@ -106,7 +106,7 @@
 		return
 	}
 	if !m.primaryKnown || m.primary.ID != server.ID {
-		m.log(logevent.PrimaryFound, slog.String("server", string(server.ID)), slog.Int64("term", int64(position.Term)),
+		m.log(logevent.PrimaryFound, slog.String("server", string(server.ID)), slog.Int64("term", int64(position.Term)), slog.String("position", position.String()),
 			slog.Duration("gap", m.config.Clock()-m.lostAt))
 		m.primary, m.primaryKnown = server, true
 		m.recordReadAt = m.config.Clock() + recordReadDelay
--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, platformCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, promotionCallTimeout)
 	defer cancel()
 	err = a.Promotions.Promote(ctx, a.Group, candidate.server.ID, a.Self, epoch)
 	a.reportStep(Step{Name: "ordered", Server: candidate.server.ID, Epoch: epoch, Status: candidate.status, Err: err})
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -170,15 +170,18 @@
 	promotionDelay = 2 * time.Second
 	// promotionPollInterval is the pause between two probes during that wait.
 	promotionPollInterval = 40 * time.Millisecond
+	// promotionCallTimeout bounds one order of a promotion: several times the 45 ms that
+	// an answer takes across regions. A later one still takes effect.
+	promotionCallTimeout = 250 * time.Millisecond
 	// maxPromotionTries bounds how often a promotion is ordered while no answer
 	// comes.
-	maxPromotionTries = 4
+	maxPromotionTries = 10
 	// fenceTimeout bounds the wait for an answer to a fence, and fenceInterval is the
 	// time after which the call is repeated beside those without an answer.
 	fenceTimeout  = 2500 * time.Millisecond
 	fenceInterval = 150 * time.Millisecond
-	// platformCallTimeout bounds one order of a promotion, or one list of the
-	// servers together with the status queries to those that it adds.
+	// platformCallTimeout bounds one list of the servers together with the status
+	// queries to those that it adds.
 	platformCallTimeout = 700 * time.Millisecond
 	// recordTimeout bounds one call that reads or writes the record: several
 	// times the 45 ms that the store takes across regions, so that it also
@@ -239,7 +242,9 @@
 
 // Step is a completed or failed step of an attempt, for the log.
 type Step struct {
-	Name   string
+	Name string
+	// Cause is the cause of the attempt.
+	Cause  Cause
 	Server group.ServerID
 	Epoch  Epoch
 	Status exchange.ServerStatus
@@ -370,6 +375,7 @@
 }
 
 func (a *attempt) reportStep(s Step) {
+	s.Cause = a.Cause
 	if a.promotionPending {
 		s.Pending = a.record.Candidate
 	}
