e2e/replicated: replicas that are not suspended after a promotion was settled

A leaving primary a is demoted; the only replica with its whole log leaves too, so that a is ordered again, and the orders get no answer. The host loses a and makes an attempt for an unreachable primary: it suspends b and c for term 2, finds the promotion of a pending and settles it. Before the fence, an order was carried out: a leads term 2, which ends the suspensions, and b and c receive from it. settleUnlessRepeated suspends them again for highestTerm(final)+1, where final are the answers of before the wait: for term 2, which is not above the newest one, so that nothing is suspended. a is not among the servers that are asked, findPrimary finds nothing, and nobody checks that the answers state a suspension. The attempt orders b. Until that takes effect, a's commits are confirmed by c, whose host counts it as a witness as it is not suspended, and are lost where b has not received them.

Seen in the trace: after "settled a", "suspended b" and "suspended c" state the term 2, positions 2:106 and no suspension; b is ordered then.

replacePrimary of the tests keeps servers that leave already leaving; the tests that use it have none.

--- a/e2e/replicated/latecopy_test.go
+++ b/e2e/replicated/latecopy_test.go
@@ -29,7 +29,7 @@
 func replacePrimary(cluster *replicated.Cluster, r *takeover.Runner, id group.ServerID) error {
 	request := takeover.Request{Group: replicated.Group, Cause: takeover.PrimaryLeaving}
 	for _, s := range cluster.ServerEntries() {
-		s.Leaving = s.ID == id
+		s.Leaving = s.Leaving || s.ID == id
 		if s.ID == id {
 			request.Primary = s
 		}
