takeover: renew the lease before what must not outlast it

Two holders could call the platform by turns, because the calls of a fence went on for up to 3.3 s after the last update of the record, and an attempt was superseded while it settled a promotion, so that the next one began anew.

Cause: the lease was counted once, from the claim, and what an attempt does has become longer. Change: before a fence, the wait after it, a late copy of an order and the resumption of replicas, the attempt updates the record. It fails if another host has claimed it, and without an answer of the store if the lease does not last for the step.

--- a/core/takeover/fence.go
+++ b/core/takeover/fence.go
@@ -20,6 +20,9 @@
 	if err := a.fence(ctx); err != nil {
 		return err
 	}
+	if err := a.renewLease(ctx, promotionDelay); err != nil {
+		return err
+	}
 	// An order that was carried out before the fence may take effect until then.
 	if err := sleep(ctx, promotionDelay); err != nil {
 		return err
@@ -60,7 +63,7 @@
 // fence makes the platform refuse the orders of all lower epochs. It repeats the call
 // beside those without an answer, because they are harmless whenever they are carried out.
 func (a *attempt) fence(ctx context.Context) error {
-	if err := a.renewLease(ctx); err != nil {
+	if err := a.renewLease(ctx, fenceTimeout); err != nil {
 		return err
 	}
 	epoch, err := a.nextEpoch()
--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -46,7 +47,11 @@
 func (a *attempt) orderPromotion(ctx context.Context, candidate serverStatus) (err error) {
 	a.promotionOrdered = true
 	for range maxPromotionTries {
-		if err = a.renewLease(ctx); err == nil {
+		err = nil
+		if time.Since(a.renewedAt) >= leaseRenewInterval {
+			err = a.renewLease(ctx, promotionCallTimeout)
+		}
+		if err == nil {
 			err = a.orderPromotionOnce(ctx, candidate)
 		}
 		switch {
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -38,7 +38,6 @@
 	next := current
 	next.Epoch = current.Epoch.next(era)
 	next.Holder, next.Ended = a.Self, false
-	a.claimedAt = time.Now()
 	if err := a.updateRecord(ctx, next); err != nil {
 		return err
 	}
@@ -95,14 +94,14 @@
 	return err
 }
 
-// renewLease updates the record if the last update is some time ago, because other hosts
-// count the lease from there. It fails if another host has claimed the record or may have.
-func (a *attempt) renewLease(ctx context.Context) error {
-	if time.Since(a.renewedAt) < leaseRenewInterval {
-		return nil
-	}
-	err := a.updateRecord(ctx, a.record)
-	if err != nil && !errors.Is(err, ErrConflict) && time.Since(a.renewedAt) < LeaseTTL {
+// renewLease makes sure that the lease lasts for a time: other hosts count it from the last
+// update of the record. It fails if another host has claimed the record or may do so within
+// that time.
+func (a *attempt) renewLease(ctx context.Context, lasts time.Duration) error {
+	updateCtx, cancel := context.WithTimeout(ctx, 2*recordTimeout)
+	defer cancel()
+	err := a.updateRecord(updateCtx, a.record)
+	if err != nil && !errors.Is(err, ErrConflict) && time.Since(a.renewedAt)+lasts < LeaseTTL {
 		return nil
 	}
 	return eris.Wrap(err, "renew the lease")
@@ -132,16 +131,6 @@
 	return r.Records.Store(ctx, id, next)
 }
 
-// isSuperseded reports whether another host may have claimed the record since this attempt
-// did. Without an answer of the store that is possible once the lease is over.
-func (a *attempt) isSuperseded(ctx context.Context) bool {
-	stored, err := a.loadRecord(ctx, a.Group, a.Records.Load)
-	if err != nil {
-		return time.Since(a.claimedAt) >= LeaseTTL
-	}
-	return stored.Epoch != a.record.Epoch || stored.Holder != a.Self
-}
-
 // recordCandidate records the server whose promotion is about to be ordered with the end
 // of its log, and that the promotion is pending.
 func (a *attempt) recordCandidate(ctx context.Context, candidate serverStatus) error {
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -292,9 +292,8 @@
 	candidateUnknown bool
 	// promotionOrdered is set while a promotion that this attempt ordered was not refused.
 	promotionOrdered bool
-	// claimedAt is when the update that claimed the record was about to be sent, and
-	// renewedAt the same of the last update.
-	claimedAt, renewedAt time.Time
+	// renewedAt is when the last update of the record was about to be sent.
+	renewedAt time.Time
 	// claimedBase is the base position of the record that was claimed.
 	claimedBase group.Position
 	// requiredPosition is the lowest position that a server must have reached to be
--- a/core/takeover/unreachable.go
+++ b/core/takeover/unreachable.go
@@ -170,9 +170,9 @@
 // resumeAll resumes the suspended servers after an attempt was given up. While a
 // promotion may be pending they stay suspended: the server that it names would
 // lack the commits acknowledged after they resumed. So do servers that another attempt may
-// have suspended since.
+// have suspended since, or may suspend before the commands arrive.
 func (a *attempt) resumeAll(ctx context.Context) {
-	if a.promotionPending || a.isSuperseded(ctx) {
+	if a.promotionPending || a.renewLease(ctx, changeRetryTimeout) != nil {
 		a.suspensionsRemain = len(a.suspendedServers) > 0
 		a.reportStep(Step{Name: "left suspended", Epoch: a.record.Epoch})
 		return
