takeover: a promotion that the store may have lost stays pending in the record

After the store was restored from a copy of before an order without an answer, only the attempt that claimed first took a promotion for pending, in memory. If it was given up, the next one ordered another server without a fence, and the lost order could still be carried out. A host that had started after the restoration did not take it for pending at all, because it had not seen the era rise.

The claim writes the promotion as pending, of no known server, so that it is settled before anything else is ordered. Whether one may be lost is told from the age of the era on this host, as Inspector.InProgress does.

--- a/core/takeover/fence.go
+++ b/core/takeover/fence.go
@@ -124,9 +124,6 @@
 // the others has a higher position. To order it again is safe, because its earlier order
 // makes no other server the primary.
 func (a *attempt) pendingCandidate(final []serverStatus) (serverStatus, bool) {
-	if a.candidateUnknown {
-		return serverStatus{}, false
-	}
 	highest := mostAdvanced(final).status.ReceivedPosition
 	for _, s := range final {
 		if s.server.ID == a.record.Candidate && s.status.ReceivedPosition.Compare(highest) >= 0 {
--- a/core/takeover/lost.go
+++ b/core/takeover/lost.go
@@ -28,9 +28,11 @@
 }
 
 // mayHaveLostPromotion reports whether the store may have lost the record of a promotion
-// that can still be carried out.
-func (a *attempt) mayHaveLostPromotion(current Record) bool {
-	return a.Eras.IsOver(current.Epoch.Era()) && time.Since(a.Eras.RoseAt()) < lateOrderTTL
+// that can still be carried out: its record is of an earlier era, which ended a short time
+// ago as far as this host knows.
+func mayHaveLostPromotion(eras *distribution.Eras, stored Record) bool {
+	era, seenAt := eras.Newest()
+	return stored.Epoch.Era() < era && time.Since(seenAt) < lateOrderTTL
 }
 
 // newer returns the record with more updates and the higher base position of the two.
@@ -100,7 +102,7 @@
 	if err != nil {
 		return true, err
 	}
-	if era, seenAt := i.Eras.Newest(); record.Epoch.Era() < era && time.Since(seenAt) < lateOrderTTL {
+	if mayHaveLostPromotion(i.Eras, record) {
 		return true, nil
 	}
 	return record.Epoch != 0 && !record.Ended, nil
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -38,11 +38,14 @@
 	next := current
 	next.Epoch = current.Epoch.next(era)
 	next.Holder, next.Ended = a.Self, false
+	if mayHaveLostPromotion(a.Eras, stored) {
+		// Of a server that the record does not name.
+		next.PromotionPending, next.Candidate = true, ""
+	}
 	if err := a.updateRecord(ctx, next); err != nil {
 		return err
 	}
-	a.candidateUnknown = a.mayHaveLostPromotion(current)
-	a.promotionPending = current.PromotionPending || a.candidateUnknown
+	a.promotionPending = next.PromotionPending
 	a.reportStep(Step{Name: "claimed", Epoch: a.record.Epoch})
 	return nil
 }
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -57,7 +57,8 @@
 	// it was sent or is about to be, and no answer is recorded.
 	PromotionPending bool
 	// Candidate is the server whose promotion was ordered last, CandidatePosition the end
-	// of its log and CandidateTerm its term then.
+	// of its log and CandidateTerm its term then. Candidate is empty if the store may have
+	// lost it.
 	Candidate         group.ServerID
 	CandidatePosition group.Position
 	CandidateTerm     group.Term
@@ -288,8 +289,6 @@
 	// promotionPending is set while a promotion without an answer, ordered by
 	// this attempt or an earlier one, may still be carried out.
 	promotionPending bool
-	// candidateUnknown is set if the store may have lost which server is to be promoted.
-	candidateUnknown bool
 	// promotionOrdered is set while a promotion that this attempt ordered was not refused.
 	promotionOrdered bool
 	// renewedAt is when the last update of the record was about to be sent.
