takeover: nothing is ordered before the suspensions are in force

Cause: the term was one above what the replicas stated, and nobody looked at what they answered. Change: the term is also above that of the primary that this host has known and of the recorded candidate; each answer must state the suspension, else the attempt ends if the server follows a later primary, or suspends for a higher term. Record.CandidateTerm is the lowest term that the candidate leads, so that it also tells whether its promotion took effect.

--- a/core/lead/change.go
+++ b/core/lead/change.go
@@ -29,6 +29,9 @@
 		ReplicaDeparted: m.mayLackDepartedCommits(now),
 		LastCommitAt:    m.lastCommitAt,
 	}
+	if n := len(m.samples); n > 0 {
+		request.Term = m.samples[n-1].Position.Term
+	}
 	if !m.primaryKnown {
 		if len(members) < 2 || now-m.lostAt < noPrimaryThreshold || now-m.startedAt < startupGracePeriod {
 			return request, false
--- a/core/takeover/fence.go
+++ b/core/takeover/fence.go
@@ -34,6 +34,8 @@
 	next := a.record
 	if tookEffect {
 		next.BasePosition = next.Base()
+	} else {
+		next.CandidateTerm--
 	}
 	next.PromotionPending = false
 	if err := a.updateRecord(ctx, next); err != nil {
@@ -55,7 +57,8 @@
 		if err != nil {
 			return false, eris.Wrapf(ErrServerUnresponsive, "%s: %v", s.ID, err)
 		}
-		return status.Role == exchange.Primary || status.Term > max(a.record.CandidateTerm, a.record.CandidatePosition.Term), nil
+		leads := max(a.record.CandidateTerm, a.record.CandidatePosition.Term+1)
+		return status.Role == exchange.Primary || status.Term >= leads, nil
 	}
 	return true, nil
 }
@@ -147,17 +150,9 @@
 	}
 	a.requiredPosition = a.lowestPosition(a.record)
 	// A promotion that took effect has ended the suspensions.
-	term := highestTerm(final) + 1
 	servers := make([]catalog.Server, 0, len(final))
 	for _, s := range final {
 		servers = append(servers, s.server)
 	}
-	final, err := a.suspendAll(ctx, servers, term)
-	if err != nil {
-		return final, err
-	}
-	if server, ok := findPrimary(final); ok {
-		return final, eris.Wrapf(ErrPrimaryActive, "%s", server)
-	}
-	return a.suspendLateMembers(ctx, final, term)
+	return a.suspendAll(ctx, servers, highestTerm(final))
 }
--- a/core/takeover/reachable.go
+++ b/core/takeover/reachable.go
@@ -41,6 +41,7 @@
 	if err != nil {
 		return "", err
 	}
+	a.noteTerm(demoted.Term)
 	return a.promote(ctx, a.chooseAfterDemotion(ctx, demoted, checkedAt))
 }
 
@@ -74,11 +75,7 @@
 			continue
 		}
 		if err == nil && listErr == nil && final && a.mayDropCommits(checkedAt) {
-			term := max(demoted.Term, highestTerm(answers)) + 1
-			suspended, err := a.suspendAll(ctx, others, term)
-			if err == nil {
-				suspended, err = a.suspendLateMembers(ctx, suspended, term)
-			}
+			suspended, err := a.suspendAll(ctx, others, max(demoted.Term, highestTerm(answers)))
 			var candidate serverStatus
 			if err == nil {
 				candidate, err = a.chooseSuspended(suspended)
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -140,7 +140,7 @@
 	next := a.record
 	// A promotion that is still pending may take effect before the order.
 	next.BasePosition, next.CandidatePosition = next.Base(), candidate.status.ReceivedPosition
-	next.PromotionPending, next.Candidate, next.CandidateTerm = true, candidate.server.ID, candidate.status.Term
+	next.PromotionPending, next.Candidate, next.CandidateTerm = true, candidate.server.ID, a.nextTerm
 	return eris.Wrap(a.updateRecord(ctx, next), "record the end of the log")
 }
 
@@ -163,6 +163,9 @@
 		return
 	}
 	next := a.record
+	if next.PromotionPending {
+		next.CandidateTerm--
+	}
 	next.PromotionPending, next.Ended = false, true
 	err := a.updateRecord(ctx, next)
 	a.reportStep(Step{Name: "given up", Epoch: a.record.Epoch, Err: err})
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -56,12 +56,13 @@
 	// PromotionPending is set while a promotion may be pending: the order for
 	// it was sent or is about to be, and no answer is recorded.
 	PromotionPending bool
-	// Candidate is the server whose promotion was ordered last, CandidatePosition the end
-	// of its log and CandidateTerm its term then. Candidate is empty if the store may have
-	// lost it.
+	// Candidate is the server whose promotion was ordered last, and CandidatePosition the
+	// end of its log then. Candidate is empty if the store may have lost it.
 	Candidate         group.ServerID
 	CandidatePosition group.Position
-	CandidateTerm     group.Term
+	// CandidateTerm is the lowest term that Candidate leads if its promotion takes effect,
+	// and a term that a server has led unless PromotionPending is set.
+	CandidateTerm group.Term
 	// Ended is set once the attempt has ended, so that it orders no further promotion and
 	// none that it has ordered is pending.
 	Ended bool
@@ -224,6 +225,8 @@
 	Cause Cause
 	// Primary is the primary to be replaced. Its ID is empty if it is unknown.
 	Primary catalog.Server
+	// Term is the highest term in which this host has known a primary.
+	Term group.Term
 	// Members are all known servers of the group, including the primary.
 	Members []catalog.Server
 	// DeparturePosition covers every commit that was acknowledged before a server
@@ -293,6 +296,9 @@
 	promotionOrdered bool
 	// renewedAt is when the last update of the record was about to be sent.
 	renewedAt time.Time
+	// nextTerm is the lowest term that the next primary leads, and suspendTerm the one for
+	// which servers are suspended.
+	nextTerm, suspendTerm group.Term
 	// claimedBase is the base position of the record that was claimed.
 	claimedBase group.Position
 	// requiredPosition is the lowest position that a server must have reached to be
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -46,10 +46,16 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if statement.Operation == exchange.Resume {
+	status := f.statuses[s.ID]
+	switch {
+	case statement.Operation == exchange.Resume:
 		f.resumed = append(f.resumed, s.ID)
+		status.SuspendedTerm = 0
+	case statement.Operation == exchange.Suspend && status.Role == exchange.Replica && statement.Term > status.Term:
+		status.SuspendedTerm = statement.Term
 	}
-	return f.statuses[s.ID], nil
+	f.statuses[s.ID] = status
+	return status, nil
 }
 
 func (f *fakeCluster) IsPrimary(_ context.Context, s catalog.Server) bool { return f.primary == s.ID }
--- a/core/takeover/unreachable.go
+++ b/core/takeover/unreachable.go
@@ -41,11 +41,7 @@
 	if server, ok := findPrimary(missing); ok {
 		return server, ErrPrimaryActive
 	}
-	term := highestTerm(append(before, missing...)) + 1
-	final, err := a.suspendAll(ctx, a.otherMembers(), term)
-	if err == nil {
-		final, err = a.suspendLateMembers(ctx, final, term)
-	}
+	final, err := a.suspendAll(ctx, a.otherMembers(), highestTerm(append(before, missing...)))
 	if err == nil {
 		final, err = a.settleUnlessRepeated(ctx, final)
 	}
@@ -60,35 +56,6 @@
 	return a.promote(ctx, candidate)
 }
 
-// suspendLateMembers suspends the servers that the store lists only now, until it lists
-// no other, and returns the final status of all. A server may confirm commits for some time
-// before the store lists it.
-func (a *attempt) suspendLateMembers(ctx context.Context, final []serverStatus, term group.Term) ([]serverStatus, error) {
-	for {
-		late, err := a.addListedMembers(ctx)
-		if err != nil || len(late) == 0 {
-			return final, err
-		}
-		if server, ok := findPrimary(late); ok {
-			return final, eris.Wrapf(ErrPrimaryActive, "%s", server)
-		}
-		servers := make([]catalog.Server, 0, len(late))
-		for _, l := range late {
-			servers = append(servers, l.server)
-		}
-		a.suspendedServers = slices.Concat(a.suspendedServers, servers)
-		suspended, err := a.commandAll(ctx, servers, exchange.Statement{Operation: exchange.Suspend, Term: term})
-		if err != nil {
-			return final, err
-		}
-		// One that has started again has lost what it had received.
-		final = slices.DeleteFunc(final, func(f serverStatus) bool {
-			return slices.ContainsFunc(suspended, func(s serverStatus) bool { return s.server.ID == f.server.ID })
-		})
-		final = append(final, suspended...)
-	}
-}
-
 // chooseSuspended returns the suspended server with the highest position, and among these
 // the one whose promotion is pending. It fails with ErrLogIncomplete if acknowledged commits
 // may lie beyond that position.
@@ -160,13 +127,6 @@
 	return a.commandAll(ctx, missing, exchange.Statement{Operation: exchange.Status})
 }
 
-// suspendAll suspends the servers, so that they stop receiving, and returns their final
-// status.
-func (a *attempt) suspendAll(ctx context.Context, servers []catalog.Server, term group.Term) ([]serverStatus, error) {
-	a.suspendedServers = servers
-	return a.commandAll(ctx, servers, exchange.Statement{Operation: exchange.Suspend, Term: term})
-}
-
 // resumeAll resumes the suspended servers after an attempt was given up. While a
 // promotion may be pending they stay suspended: the server that it names would
 // lack the commits acknowledged after they resumed. So do servers that another attempt may
