--- a/e2e/replicated/series_test.go
+++ b/e2e/replicated/series_test.go
@@ -40,9 +40,9 @@
 	case "host cut":
 		return hostCut{at, lasts, rapid.SampledFrom(hostNumbers).Draw(t, "host"), []group.ServerID{presentPrimary}, false}
 	case "leave":
-		return leave{at, max(lasts, 500), presentPrimary}
+		return leave{at, drawMS(t, "drains", 500, 8000), presentPrimary}
 	case "replacement":
-		return replacement{at, max(lasts, 500), presentPrimary, drawMS(t, "listing", 0, 600)}
+		return replacement{at, drawMS(t, "drains", 500, 8000), presentPrimary, drawMS(t, "listing", 0, 600)}
 	default:
 		return rebirth{at, lasts, presentPrimary, drawServer(t, rebornServers), drawMS(t, "listing", 0, 600)}
 	}
@@ -52,22 +52,31 @@
 func drawReplaceAll(t *rapid.T) step {
 	return replaceAll{
 		at: drawMS(t, "at", 0, 12_000), every: drawMS(t, "every", 500, 2500),
-		listing: drawMS(t, "listing", 0, 600), lasts: drawMS(t, "lasts", 500, 3000),
+		listing: drawMS(t, "listing", 0, 600), lasts: drawMS(t, "drains", 500, 8000),
 	}
 }
 
+// drawReplicaFault draws a step by which a replica falls behind.
+func drawReplicaFault(t *rapid.T) step {
+	at, lasts := drawMS(t, "at", 0, 14_000), drawMS(t, "lasts", 500, 6000)
+	if rapid.Bool().Draw(t, "lagging") {
+		return lagging{at, lasts, drawServer(t, seriesServers)}
+	}
+	return serverCut{at, lasts, drawServer(t, seriesServers), drawServer(t, seriesServers)}
+}
+
 // drawLateCalls draws calls that are carried out 2 to 12 s late.
 func drawLateCalls(t *rapid.T) lateCalls {
 	const least, most = 2000, 12_000
 	return lateCalls{
-		at: drawMS(t, "at", 0, 6000), lasts: drawMS(t, "lasts", 1000, 12_000),
+		at: drawMS(t, "at", 0, 4000), lasts: drawMS(t, "lasts", 1000, 16_000),
 		least: least, most: drawMS(t, "most", least, most),
 		percent: rapid.SampledFrom([]int{100, 90, 50}).Draw(t, "percent"), seed: rapid.IntRange(0, 1000).Draw(t, "seed"),
 	}
 }
 
 // drawSeries draws a schedule of several disturbances of the primary, planned replacements,
-// calls that are carried out late and up to six other steps.
+// replicas that fall behind, calls that are carried out late and up to six other steps.
 func drawSeries(t *rapid.T) schedule {
 	s := schedule{
 		hosts:          rapid.IntRange(2, 3).Draw(t, "hosts"),
@@ -79,6 +88,7 @@
 	}
 	add("disturbances", 1, 5, func(t *rapid.T) step { return drawDisturbance(t, s.hosts) })
 	add("replacements", 0, 2, drawReplaceAll)
+	add("replica faults", 0, 4, drawReplicaFault)
 	if !leftOut("late promotions") {
 		add("late promotions", 0, 2, func(t *rapid.T) step { return latePromotions{drawLateCalls(t)} })
 	}
@@ -91,5 +101,8 @@
 }
 
 // Guards against the same broken promises as TestPromisesUnderGeneratedSchedules, under
-// series of changes of primary beside calls that are carried out seconds late.
+// series of changes of primary beside calls that are carried out seconds late. By hand, for
+// example,
+//
+//	go test ./e2e/replicated/ -run TestPromisesUnderGeneratedSeries -cpu=1 -timeout=0 -rapid.checks=10000 -rapid.seed=1 -schedule.without=reset
 func TestPromisesUnderGeneratedSeries(t *testing.T) { checkSchedules(t, drawSeries) }
--- a/e2e/replicated/steps_test.go
+++ b/e2e/replicated/steps_test.go
@@ -182,6 +182,23 @@
 	}
 }
 
+// lagging makes a replica receive no commits for a time. Hosts still reach it.
+type lagging struct {
+	at, lasts ms
+	server    group.ServerID
+}
+
+func (s lagging) run(r *changesRun) {
+	time.Sleep(s.at.duration())
+	server := r.server(s.server)
+	if server == nil {
+		return
+	}
+	server.SetReplicationStopped(true)
+	time.Sleep(s.lasts.duration())
+	server.SetReplicationStopped(false)
+}
+
 // leave makes a server report that it leaves. It ends after a time.
 type leave struct {
 	at, lasts ms
@@ -325,6 +342,7 @@
 	_ step = rebirth{}
 	_ step = reset{}
 	_ step = start{}
+	_ step = lagging{}
 	_ step = leave{}
 	_ step = unlist{}
 	_ step = storeDown{}
