e2e/replicated: failing schedule with a late resumption

Callers saw successful writes missing at the promoted server. An attempt that is given up resumes the replicas; the commands get no answer and are carried out 2.2 s late, after the next attempt has suspended the replicas and chosen one. The primary, which is back, goes on to commit; the other replica confirms, and the chosen one, cut off from the primary, is promoted without these commits.

--- a/e2e/replicated/recorded_test.go
+++ b/e2e/replicated/recorded_test.go
@@ -8,7 +8,7 @@
 )
 
 // recordedSchedules are schedules that lost successful writes, by what confirmed the
-// writes, or by the order that was carried out late.
+// writes, or by what was carried out late.
 var recordedSchedules = map[string]schedule{
 	"unlisted server": {hosts: 2, promotionDelay: 300, steps: []step{
 		start{at: 0, server: "d", listing: 10_000},
@@ -77,6 +77,11 @@
 		leave{at: 5000, lasts: 13_000, server: "c"},
 		serverCut{at: 7500, lasts: 6000, server: "c", and: "d"},
 	}},
+	"late resumption of replicas that the next attempt has suspended": {hosts: 1, promotionDelay: 1000, duration: 8000, steps: []step{
+		lateCommands{lateCalls{at: 0, lasts: 3400, least: 2200, most: 2200, percent: 100}},
+		crash{at: 100, lasts: 3800, server: "a"},
+		serverCut{at: 3600, lasts: 4000, server: "a", and: "b"},
+	}},
 }
 
 // Guards against the loss of successful writes in schedules that were generated earlier.
