e2e/replicated: a planned replacement transfers the log

On the users' platform, the log of a server that drains is transferred to a new server at its address.

--- a/standin/replicated/promotion_test.go
+++ b/standin/replicated/promotion_test.go
@@ -129,3 +129,16 @@
 		assert.Equal(t, g.command("b", exchange.Status, 0).Term, group.Term(3))
 	})
 }
+
+// Guards against a replacement that loses what only the replaced server has received.
+func TestTransferKeepsTheLog(t *testing.T) {
+	inCluster(t, func(t *testing.T, g *testGroup) {
+		assert.NilError(t, g.Commit("x"))
+		g.Server("a").Crash()
+		started := g.StartServer("d", 0)
+		time.Sleep(replicated.NetDelay)
+		g.Server("b").Transfer(started)
+		assert.Assert(t, g.Server("b") == nil)
+		assert.Equal(t, g.command("d", exchange.Status, 0).ReceivedPosition, group.Position{Term: 1, Offset: 1})
+	})
+}
--- a/standin/replicated/server.go
+++ b/standin/replicated/server.go
@@ -62,6 +62,20 @@
 	s.end()
 }
 
+// Transfer stops the server for good, and transfers its log to another one.
+func (s *Server) Transfer(to *Server) {
+	c := s.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.servers[s.id] != s {
+		return
+	}
+	if c.servers[to.id] == to && len(s.log) > len(to.log) {
+		to.log, to.appliedCount, to.term = s.log, len(s.log), max(to.term, s.term)
+	}
+	s.end()
+}
+
 // end stops the server for good. The caller must hold the cluster's mutex.
 func (s *Server) end() {
 	if s.cluster.servers[s.id] != s {
