--- a/e2e/replicated/recorded_test.go
+++ b/e2e/replicated/recorded_test.go
@@ -77,6 +77,11 @@
 		leave{at: 5000, lasts: 13_000, server: "c"},
 		serverCut{at: 7500, lasts: 6000, server: "c", and: "d"},
 	}},
+	"late copy accepted before the order of the next attempt": {hosts: 3, promotionDelay: 600, duration: 6000, steps: []step{
+		replaceAll{at: 100, every: 2300, listing: 50, lasts: 4950},
+		serverCut{at: 3250, lasts: 3000, server: "c", and: presentPrimary},
+		latePromotions{lateCalls{at: 0, lasts: 2050, least: 2000, most: 2000, percent: 50, seed: 413}},
+	}},
 	"late resumption of replicas that the next attempt has suspended": {hosts: 1, promotionDelay: 1000, duration: 8000, steps: []step{
 		lateCommands{lateCalls{at: 0, lasts: 3400, least: 2200, most: 2200, percent: 100}},
 		crash{at: 100, lasts: 3800, server: "a"},
