core/lifetime, link: answers state the age of the server's process

A server that restarts keeps its id and address, and its new boot reaches the hosts later. What it has lost (a suspension, its log) can't be told from its answers. A connection ends with the process: an answer proves that one process ran from the opening of the connection until after the statement was sent. lifetime.Set joins such spans while they overlap, and a pool states with each answer (exchange.Answer.ProcessAge) for how long the process is known to have run.

The age of the connection alone was ruled out: spare connections close after 16 ms for each one that a host may open and others are opened under load, so that a younger connection would often pass for a restart. All answers to all statements of the hosts that share a pool extend the span, without a query of its own.

Seen failing: with the age of the answering connection alone, TestProcessAgeOutlastsConnections fails. The other tests of the commit are new behaviour.

--- a/core/exchange/exchange.go
+++ b/core/exchange/exchange.go
@@ -92,6 +92,9 @@
 	Position group.Position
 	// Status is set in the answers to Status, Suspend, Resume and Demote.
 	Status *ServerStatus
+	// ProcessAge is how long the backend server's process is known to have run when the
+	// host that holds the connection received the answer; zero if it is not known.
+	ProcessAge time.Duration
 }
 
 // Error is the reason why a statement did not succeed.
--- a/core/link/commander.go
+++ b/core/link/commander.go
@@ -26,7 +26,7 @@
 // transaction, which a server accepts only while it is the primary. It returns the
 // end of the server's readable log.
 func (c Commander) Probe(ctx context.Context, server catalog.Server) (group.Position, error) {
-	answers, err := c.run(ctx, server, exchange.Statement{Operation: exchange.Begin}, exchange.Statement{Operation: exchange.Rollback})
+	answers, err := c.run(ctx, server, func() {}, exchange.Statement{Operation: exchange.Begin}, exchange.Statement{Operation: exchange.Rollback})
 	if err != nil {
 		return group.Position{}, err
 	}
@@ -45,25 +45,36 @@
 // Command sends a control statement and returns the server's status from the
 // answer.
 func (c Commander) Command(ctx context.Context, server catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
-	answers, err := c.run(ctx, server, statement)
+	answer, err := c.CommandAnswer(ctx, server, statement, func() {})
 	if err != nil {
 		return exchange.ServerStatus{}, err
 	}
+	return *answer.Status, nil
+}
+
+// CommandAnswer sends a control statement and returns its answer, which has a status.
+// onSend is called before the statement is sent, when the connection has been granted.
+func (c Commander) CommandAnswer(ctx context.Context, server catalog.Server, statement exchange.Statement, onSend func()) (exchange.Answer, error) {
+	answers, err := c.run(ctx, server, onSend, statement)
+	if err != nil {
+		return exchange.Answer{}, err
+	}
 	if answers[0].Failure != nil {
-		return exchange.ServerStatus{}, answers[0].Failure
+		return exchange.Answer{}, answers[0].Failure
 	}
 	if answers[0].Status == nil {
-		return exchange.ServerStatus{}, errNoStatus
+		return exchange.Answer{}, errNoStatus
 	}
-	return *answers[0].Status, nil
+	return answers[0], nil
 }
 
 // run executes statements on a shared connection with priority over callers.
-func (c Commander) run(ctx context.Context, server catalog.Server, statements ...exchange.Statement) ([]exchange.Answer, error) {
+func (c Commander) run(ctx context.Context, server catalog.Server, onSend func(), statements ...exchange.Statement) ([]exchange.Answer, error) {
 	lease, err := c.Sources(server).Acquire(ctx, Request{Priority: controlPriority})
 	if err != nil {
 		return nil, err
 	}
+	onSend()
 	call := lease.Submit(nil, statements...)
 	select {
 	case <-call.Done:
--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -18,6 +18,7 @@
 	"basilmill/core/catalog"
 	"basilmill/core/dispatch"
 	"basilmill/core/exchange"
+	"basilmill/core/lifetime"
 )
 
 // Stream is one protocol connection to a backend server. Send and Receive may
@@ -96,6 +97,9 @@
 type Conn struct {
 	stream  Stream
 	onClose func(*Conn)
+	// openedAt is when the opening had ended.
+	openedAt time.Time
+	process  *process
 
 	// sendMu is held while a batch is enqueued and written, so that calls are in
 	// the same order as their statements on the connection.
@@ -131,7 +135,13 @@
 // NewConn returns a connection over the stream and starts receiving answers. The
 // function onClose, if set, is called once when the connection has closed.
 func NewConn(stream Stream, onClose func(*Conn)) *Conn {
-	c := &Conn{stream: stream, onClose: onClose}
+	return newConn(stream, onClose, &process{})
+}
+
+// newConn returns a connection to a server whose process is tracked with its other
+// connections.
+func newConn(stream Stream, onClose func(*Conn), process *process) *Conn {
+	c := &Conn{stream: stream, onClose: onClose, openedAt: time.Now(), process: process}
 	go c.receive()
 	return c
 }
@@ -276,6 +286,7 @@
 		return eris.New("received an unexpected answer to a session setup statement")
 	}
 	c.answeredAt = time.Now()
+	answer.ProcessAge = c.answeredAt.Sub(c.process.note(lifetime.Span{Since: c.openedAt, Until: call.sentAt}))
 	call.answers = append(call.answers, answer)
 	if len(call.answers) == call.expected {
 		// The array must not keep the call, because the connection may be idle for long.
--- a/core/link/dial.go
+++ b/core/link/dial.go
@@ -70,7 +70,7 @@
 		return
 	}
 	p.serverFull, p.dialFailing = false, false
-	c := NewConn(stream, p.removeConn)
+	c := newConn(stream, p.removeConn, &p.process)
 	c.idleSince = time.Now()
 	p.conns = append(p.conns, c)
 	p.dispatch()
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -78,6 +78,7 @@
 	serverFull, dialFailing bool
 	// lastDialServed is when the latest dial was started that the server answered.
 	lastDialServed time.Time
+	process        process
 	window         dispatch.Window
 	pace           dispatch.Pace
 	closed         bool
