io/peer: answers of gateways carry the age of the server's process

A duration, so that the clocks of hosts need not agree; the time that an answer is on its way only makes the process seem younger. Zero, also from a gateway of an earlier version, means not known.

TestGatewayCarriesAllFields and TestTextsOfAnyEncodingCrossHosts compare whole answers. They now check that the age lies between zero and the age of the connection and take it over before they compare; all other fields are compared as before. TestGatewayStatesTheAgeOfTheProcess is new; without the field in encodeAnswer its ages are zero.

--- a/io/peer/gateway_test.go
+++ b/io/peer/gateway_test.go
@@ -86,6 +86,17 @@
 	return (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
 }
 
+// checkAges checks that the connection of a result was opened after the time, and sets the
+// process ages in the wanted answers.
+func checkAges(t *testing.T, result gateway.Result, want []exchange.Answer, opened time.Time) {
+	t.Helper()
+	assert.Equal(t, len(result.Answers), len(want))
+	for i, a := range result.Answers {
+		assert.Assert(t, a.ProcessAge >= 0 && a.ProcessAge < time.Since(opened))
+		want[i].ProcessAge = a.ProcessAge
+	}
+}
+
 // Statements and answers must reach the other side with all their fields.
 func TestGatewayCarriesAllFields(t *testing.T) {
 	stream, info := startGateway(t)
@@ -117,16 +128,40 @@
 	}
 	s := client.Open(info)
 	defer s.Close()
+	opened := time.Now()
 	assert.NilError(t, s.Send(batch))
 	result, err := s.Receive()
 	assert.NilError(t, err)
 	assert.NilError(t, result.Err)
+	checkAges(t, result, want, opened)
 	assert.DeepEqual(t, result.Answers, want)
 	for _, statement := range batch.Statements {
 		assert.DeepEqual(t, <-stream.sent, statement)
 	}
 }
 
+// Guards against a host that takes each answer of a gateway for one of another process.
+func TestGatewayStatesTheAgeOfTheProcess(t *testing.T) {
+	stream, info := startGateway(t)
+	client := peer.NewGatewayClient(dialTCP)
+	defer client.Close()
+	s := client.Open(info)
+	defer s.Close()
+	started := time.Now()
+	var ages []time.Duration
+	for range 2 {
+		stream.prepared <- exchange.Answer{Digest: "d"}
+		assert.NilError(t, s.Send(gateway.Batch{Server: "s1", Exclusive: true, Statements: []exchange.Statement{{Operation: exchange.Read}}}))
+		result, err := s.Receive()
+		assert.NilError(t, err)
+		assert.NilError(t, result.Err)
+		ages = append(ages, result.Answers[0].ProcessAge)
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.Assert(t, ages[1] >= ages[0]+20*time.Millisecond, "%v", ages)
+	assert.Assert(t, ages[1] < time.Since(started), "%v", ages)
+}
+
 // A host that cannot be reached has run nothing, and neither has a gateway that does
 // not know the server.
 func TestUnreachableGatewayHasRunNothing(t *testing.T) {
@@ -213,9 +248,11 @@
 	}
 	s := client.Open(info)
 	defer s.Close()
+	opened := time.Now()
 	assert.NilError(t, s.Send(batch))
 	result, err := s.Receive()
 	assert.NilError(t, err)
+	checkAges(t, result, answers[:1], opened)
 	assert.DeepEqual(t, result, gateway.Result{Answers: answers[:1]})
 	for _, statement := range want {
 		assert.DeepEqual(t, <-stream.sent, statement)
@@ -224,5 +261,6 @@
 	assert.NilError(t, s.Send(batch))
 	result, err = s.Receive()
 	assert.NilError(t, err)
+	checkAges(t, result, answers[1:], opened)
 	assert.DeepEqual(t, result, gateway.Result{Answers: answers[1:]})
 }
--- a/io/peer/statement.go
+++ b/io/peer/statement.go
@@ -209,6 +209,7 @@
 func encodeAnswer(a exchange.Answer) *peerpb.Answer {
 	m := &peerpb.Answer{
 		Digest: []byte(a.Digest), State: stateCodes[a.State], Term: int64(a.Position.Term), Offset: int64(a.Position.Offset),
+		ProcessAgeMicroseconds: a.ProcessAge.Microseconds(),
 	}
 	for _, row := range a.Rows {
 		m.Rows = append(m.Rows, []byte(row))
@@ -229,7 +230,8 @@
 func decodeAnswer(m *peerpb.Answer) exchange.Answer {
 	a := exchange.Answer{
 		Digest: string(m.GetDigest()), State: stateCodes.value(m.GetState()),
-		Position: group.Position{Term: group.Term(m.GetTerm()), Offset: group.Offset(m.GetOffset())},
+		Position:   group.Position{Term: group.Term(m.GetTerm()), Offset: group.Offset(m.GetOffset())},
+		ProcessAge: time.Duration(m.GetProcessAgeMicroseconds()) * time.Microsecond,
 	}
 	for _, row := range m.GetRows() {
 		a.Rows = append(a.Rows, string(row))
