core/link: keep the connection to a server that the catalogue lacks yet

The store lists servers before a host's view has them, and the queries of ack.Receipts go to both. The registry closed the pool of such a server with the next version of the view, so that each query opened a connection. That cost a round trip; with the process as the witness no answer could be related to the one before, and the server never became a witness: TestServerMissingFromTheViewIsAccountedFor failed ("no write in 1s"). The pool of a server that was not in the view when it was created is now kept for two seconds after its last use. Pools of servers that leave the view are closed as before.

Seen failing: TestServerMissingFromTheViewKeepsItsConnection (0 open connections instead of 1).

--- a/core/link/process_test.go
+++ b/core/link/process_test.go
@@ -98,3 +98,29 @@
 		assert.Assert(t, readAge(t, second) < time.Since(opened))
 	})
 }
+
+// Guards against a server that the store lists and the host's view lacks, and whose answers
+// always seem to be of another process because its connection is closed between them.
+func TestServerMissingFromTheViewKeepsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cache := &catalog.Cache{}
+		registry := link.NewRegistry(cache, &fakeDialer{limit: 9})
+		defer registry.CloseAll()
+		commander := link.Commander{Sources: func(s catalog.Server) link.Source { return registry.Pool(s) }}
+		prune := func() {
+			cache.PutServer(catalog.Server{ID: "listed"})
+			registry.Prune(func(catalog.Server) bool { return true })
+		}
+		for range 3 {
+			_, err := commander.Probe(t.Context(), catalog.Server{ID: "missing"})
+			assert.NilError(t, err)
+			prune()
+			time.Sleep(time.Second)
+			prune()
+			assert.Equal(t, registry.Stats().Open, 1)
+		}
+		time.Sleep(2 * time.Second)
+		prune()
+		assert.Equal(t, registry.Stats().Open, 0)
+	})
+}
--- a/core/link/registry.go
+++ b/core/link/registry.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"basilmill/core/catalog"
 	"basilmill/core/group"
@@ -20,6 +21,9 @@
 
 	mu    sync.Mutex
 	pools map[poolKey]*Pool
+	// unlistedUse is when a pool was last used whose server the catalogue has not had
+	// since the pool was created.
+	unlistedUse map[poolKey]time.Time
 	// prunedFor is the view for which the pools of absent servers were last removed;
 	// nil if a pool was created since.
 	prunedFor *catalog.View
@@ -35,7 +39,7 @@
 
 // NewRegistry returns a registry for the backend servers of the catalogue.
 func NewRegistry(cache *catalog.Cache, dialer Dialer) *Registry {
-	return &Registry{cache: cache, dialer: dialer, pools: map[poolKey]*Pool{}}
+	return &Registry{cache: cache, dialer: dialer, pools: map[poolKey]*Pool{}, unlistedUse: map[poolKey]time.Time{}}
 }
 
 func keyOf(s catalog.Server) poolKey { return poolKey{s.ID, s.BootID, s.Address.String()} }
@@ -45,14 +49,24 @@
 // to all hosts together.
 const hostShareDivisor = 2
 
+// unlistedRetention is how long the pool of a server is kept that the catalogue does not
+// have yet. It exceeds the time between two queries of a server that the store lists.
+const unlistedRetention = 2 * time.Second
+
 // Pool returns the pool of a server and creates it if necessary.
 func (r *Registry) Pool(server catalog.Server) *Pool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	key := keyOf(server)
 	if p, ok := r.pools[key]; ok {
+		if _, unlisted := r.unlistedUse[key]; unlisted {
+			r.unlistedUse[key] = time.Now()
+		}
 		return p
 	}
+	if listed, ok := r.cache.View().Servers[server.ID]; !ok || keyOf(listed) != key {
+		r.unlistedUse[key] = time.Now()
+	}
 	limit := 2
 	if config := r.cache.View().Config; config != nil {
 		limit = max(limit, config.Groups[server.Group].ConnectionLimit/hostShareDivisor)
@@ -65,7 +79,7 @@
 }
 
 // Prune closes idle connections of all pools, and the pools of servers that are
-// no longer in the catalogue. The last connection to a server is kept for longer if
+// no longer in the catalogue, or not yet and have not been used for unlistedRetention. The last connection to a server is kept for longer if
 // keepLast returns true. Prune is to be called regularly.
 func (r *Registry) Prune(keepLast func(catalog.Server) bool) {
 	for _, p := range r.removeObsolete() {
@@ -85,19 +99,22 @@
 	view := r.cache.View()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if view == r.prunedFor {
+	if view == r.prunedFor && len(r.unlistedUse) == 0 {
 		return nil
 	}
 	r.prunedFor = view
 	present := map[poolKey]bool{}
 	for _, server := range view.Servers {
 		present[keyOf(server)] = true
+		delete(r.unlistedUse, keyOf(server))
 	}
 	for key, p := range r.pools {
-		if !present[key] {
-			obsolete = append(obsolete, p)
-			delete(r.pools, key)
+		if present[key] || time.Since(r.unlistedUse[key]) < unlistedRetention {
+			continue
 		}
+		obsolete = append(obsolete, p)
+		delete(r.pools, key)
+		delete(r.unlistedUse, key)
 	}
 	return obsolete
 }
@@ -121,7 +138,7 @@
 func (r *Registry) CloseAll() {
 	r.mu.Lock()
 	pools := r.pools
-	r.pools = map[poolKey]*Pool{}
+	r.pools, r.unlistedUse = map[poolKey]*Pool{}, map[poolKey]time.Time{}
 	r.mu.Unlock()
 	for _, p := range pools {
 		p.Close()
