core/ack: a witness is a process of a server

A change of primary suspends the listed servers. One that restarts within 50 ms or some seconds has lost its suspension, and hosts went on counting it as a witness until its new boot was listed or it stated a shorter log: it confirmed commits of an old primary that was back while an order was about to take effect. ack.Receipts now compares the span that each answer proves (lifetime.Span) with what is known of the witness's process. An answer whose span doesn't overlap may be of another process, which is treated like a server that was listed when its span began: it counts once another witness was not suspended, or no replica was, or the record says that no attempt is in progress, each after that time. An answer without an age proves nothing.

What earlier processes have stated counts no more. Dropping it is safe, as it can only withhold a success; keeping it would be right for a restart, which keeps the log, but not for a server that has lost its log before a change asks it. The process before is remembered, without counting, until it is shown to be the same: the first answer on a new connection often arrives before the next one on an older connection. Receipts takes its times from a clock that includes the time the machine is suspended, because ages of other hosts go on then. Queries of the status are timed once a connection has been granted, so that a connection opened for the query needs no second one.

Ruled out: no evidence from all replicas while the process before was a witness.

With all spans of a server taken for one process, TestRestartedWitnessDoesNotCount, TestRestartedWitnessCountsOnlyAfterALaterQuery, TestLateAnswerOfAnEarlierProcessProvesNothing, TestSuspensionOutlastsTheRestartOfItsWitness and TestProcessThatProvesToBeTheSameStaysAWitness fail; without the check for a missing age, TestAnswerOfAnUnknownProcessProvesNothing does. The fakes of existing tests of ack and proxy now state a process.

--- a/core/ack/receipts.go
+++ b/core/ack/receipts.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"basilmill/core/group"
+	"basilmill/core/lifetime"
 	"basilmill/core/outcome"
 )
 
@@ -24,18 +25,31 @@
 // Each may also follow a change that has just taken effect and drops what the server had
 // received before, so that only what it states later counts.
 //
+// A witness is a process and not a server: one that restarts is not suspended any more. An
+// answer counts for a witness only if its span overlaps with what is known of the witness's
+// process. Otherwise the process is another one, and is treated like a server that was
+// listed at the start of the span. What its predecessors stated counts no more, because
+// nothing shows that the log is still there: that can only withhold a success.
+//
 // A position counts within its term only. What a server holds of a later term says
 // nothing about the end of an earlier one.
 //
 // The zero value is ready for use. A Receipts is safe for concurrent use.
 type Receipts struct {
+	// Now, if set, is the clock of the times that are passed to the methods. It has to
+	// include the time the machine is suspended if ages from other hosts count.
+	Now func() time.Time
+
 	mu       sync.Mutex
 	primary  group.ServerID
 	replicas map[group.ServerID]*replica // with the primary, which was one or will be
-	// unresolvedTerm is the term of a witness that left the list suspended. A change to a
-	// later one may still take effect.
+	// unresolvedTerm is the term of a witness that left the list, or may have restarted,
+	// while it was suspended. A change to a later one may still take effect.
 	unresolvedTerm group.Term
-	changed        chan struct{}
+	// clearAt is a time such that no change that made its last list before may still take
+	// effect, and clearKnownAt is when this became known.
+	clearAt, clearKnownAt time.Time
+	changed               chan struct{}
 }
 
 // Listed is a server that the store lists. Its boot changes with each start.
@@ -49,17 +63,30 @@
 	bootID int64
 	// listedAt is when the server was first seen in the list.
 	listedAt time.Time
-	witness  bool
-	// witnessSince is when the server became a witness.
+	// processes are those that are not known to be the same, in the order of their last
+	// answers. An answer on a new connection may be of the process before or of another
+	// one, until an answer on an older connection shows that it is the same. Only the
+	// last one counts: the log of an earlier one may be lost.
+	processes []*process
+}
+
+// maxProcesses bounds the processes of a replica.
+const maxProcesses = 2
+
+// process is what is known of one process of a listed server.
+type process struct {
+	span    lifetime.Span
+	witness bool
+	// witnessSince is when the process became a witness.
 	witnessSince time.Time
 	term         group.Term
-	// received is the highest position that the server stated, as a witness if it is one.
+	// received is the highest position that the process stated, as a witness if it is one.
 	received group.Position
-	// stated is the highest position that the server stated in its term.
+	// stated is the highest position that the process stated in its term.
 	stated group.Position
-	// suspended is set if the server said so in its last answer.
+	// suspended is set if the process said so in its last answer.
 	suspended bool
-	// notSuspendedAt is when the last query was sent whose answer said that the server is
+	// notSuspendedAt is when the last query was sent whose answer said that the process is
 	// not suspended.
 	notSuspendedAt time.Time
 }
@@ -68,6 +95,9 @@
 type Status struct {
 	// QueriedAt is when the query was sent.
 	QueriedAt time.Time
+	// ProcessSince is an upper bound of when the process that answered started; zero if it
+	// is not known. An answer of an unknown process is ignored.
+	ProcessSince time.Time
 	// Term is the term that the server is in.
 	Term group.Term
 	// Received is the end of the log that it has received. Its term may be earlier.
@@ -90,8 +120,8 @@
 	r.primary = primary
 	for id, known := range r.replicas {
 		if !slices.Contains(servers, Listed{id, known.bootID}) {
-			if known.witness && known.suspended {
-				r.unresolvedTerm = max(r.unresolvedTerm, known.term)
+			for _, p := range known.processes {
+				r.noteEnd(p)
 			}
 			delete(r.replicas, id)
 		}
@@ -103,7 +133,7 @@
 		if r.replicas == nil {
 			r.replicas = map[group.ServerID]*replica{}
 		}
-		r.replicas[s.ID] = &replica{bootID: s.BootID, listedAt: time.Now()}
+		r.replicas[s.ID] = &replica{bootID: s.BootID, listedAt: r.now()}
 	}
 }
 
@@ -111,12 +141,12 @@
 func (r *Receipts) NoteStatus(server group.ServerID, s Status) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.replicas[server]
+	known := r.identify(server, lifetime.Span{Since: s.ProcessSince, Until: s.QueriedAt})
 	if known == nil {
 		return
 	}
 	if s.Term <= known.term && s.Received.Compare(known.stated) < 0 {
-		// It has started again and has lost its suspension with its log.
+		// An earlier query was answered late.
 		return
 	}
 	known.stated, known.suspended = s.Received, s.Suspended
@@ -129,11 +159,11 @@
 }
 
 // NotePosition notes a position in the log of a server, from the answer to a statement that
-// was sent at the time.
-func (r *Receipts) NotePosition(server group.ServerID, sentAt time.Time, position group.Position) {
+// was sent at the time. processSince is that of Status.
+func (r *Receipts) NotePosition(server group.ServerID, sentAt, processSince time.Time, position group.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known := r.replicas[server]
+	known := r.identify(server, lifetime.Span{Since: processSince, Until: sentAt})
 	if known == nil || position.Compare(known.received) <= 0 {
 		return
 	}
@@ -151,10 +181,85 @@
 	r.notify()
 }
 
-func (r *replica) note(sentAt time.Time, term group.Term, received group.Position) {
-	r.term = max(r.term, term, received.Term)
-	if !sentAt.Before(r.witnessSince) && received.Compare(r.received) > 0 {
-		r.received = received
+// identify returns the process that gave an answer with the span. It is nil if the server
+// is not listed or nothing is known of the process.
+func (r *Receipts) identify(server group.ServerID, answer lifetime.Span) *process {
+	known := r.replicas[server]
+	if known == nil || answer.Since.IsZero() {
+		return nil
+	}
+	p := known.join(answer)
+	if p == nil {
+		if n := len(known.processes); n > 0 {
+			r.noteEnd(known.processes[n-1])
+		}
+		p = &process{span: answer}
+		known.processes = append(known.processes, p)
+	}
+	r.qualify(known, p)
+	slices.SortStableFunc(known.processes, func(a, b *process) int { return a.span.Until.Compare(b.span.Until) })
+	if n := len(known.processes); n > maxProcesses {
+		known.processes = known.processes[n-maxProcesses:]
+	}
+	return p
+}
+
+// join adds the span of an answer to the process that it is of, and joins the processes
+// that it shows to be the same. It returns nil if the process is not known.
+func (r *replica) join(answer lifetime.Span) (same *process) {
+	r.processes = slices.DeleteFunc(r.processes, func(p *process) bool {
+		switch {
+		case !p.span.Overlaps(answer):
+			return false
+		case same == nil:
+			same = p
+			return false
+		default:
+			same.merge(p)
+			return true
+		}
+	})
+	if same != nil {
+		same.span = same.span.Union(answer)
+	}
+	return same
+}
+
+// merge adds what is known of a later process that has proved to be the same. Only what p
+// has received as a witness counts, if it is one.
+func (p *process) merge(later *process) {
+	p.span = p.span.Union(later.span)
+	if !p.witness {
+		p.witness, p.witnessSince, p.received = later.witness, later.witnessSince, later.received
+	}
+	p.term = max(p.term, later.term)
+	if later.stated.Compare(p.stated) > 0 {
+		p.stated = later.stated
+	}
+	p.suspended = p.suspended || later.suspended
+	if later.notSuspendedAt.After(p.notSuspendedAt) {
+		p.notSuspendedAt = later.notSuspendedAt
+	}
+}
+
+// noteEnd notes that a process is not listed any more or may have ended.
+func (r *Receipts) noteEnd(p *process) {
+	if p.witness && p.suspended {
+		r.unresolvedTerm = max(r.unresolvedTerm, p.term)
+	}
+}
+
+func (r *Receipts) now() time.Time {
+	if r.Now == nil {
+		return time.Now()
+	}
+	return r.Now()
+}
+
+func (p *process) note(sentAt time.Time, term group.Term, received group.Position) {
+	p.term = max(p.term, term, received.Term)
+	if !sentAt.Before(p.witnessSince) && received.Compare(p.received) > 0 {
+		p.received = received
 	}
 }
 
@@ -163,12 +268,13 @@
 	var clearAt time.Time
 	known := false
 	for id, s := range r.replicas {
-		if !s.witness || id == r.primary {
+		last := s.last()
+		if !last.witness || id == r.primary {
 			continue
 		}
 		known = true
-		if s.notSuspendedAt.After(clearAt) {
-			clearAt = s.notSuspendedAt
+		if last.notSuspendedAt.After(clearAt) {
+			clearAt = last.notSuspendedAt
 		}
 	}
 	if !known {
@@ -177,25 +283,46 @@
 	r.addWitnesses(clearAt)
 }
 
-// addWitnesses makes the servers witnesses that were listed at the time.
+// last returns the last process of a replica, or one of which nothing is known.
+func (r *replica) last() process {
+	if len(r.processes) == 0 {
+		return process{}
+	}
+	return *r.processes[len(r.processes)-1]
+}
+
+// addWitnesses makes the processes witnesses that were listed and running at the time. No
+// change that made its last list before may still take effect.
 func (r *Receipts) addWitnesses(clearAt time.Time) {
+	if !clearAt.After(r.clearAt) {
+		return
+	}
+	r.clearAt, r.clearKnownAt = clearAt, r.now()
 	for _, s := range r.replicas {
-		if !s.witness && !s.listedAt.After(clearAt) {
-			s.witness, s.witnessSince, s.received = true, time.Now(), group.Position{}
+		for _, p := range s.processes {
+			r.qualify(s, p)
 		}
 	}
 }
 
+// qualify makes a process a witness if it was listed and running at clearAt.
+func (r *Receipts) qualify(s *replica, p *process) {
+	if !p.witness && !s.listedAt.After(r.clearAt) && !p.span.Since.After(r.clearAt) {
+		p.witness, p.witnessSince, p.received = true, r.clearKnownAt, group.Position{}
+	}
+}
+
 // allNotSuspendedAt returns the time since which every replica has been found not to be
 // suspended.
 func (r *Receipts) allNotSuspendedAt() (earliest time.Time) {
 	for id, s := range r.replicas {
+		last := s.last()
 		switch {
 		case id == r.primary:
-		case s.notSuspendedAt.IsZero(), s.term <= r.unresolvedTerm:
+		case last.notSuspendedAt.IsZero(), last.term <= r.unresolvedTerm:
 			return time.Time{}
-		case earliest.IsZero(), s.notSuspendedAt.Before(earliest):
-			earliest = s.notSuspendedAt
+		case earliest.IsZero(), last.notSuspendedAt.Before(earliest):
+			earliest = last.notSuspendedAt
 		}
 	}
 	return earliest
@@ -229,9 +356,9 @@
 	return covered
 }
 
-// has reports whether the server is known to have received its log up to the position.
-func (r *replica) has(position group.Position) bool {
-	return r.received.Term == position.Term && r.received.Offset >= position.Offset
+// has reports whether the process is known to have received its log up to the position.
+func (p *process) has(position group.Position) bool {
+	return p.received.Term == position.Term && p.received.Offset >= position.Offset
 }
 
 // check reports whether the commit is covered, or can't be any more. The channel is closed
@@ -240,9 +367,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, s := range r.replicas {
-		has := s.has(commit.Position)
-		covered = covered || has && s.witness && id != commit.Primary
-		replaced = replaced || !has && s.term > commit.Position.Term
+		last := s.last()
+		has := last.has(commit.Position)
+		covered = covered || has && last.witness && id != commit.Primary
+		replaced = replaced || !has && last.term > commit.Position.Term
 	}
 	if r.changed == nil {
 		r.changed = make(chan struct{})
--- a/core/ack/receipts_test.go
+++ b/core/ack/receipts_test.go
@@ -29,9 +29,18 @@
 	return servers
 }
 
+// processStart is when the servers started.
+var processStart = time.Unix(0, 0)
+
 // status returns the answer to a status query that is sent now.
 func status(received group.Position) ack.Status {
-	return ack.Status{QueriedAt: time.Now(), Term: received.Term, Received: received}
+	return ack.Status{QueriedAt: time.Now(), ProcessSince: processStart, Term: received.Term, Received: received}
+}
+
+// restarted returns the status with a process that started at the time.
+func restarted(at time.Time, s ack.Status) ack.Status {
+	s.ProcessSince = at
+	return s
 }
 
 func suspended(received group.Position) ack.Status {
@@ -74,7 +83,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T, r *ack.Receipts) {
-				r.NoteStatus(test.server, ack.Status{QueriedAt: time.Now(), Term: test.term, Received: test.log})
+				r.NoteStatus(test.server, ack.Status{QueriedAt: time.Now(), ProcessSince: processStart, Term: test.term, Received: test.log})
 				assert.Equal(t, r.Covered(commit), test.covered)
 			})
 		})
@@ -172,7 +181,7 @@
 // Guards against evidence of a server that left the list and came back without its log.
 func TestServerThatLeftIsForgotten(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *ack.Receipts) {
-		r.NotePosition("b", time.Now(), position(2, 10))
+		r.NotePosition("b", time.Now(), processStart, position(2, 10))
 		assert.Assert(t, r.Covered(commit))
 		r.SetListed(listed("a", "c"), "a")
 		r.SetListed(listed("a", "b", "c"), "a")
@@ -184,15 +193,120 @@
 func TestServerThatStartedAgainIsForgotten(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *ack.Receipts) {
 		r.SetListed([]ack.Listed{{ID: "a", BootID: 1}, {ID: "b", BootID: 2}, {ID: "c", BootID: 1}}, "a")
-		r.NotePosition("b", time.Now(), position(2, 10))
+		r.NotePosition("b", time.Now(), processStart, position(2, 10))
+		assert.Assert(t, !r.Covered(commit))
+	})
+}
+
+// Guards against evidence of a witness that restarted, and so lost its suspension, before
+// its new boot is listed.
+func TestRestartedWitnessDoesNotCount(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		restart := time.Now()
+		time.Sleep(50 * time.Millisecond)
+		r.NoteStatus("b", restarted(restart, status(position(2, 10))))
+		r.NotePosition("b", time.Now(), restart, position(2, 10))
+		assert.Assert(t, !r.Covered(commit))
+		r.NoteStatus("c", suspended(position(2, 9)))
+		r.NoteStatus("b", restarted(restart, status(position(2, 10))))
 		assert.Assert(t, !r.Covered(commit))
+		r.NoteStatus("c", status(position(2, 9)))
+		assert.Assert(t, !r.Covered(commit))
+		r.NoteStatus("b", restarted(restart, status(position(2, 10))))
+		assert.Assert(t, r.Covered(commit))
+	})
+}
+
+// Guards against a success that rests on a query of the other witness from before the
+// restart, after which a change may have suspended both.
+func TestRestartedWitnessCountsOnlyAfterALaterQuery(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		early := status(position(2, 9))
+		time.Sleep(50 * time.Millisecond)
+		restart := time.Now()
+		time.Sleep(50 * time.Millisecond)
+		r.NoteStatus("b", restarted(restart, status(position(2, 10))))
+		r.NoteStatus("c", early)
+		r.NoteStatus("b", restarted(restart, status(position(2, 10))))
+		assert.Assert(t, !r.Covered(commit))
+	})
+}
+
+// Guards against evidence of an earlier process that arrives after the first answer of the
+// next one.
+func TestLateAnswerOfAnEarlierProcessProvesNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		early := status(position(2, 10))
+		time.Sleep(50 * time.Millisecond)
+		restart := time.Now()
+		time.Sleep(50 * time.Millisecond)
+		r.NoteStatus("b", restarted(restart, status(position(2, 9))))
+		r.NoteStatus("c", status(position(2, 9)))
+		r.NoteStatus("b", early)
+		r.NotePosition("b", early.QueriedAt, processStart, position(2, 10))
+		assert.Assert(t, !r.Covered(commit))
+	})
+}
+
+// Guards against evidence of a process whose age is not known.
+func TestAnswerOfAnUnknownProcessProvesNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		r.NoteStatus("b", restarted(time.Time{}, status(position(2, 10))))
+		r.NotePosition("b", time.Now(), time.Time{}, position(2, 10))
+		assert.Assert(t, !r.Covered(commit))
+	})
+}
+
+// Guards against a success that rests on a restarted witness beside a new server, because
+// the restart ended the suspension that the other one would still show.
+func TestSuspensionOutlastsTheRestartOfItsWitness(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		r.NoteStatus("b", suspended(position(2, 9)))
+		r.NoteStatus("c", suspended(position(2, 9)))
+		time.Sleep(50 * time.Millisecond)
+		restart := time.Now()
+		for range 3 {
+			time.Sleep(50 * time.Millisecond)
+			r.NoteStatus("b", restarted(restart, status(position(2, 10))))
+			r.NoteStatus("c", restarted(restart, status(position(2, 10))))
+		}
+		assert.Assert(t, !r.Covered(commit))
+		r.NoteNoChange(time.Now())
+		r.NoteStatus("b", restarted(restart, status(position(2, 10))))
+		assert.Assert(t, r.Covered(commit))
+	})
+}
+
+// Guards against commits that are held back although a new connection shows no restart.
+func TestNewConnectionToTheSameProcessKeepsTheWitness(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		opened := time.Now()
+		time.Sleep(50 * time.Millisecond)
+		r.NoteStatus("b", status(position(2, 9)))
+		time.Sleep(time.Minute)
+		r.NoteStatus("b", restarted(opened, status(position(2, 10))))
+		assert.Assert(t, r.Covered(commit))
+	})
+}
+
+// Guards against a witness that is lost each time a connection is opened: the first answer
+// on it may arrive before one on an older connection shows that the process is the same.
+func TestProcessThatProvesToBeTheSameStaysAWitness(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		opened := time.Now()
+		time.Sleep(50 * time.Millisecond)
+		r.NoteStatus("b", restarted(opened, status(position(2, 10))))
+		assert.Assert(t, !r.Covered(commit))
+		r.NotePosition("b", time.Now(), processStart, position(2, 9))
+		r.NotePosition("b", time.Now(), opened, position(2, 10))
+		assert.Assert(t, r.Covered(commit))
 	})
 }
 
 func TestReceiptsDoNotGoBack(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *ack.Receipts) {
-		r.NotePosition("b", time.Now(), position(2, 10))
-		r.NotePosition("b", time.Now(), position(2, 4))
+		r.NotePosition("b", time.Now(), processStart, position(2, 10))
+		r.NotePosition("b", time.Now(), processStart, position(2, 4))
 		r.NoteStatus("b", status(position(1, 90)))
 		assert.Assert(t, r.Covered(commit))
 	})
@@ -244,11 +358,11 @@
 		result, requests := await(r, time.Second)
 		synctest.Wait()
 		assert.Equal(t, *requests, 1)
-		r.NotePosition("c", time.Now(), position(2, 9))
+		r.NotePosition("c", time.Now(), processStart, position(2, 9))
 		synctest.Wait()
 		assert.Equal(t, *requests, 2)
 		assert.Equal(t, len(result), 0)
-		r.NotePosition("c", time.Now(), position(2, 10))
+		r.NotePosition("c", time.Now(), processStart, position(2, 10))
 		assert.NilError(t, <-result)
 	})
 }
@@ -259,7 +373,7 @@
 		result, _ := await(r, time.Hour)
 		synctest.Wait()
 		started := time.Now()
-		r.NoteStatus("b", ack.Status{QueriedAt: started, Term: 3, Received: position(2, 9)})
+		r.NoteStatus("b", ack.Status{QueriedAt: started, ProcessSince: processStart, Term: 3, Received: position(2, 9)})
 		assertUnknown(t, <-result)
 		assert.Equal(t, time.Since(started), time.Duration(0))
 	})
--- a/core/proxy/confirm.go
+++ b/core/proxy/confirm.go
@@ -70,7 +70,7 @@
 		p.confirmers.groups = map[group.ID]*confirmer{}
 	}
 	if p.confirmers.groups[id] == nil {
-		p.confirmers.groups[id] = &confirmer{proxy: p, group: id, listed: listed{group: id, config: &p.config}}
+		p.confirmers.groups[id] = &confirmer{proxy: p, group: id, receipts: ack.Receipts{Now: p.now}, listed: listed{group: id, config: &p.config}}
 	}
 	return p.confirmers.groups[id]
 }
@@ -79,6 +79,20 @@
 // sent at the time.
 func (p *Proxy) noteReceipt(server catalog.Server, sentAt time.Time, answer exchange.Answer) {
 	if !answer.Position.IsZero() {
-		p.confirmer(server.Group).receipts.NotePosition(server.ID, sentAt, answer.Position)
+		p.confirmer(server.Group).receipts.NotePosition(server.ID, sentAt, p.processSince(answer), answer.Position)
 	}
 }
+
+// processSince returns a time at which the process that gave an answer was running. It is
+// zero if the age of the process is not known. The time that the answer took from a gateway
+// makes it later than it was there.
+func (p *Proxy) processSince(answer exchange.Answer) time.Time {
+	if answer.ProcessAge == 0 {
+		return time.Time{}
+	}
+	return p.now().Add(-answer.ProcessAge)
+}
+
+// now returns the reading of Config.Clock as a time that can be compared with others of
+// this host.
+func (p *Proxy) now() time.Time { return time.Unix(0, 0).Add(p.config.Clock()) }
--- a/core/proxy/confirm_test.go
+++ b/core/proxy/confirm_test.go
@@ -34,7 +34,7 @@
 	call := link.NewCall()
 	var answers []exchange.Answer
 	for _, s := range statements {
-		a := exchange.Answer{Digest: "d"}
+		a := exchange.Answer{Digest: "d", ProcessAge: time.Hour}
 		term := group.Term(1)
 		if *f.replaced {
 			term = 2
--- a/core/proxy/confirmer.go
+++ b/core/proxy/confirmer.go
@@ -203,7 +203,7 @@
 		return
 	}
 	c.updateListed()
-	startedAt := time.Now()
+	startedAt := c.proxy.now()
 	if inProgress, err := c.proxy.config.ChangeInProgress(ctx, c.group); err == nil && !inProgress {
 		c.receipts.NoteNoChange(startedAt)
 	}
@@ -254,13 +254,15 @@
 	defer c.endQuery(replica.ID)
 	ctx, cancel := context.WithTimeout(context.Background(), receiptQueryTimeout)
 	defer cancel()
-	queriedAt := time.Now()
-	status, err := c.proxy.commander().Command(ctx, replica, exchange.Statement{Operation: exchange.Status})
+	var queriedAt time.Time
+	noteTime := func() { queriedAt = c.proxy.now() }
+	answer, err := c.proxy.commander().CommandAnswer(ctx, replica, exchange.Statement{Operation: exchange.Status}, noteTime)
 	if err != nil {
 		return
 	}
+	status := answer.Status
 	c.receipts.NoteStatus(replica.ID, ack.Status{
-		QueriedAt: queriedAt, Term: status.Term, Received: status.ReceivedPosition, Suspended: status.SuspendedTerm != 0,
+		QueriedAt: queriedAt, ProcessSince: c.proxy.processSince(answer), Term: status.Term, Received: status.ReceivedPosition, Suspended: status.SuspendedTerm != 0,
 	})
 	if status.ReceivedPosition.Compare(commit.Position) < 0 {
 		c.noteBehind(replica.ID)
--- a/core/proxy/health.go
+++ b/core/proxy/health.go
@@ -79,9 +79,10 @@
 }
 
 // recordAnswer updates a server's health from its answer to a read or its refusal
-// of BEGIN.
-func (p *Proxy) recordAnswer(server catalog.Server, answer exchange.Answer, elapsed time.Duration) {
-	p.noteReceipt(server, time.Now().Add(-elapsed), answer)
+// of BEGIN, which was sent at the time.
+func (p *Proxy) recordAnswer(server catalog.Server, answer exchange.Answer, sentAt time.Time) {
+	p.noteReceipt(server, sentAt, answer)
+	elapsed := p.now().Sub(sentAt)
 	h := p.health.get(server.ID)
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/core/proxy/read.go
+++ b/core/proxy/read.go
@@ -189,7 +189,7 @@
 		return
 	}
 	result.gateway = lease.Gateway
-	started := time.Now()
+	sentAt := p.now()
 	sent.Store(true)
 	call := lease.Submit(desired, statement)
 	select {
@@ -206,7 +206,7 @@
 		return
 	}
 	lease.ReportAnswer(isBusy(answers[0]))
-	p.recordAnswer(server, answers[0], time.Since(started))
+	p.recordAnswer(server, answers[0], sentAt)
 	result.answer, result.next = answers[0], classify(answers[0])
 	if answers[0].Failure != nil {
 		result.reason = answers[0].Failure.Error()
--- a/core/proxy/transaction.go
+++ b/core/proxy/transaction.go
@@ -217,7 +217,7 @@
 	if t.readOnly && t.route.Consistency != catalog.Current {
 		begin = exchange.Statement{Operation: exchange.BeginRead, MinPosition: r.minPosition}
 	}
-	started, sentAt := time.Now(), p.config.Clock()
+	started, sentAt := p.now(), p.config.Clock()
 	answers, err := link.Run(ctx, lease, desired, begin)
 	if err != nil {
 		t.closeConnection()
@@ -234,7 +234,7 @@
 	}
 	if answers[0].Failure != nil {
 		r.attempts++
-		p.recordAnswer(server, answers[0], time.Since(started))
+		p.recordAnswer(server, answers[0], started)
 		r.noteRefusal(answers[0].Failure)
 		t.release()
 		return exchange.Answer{}, retryElsewhere
