takeover: a pending promotion that is ordered again ends the suspensions

Writes would have waited for an audit after a change whose orders got no answer: replicas were suspended for a term above that of the pending promotion, which therefore did not end the suspension when the same server was ordered again. They are suspended for the term of the next primary; where the pending promotion is settled instead, the suspension after it counts the term that it has begun. The tests of late orders and of suspensions pass.

--- a/core/takeover/suspend.go
+++ b/core/takeover/suspend.go
@@ -46,14 +46,14 @@
 }
 
 // noteTerm notes the highest term in which a server has seen a primary. The next primary
-// leads a higher one, and so does the one whose promotion is pending.
+// leads a higher one. A suspension for its term ends when it leads, also if that is the
+// server whose promotion is pending.
 func (a *attempt) noteTerm(seen group.Term) {
 	seen = max(seen, a.Term)
 	if !a.promotionPending {
 		seen = max(seen, a.record.CandidateTerm)
 	}
-	a.nextTerm = seen + 1
-	a.suspendTerm = max(a.nextTerm, a.record.CandidateTerm+1)
+	a.nextTerm, a.suspendTerm = seen+1, seen+1
 }
 
 // suspend suspends servers for the term of the attempt. A server ignores a term that is not
