standin/replicated: positions are in the term of the last commit

A position had the term of the server, so that a server without a log stated 2:0 in term 2, above every position of term 1, and was promoted in the model.

--- a/standin/replicated/server.go
+++ b/standin/replicated/server.go
@@ -304,9 +304,13 @@
 	return false
 }
 
-// position returns the log position after the first length commits.
+// position returns the log position after the first length commits. Its term is that of
+// the last of them.
 func (s *Server) position(length int) group.Position {
-	return group.Position{Term: s.term, Offset: group.Offset(length)}
+	if length == 0 {
+		return group.Position{}
+	}
+	return group.Position{Term: s.log[length-1].term, Offset: group.Offset(length)}
 }
 
 func (s *Server) status() *exchange.ServerStatus {
