takeover: a promotion is settled beside a primary that leads, and a slow platform

Callers were refused for as long as a server was listed that did not answer and whose promotion was pending, although the primary led as before and the fence was answered: the candidate was asked whether it had led. A primary that still leads its term tells as much.

A platform that answers after 3 s never answered a fence within its 2.5 s, so that nothing was ordered. A fence waits for 6 s now and renews the lease meanwhile.

--- a/core/takeover/fence.go
+++ b/core/takeover/fence.go
@@ -11,8 +11,8 @@
 )
 
 // settle makes sure that no promotion which was ordered earlier can still take effect,
-// and records whether the last one did. It fails if that does not become known.
-func (a *attempt) settle(ctx context.Context) (err error) {
+// and records whether the last one did, as the function tells after that.
+func (a *attempt) settle(ctx context.Context, tookEffect func(context.Context) (bool, error)) (err error) {
 	if !a.promotionPending {
 		return nil
 	}
@@ -27,12 +27,12 @@
 	if err := sleep(ctx, promotionDelay); err != nil {
 		return err
 	}
-	tookEffect, err := a.candidateTookEffect(ctx)
+	took, err := tookEffect(ctx)
 	if err != nil {
 		return err
 	}
 	next := a.record
-	if tookEffect {
+	if took {
 		next.BasePosition = next.Base()
 	} else {
 		next.CandidateTerm--
@@ -65,40 +65,43 @@
 
 // fence makes the platform refuse the orders of all lower epochs. It repeats the call
 // beside those without an answer, because they are harmless whenever they are carried out.
-func (a *attempt) fence(ctx context.Context) error {
-	if err := a.renewLease(ctx, fenceTimeout); err != nil {
-		return err
-	}
+func (a *attempt) fence(ctx context.Context) (err error) {
 	epoch, err := a.nextEpoch()
 	if err != nil {
 		return err
 	}
+	defer func() { a.reportStep(Step{Name: "fenced", Epoch: epoch, Err: err}) }()
 	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
 	defer cancel()
-	ticker := time.NewTicker(fenceInterval)
-	defer ticker.Stop()
 	answers := make(chan error, fenceTimeout/fenceInterval+1)
-	calls := 0
-	call := func() {
-		calls++
+	for range cap(answers) {
+		if time.Since(a.renewedAt) >= leaseRenewInterval {
+			if err := a.renewLease(ctx, fenceInterval); err != nil {
+				return err
+			}
+		}
 		go func() { answers <- a.Promotions.Fence(ctx, a.Group, a.Self, epoch) }()
+		if a.awaitFence(ctx, answers) {
+			return nil
+		}
 	}
-	call()
+	return eris.New("no answer to the fence")
+}
+
+// awaitFence waits until a call is answered or is to be repeated.
+func (a *attempt) awaitFence(ctx context.Context, answers <-chan error) (answered bool) {
+	interval := time.NewTimer(fenceInterval)
+	defer interval.Stop()
 	for {
 		select {
-		case err = <-answers:
+		case err := <-answers:
 			if err == nil {
-				a.reportStep(Step{Name: "fenced", Epoch: epoch})
-				return nil
-			}
-		case <-ticker.C:
-			if calls < cap(answers) {
-				call()
+				return true
 			}
+		case <-interval.C:
+			return false
 		case <-ctx.Done():
-			err = eris.Wrap(ctx.Err(), "no answer to the fence")
-			a.reportStep(Step{Name: "fenced", Epoch: epoch, Err: err})
-			return err
+			return false
 		}
 	}
 }
@@ -106,21 +109,18 @@
 // settlePrimary settles a pending promotion beside an active primary, whose status it
 // updates. It fails if another server leads after that.
 func (a *attempt) settlePrimary(ctx context.Context, status *exchange.ServerStatus) error {
-	if !a.promotionPending {
-		return nil
-	}
-	if err := a.settle(ctx); err != nil {
-		return err
-	}
-	settled, err := a.primaryStatus(ctx)
-	if err != nil {
-		return err
-	}
-	if settled.Term != status.Term {
-		return eris.Wrapf(ErrPrimaryActive, "%s leads a later term", a.Primary.ID)
-	}
-	*status = settled
-	return nil
+	return a.settle(ctx, func(ctx context.Context) (bool, error) {
+		settled, err := a.primaryStatus(ctx)
+		if err != nil {
+			return false, err
+		}
+		if settled.Term != status.Term {
+			return false, eris.Wrapf(ErrPrimaryActive, "%s leads a later term", a.Primary.ID)
+		}
+		*status = settled
+		// Another server that had taken the lead would have ended that of the primary.
+		return a.record.Candidate == a.Primary.ID, nil
+	})
 }
 
 // pendingCandidate returns the suspended server whose promotion is pending, if none of
@@ -145,7 +145,7 @@
 	if _, repeated := a.pendingCandidate(final); repeated {
 		return final, nil
 	}
-	if err := a.settle(ctx); err != nil {
+	if err := a.settle(ctx, a.candidateTookEffect); err != nil {
 		return final, err
 	}
 	a.requiredPosition = a.lowestPosition(a.record)
--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -33,7 +33,7 @@
 	}
 	a.reportStep(Step{Name: "leads", Server: server.ID, Epoch: a.record.Epoch})
 	a.resumeFollowers(ctx, server)
-	if err := a.settle(ctx); err != nil {
+	if err := a.settle(ctx, a.candidateTookEffect); err != nil {
 		// The next attempt settles it.
 		a.reportStep(Step{Name: "left pending", Server: server.ID, Epoch: a.record.Epoch, Err: err})
 		return server.ID, nil
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -178,9 +178,10 @@
 	// maxPromotionTries bounds how often a promotion is ordered while no answer
 	// comes.
 	maxPromotionTries = 10
-	// fenceTimeout bounds the wait for an answer to a fence, and fenceInterval is the
-	// time after which the call is repeated beside those without an answer.
-	fenceTimeout  = 2500 * time.Millisecond
+	// fenceTimeout bounds the wait for an answer to a fence, which the platform may give
+	// seconds late, and fenceInterval is the time after which the call is repeated beside
+	// those without an answer.
+	fenceTimeout  = 6 * time.Second
 	fenceInterval = 150 * time.Millisecond
 	// platformCallTimeout bounds one list of the servers together with the status
 	// queries to those that it adds.
