--- a/core/lead/event.go
+++ b/core/lead/event.go
@@ -207,8 +207,9 @@
 type auditResultEvent struct{ suspended map[group.ServerID]bool }
 
 // apply concludes that an unfinished attempt left a replica suspended if two
-// audits in a row found it suspended, because no attempt lasts that long. After
-// an unfinished attempt of this host one audit is enough.
+// audits in a row found it suspended, because few attempts last that long. One that does
+// holds the lease, so that the suspension is not ended meanwhile. After an unfinished
+// attempt of this host one audit is enough.
 func (e auditResultEvent) apply(m *Monitor) {
 	m.auditInFlight = false
 	m.leftoverSuspensions = false
--- a/core/takeover/suspension_test.go
+++ b/core/takeover/suspension_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -15,12 +16,15 @@
 // suspensionTerms records the terms that servers are suspended for.
 type suspensionTerms struct {
 	takeover.ServerClient
-	terms *[]group.Term
+	mu    sync.Mutex
+	terms []group.Term
 }
 
-func (c suspensionTerms) Command(ctx context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
+func (c *suspensionTerms) Command(ctx context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
 	if statement.Operation == exchange.Suspend {
-		*c.terms = append(*c.terms, statement.Term)
+		c.mu.Lock()
+		c.terms = append(c.terms, statement.Term)
+		c.mu.Unlock()
 	}
 	return c.ServerClient.Command(ctx, s, statement)
 }
@@ -33,8 +37,8 @@
 		status.SuspendedTerm = 2
 		f.statuses[id] = status
 	}
-	var terms []group.Term
-	_, err := runAttempt(t, f, takeover.PrimaryGone, func(r *takeover.Runner) { r.Client = suspensionTerms{f, &terms} })
+	c := &suspensionTerms{ServerClient: f}
+	_, err := runAttempt(t, f, takeover.PrimaryGone, func(r *takeover.Runner) { r.Client = c })
 	assert.NilError(t, err)
-	assert.DeepEqual(t, terms, []group.Term{2, 2})
+	assert.DeepEqual(t, c.terms, []group.Term{2, 2})
 }
