takeover: a fence waits for its calls

Calls of a fence that were still starting could outlive the attempt, which the race detector saw in TestPromotionThatTheStoreMayHaveLostStaysPendingUntilFenced. They end with the context of the fence, which now waits for them.

--- a/core/takeover/fence.go
+++ b/core/takeover/fence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -71,6 +72,8 @@
 		return err
 	}
 	defer func() { a.reportStep(Step{Name: "fenced", Epoch: epoch, Err: err}) }()
+	var calls sync.WaitGroup
+	defer calls.Wait()
 	ctx, cancel := context.WithTimeout(ctx, fenceTimeout)
 	defer cancel()
 	answers := make(chan error, fenceTimeout/fenceInterval+1)
@@ -80,7 +83,7 @@
 				return err
 			}
 		}
-		go func() { answers <- a.Promotions.Fence(ctx, a.Group, a.Self, epoch) }()
+		calls.Go(func() { answers <- a.Promotions.Fence(ctx, a.Group, a.Self, epoch) })
 		if a.awaitFence(ctx, answers) {
 			return nil
 		}
