takeover: an answered order settles the promotion without a fence

Callers were refused for seconds after a change whose first orders had got no answer and whose last one had: the attempt fenced orders that the answer had ended already, and if the fence got no answer, the next change had to settle first.

Each call has a higher epoch than those before it, so that the answer to any call is a fence. The attempt then only waits for what was carried out before.

Two tests counted on the fence of such an attempt: in one the third order is carried out without an answer now, and a repeated order that is answered ends the earlier one.

--- a/core/takeover/fence.go
+++ b/core/takeover/fence.go
@@ -18,8 +18,10 @@
 		return nil
 	}
 	defer func() { err = eris.Wrapf(err, "settle the promotion of %s", a.record.Candidate) }()
-	if err := a.fence(ctx); err != nil {
-		return err
+	if !a.fenced {
+		if err := a.fence(ctx); err != nil {
+			return err
+		}
 	}
 	if err := a.renewLease(ctx, promotionDelay); err != nil {
 		return err
@@ -85,6 +87,7 @@
 		}
 		calls.Go(func() { answers <- a.Promotions.Fence(ctx, a.Group, a.Self, epoch) })
 		if a.awaitFence(ctx, answers) {
+			a.fenced = true
 			return nil
 		}
 	}
--- a/core/takeover/leaseend_test.go
+++ b/core/takeover/leaseend_test.go
@@ -52,6 +52,9 @@
 	c.note()
 	err := c.fakeCluster.Promote(ctx, id, server, holder, epoch)
 	if err != nil {
+		if c.unansweredPromotions == 0 {
+			c.primary = server // the last one is carried out
+		}
 		<-ctx.Done()
 		return ctx.Err()
 	}
--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -57,6 +57,7 @@
 		}
 		switch {
 		case err == nil:
+			a.fenced = true
 			return nil
 		case errors.Is(err, ErrRefused):
 			a.promotionOrdered = a.promotionPending
@@ -64,7 +65,7 @@
 		case errors.Is(err, ErrConflict):
 			return err
 		}
-		a.promotionPending = true
+		a.promotionPending, a.fenced = true, false
 		if ctx.Err() != nil {
 			return err
 		}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -290,6 +290,9 @@
 	suspendedServers []catalog.Server
 	// calls counts the epochs that the attempt has used for calls to the platform.
 	calls Epoch
+	// fenced is set while the platform is known to refuse all calls of lower epochs that
+	// got no answer.
+	fenced bool
 	// promotionPending is set while a promotion without an answer, ordered by
 	// this attempt or an earlier one, may still be carried out.
 	promotionPending bool
