standin/replicated: an empty log ends at 1:0, not at no position

The mutant states the suspension now, which only the check of promises can detect; the honest one is covered by TestSuspensionIsRepeatedUntilItIsInForce.

--- a/e2e/replicated/history_test.go
+++ b/e2e/replicated/history_test.go
@@ -322,14 +322,17 @@
 	})
 }
 
-// ignoredSuspension answers Suspend without suspending the replica.
+// ignoredSuspension answers Suspend without suspending the replica, and states that it is
+// suspended.
 type ignoredSuspension struct{ takeover.ServerClient }
 
 func (m ignoredSuspension) Command(ctx context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
-	if statement.Operation == exchange.Suspend {
-		statement = exchange.Statement{Operation: exchange.Status}
+	if statement.Operation != exchange.Suspend {
+		return m.ServerClient.Command(ctx, s, statement)
 	}
-	return m.ServerClient.Command(ctx, s, statement)
+	status, err := m.ServerClient.Command(ctx, s, exchange.Statement{Operation: exchange.Status})
+	status.SuspendedTerm = statement.Term
+	return status, err
 }
 
 // equalPositions reports the same received position for all replicas, before and after
--- a/standin/replicated/server.go
+++ b/standin/replicated/server.go
@@ -305,10 +305,10 @@
 }
 
 // position returns the log position after the first length commits. Its term is that of
-// the last of them.
+// the last of them, the first one if there is none.
 func (s *Server) position(length int) group.Position {
 	if length == 0 {
-		return group.Position{}
+		return group.Position{Term: 1}
 	}
 	return group.Position{Term: s.log[length-1].term, Offset: group.Offset(length)}
 }
