--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -178,6 +178,7 @@
 		Cache: h.cache, Source: h.relays.source(), SavedServerStore: h.platform.SavedServerStore, IsSaver: h.relays.follower.IsRelay,
 		OnSourceCall: reporter.observeSourceCall, OnServerChange: reporter.logChange, OnRestore: reporter.logRestored,
 		Eras: h.platform.Eras, ConfigTTL: h.settings.ConfigTTL(), ServersTTL: h.settings.ServersTTL(),
+		Clock: h.platform.Clock,
 	}
 	add := func(f func(context.Context) error) {
 		g.Add(func() error { return f(ctx) }, func(error) { stop() })
--- a/cmd/entry/entry_test.go
+++ b/cmd/entry/entry_test.go
@@ -31,15 +31,15 @@
 // staticSource is a catalogue source that does not change.
 type staticSource struct{ cluster *replicated.Cluster }
 
-func (s staticSource) ListServers(context.Context) (entries []catalog.ServerChange, at distribution.Version, err error) {
+func (s staticSource) ListServers(context.Context) (entries []catalog.ServerChange, reading catalog.Reading, err error) {
 	for _, server := range s.cluster.ServerEntries() {
 		entries = append(entries, catalog.ServerChange{ID: server.ID, Server: &server})
 	}
-	return entries, 1, nil
+	return entries, catalog.Reading{At: 1}, nil
 }
 
-func (s staticSource) WatchServers(ctx context.Context, from distribution.Version, wait time.Duration) ([]catalog.ServerChange, distribution.Version, error) {
-	return nil, from, waitOrCancel(ctx, wait)
+func (s staticSource) WatchServers(ctx context.Context, from distribution.Version, wait time.Duration) ([]catalog.ServerChange, catalog.Reading, error) {
+	return nil, catalog.Reading{At: from}, waitOrCancel(ctx, wait)
 }
 
 func (staticSource) ListConfig(context.Context) (*catalog.Config, distribution.Version, error) {
--- a/cmd/entry/groups.go
+++ b/cmd/entry/groups.go
@@ -121,5 +121,5 @@
 	g.host.log.Write(context.Background(), logevent.ChangeStep, slog.String("group", string(id)), slog.String("step", s.Name), slog.String("cause", s.Cause.String()),
 		slog.String("server", string(s.Server)), slog.Int64("epoch", int64(s.Epoch)), slog.Int64("era", int64(g.host.era())), slog.String("received", s.Status.ReceivedPosition.String()),
 		slog.Int64("term", int64(s.Status.Term)), slog.Int64("suspended_term", int64(s.Status.SuspendedTerm)), slog.Bool("leads", s.Status.Role == exchange.Primary),
-		slog.String("pending", string(s.Pending)), slog.String("error", errorText))
+		slog.String("pending", string(s.Pending)), slog.Any("members", s.Members), slog.String("error", errorText))
 }
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -60,7 +60,7 @@
 type scriptedSource struct {
 	mu            sync.Mutex
 	listCalls     int
-	watchAnswers  []func() ([]catalog.ServerChange, distribution.Version, error)
+	watchAnswers  []func() ([]catalog.ServerChange, catalog.Reading, error)
 	watchTimeouts []time.Duration
 	// unansweredLists is the number of first ListServers calls that are never
 	// answered.
@@ -68,25 +68,25 @@
 	watchedVersions []distribution.Version
 }
 
-func (s *scriptedSource) ListServers(ctx context.Context) ([]catalog.ServerChange, distribution.Version, error) {
+func (s *scriptedSource) ListServers(ctx context.Context) ([]catalog.ServerChange, catalog.Reading, error) {
 	s.mu.Lock()
 	s.listCalls++
 	n := s.listCalls
 	s.mu.Unlock()
 	if n <= s.unansweredLists {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, catalog.Reading{}, ctx.Err()
 	}
 	a := server("a", false)
-	return []catalog.ServerChange{{ID: "a", Server: &a}}, distribution.Version(100 * n), nil
+	return []catalog.ServerChange{{ID: "a", Server: &a}}, catalog.Reading{At: distribution.Version(100 * n)}, nil
 }
 
-func (s *scriptedSource) WatchServers(ctx context.Context, from distribution.Version, wait time.Duration) ([]catalog.ServerChange, distribution.Version, error) {
+func (s *scriptedSource) WatchServers(ctx context.Context, from distribution.Version, wait time.Duration) ([]catalog.ServerChange, catalog.Reading, error) {
 	s.watchedVersions = append(s.watchedVersions, from)
 	s.watchTimeouts = append(s.watchTimeouts, wait)
 	if len(s.watchAnswers) == 0 {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, catalog.Reading{}, ctx.Err()
 	}
 	next := s.watchAnswers[0]
 	s.watchAnswers = s.watchAnswers[1:]
@@ -113,8 +113,10 @@
 // so that the list must be read again.
 func TestListIsReadAgainAfterHistoryGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, distribution.Version, error){
-			func() ([]catalog.ServerChange, distribution.Version, error) { return nil, 0, catalog.ErrHistoryGone },
+		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, catalog.Reading, error){
+			func() ([]catalog.ServerChange, catalog.Reading, error) {
+				return nil, catalog.Reading{}, catalog.ErrHistoryGone
+			},
 		}}
 		syncScript(t, s, time.Second)
 		assert.Equal(t, s.listCalls, 2)
@@ -127,10 +129,12 @@
 func TestFailedWatchIsRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		leaving := server("a", true)
-		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, distribution.Version, error){
-			func() ([]catalog.ServerChange, distribution.Version, error) { return nil, 0, errors.New("reset") },
-			func() ([]catalog.ServerChange, distribution.Version, error) {
-				return []catalog.ServerChange{{ID: "a", Server: &leaving}}, 105, nil
+		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, catalog.Reading, error){
+			func() ([]catalog.ServerChange, catalog.Reading, error) {
+				return nil, catalog.Reading{}, errors.New("reset")
+			},
+			func() ([]catalog.ServerChange, catalog.Reading, error) {
+				return []catalog.ServerChange{{ID: "a", Server: &leaving}}, catalog.Reading{At: 105}, nil
 			},
 		}}
 		cache := syncScript(t, s, 2*time.Second)
@@ -154,10 +158,12 @@
 // age of the view within the TTL, and must be short after a failure.
 func TestWatchTimeoutStaysWithinTTL(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		answer := func() ([]catalog.ServerChange, distribution.Version, error) { return nil, 100, nil }
-		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, distribution.Version, error){
+		answer := func() ([]catalog.ServerChange, catalog.Reading, error) { return nil, catalog.Reading{At: 100}, nil }
+		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, catalog.Reading, error){
 			answer, answer, answer, answer,
-			func() ([]catalog.ServerChange, distribution.Version, error) { return nil, 0, errors.New("reset") },
+			func() ([]catalog.ServerChange, catalog.Reading, error) {
+				return nil, catalog.Reading{}, errors.New("reset")
+			},
 			answer,
 		}}
 		const ttl = 6 * time.Second
@@ -189,8 +195,8 @@
 		started := time.Now()
 		s := &scriptedSource{}
 		// The store returns all changes after the revision, which counts them.
-		var answer func() ([]catalog.ServerChange, distribution.Version, error)
-		answer = func() ([]catalog.ServerChange, distribution.Version, error) { //nolint:unparam // the type is that of watchAnswers
+		var answer func() ([]catalog.ServerChange, catalog.Reading, error)
+		answer = func() ([]catalog.ServerChange, catalog.Reading, error) { //nolint:unparam // the type is that of watchAnswers
 			s.watchAnswers = append(s.watchAnswers, answer)
 			known := s.watchedVersions[len(s.watchedVersions)-1] - 100
 			if known == changes {
@@ -200,7 +206,7 @@
 			at := min(changes, distribution.Version(time.Since(started)/interval))
 			b := server("b", false)
 			b.BootID = int64(at)
-			return []catalog.ServerChange{{ID: "b", Server: &b}}, 100 + at, nil
+			return []catalog.ServerChange{{ID: "b", Server: &b}}, catalog.Reading{At: 100 + at}, nil
 		}
 		s.watchAnswers = append(s.watchAnswers, answer)
 		cache := syncScript(t, s, changes*interval+time.Second)
@@ -220,9 +226,9 @@
 // An entry that cannot be decoded must count as missing.
 func TestUnreadableEntryRemovesTheServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, distribution.Version, error){
-			func() ([]catalog.ServerChange, distribution.Version, error) {
-				return []catalog.ServerChange{{ID: "a"}}, 105, nil
+		s := &scriptedSource{watchAnswers: []func() ([]catalog.ServerChange, catalog.Reading, error){
+			func() ([]catalog.ServerChange, catalog.Reading, error) {
+				return []catalog.ServerChange{{ID: "a"}}, catalog.Reading{At: 105}, nil
 			},
 		}}
 		cache := syncScript(t, s, time.Second)
--- a/core/catalog/sync.go
+++ b/core/catalog/sync.go
@@ -28,12 +28,19 @@
 	Err error
 }
 
+// Reading says which state of the store an answer describes.
+type Reading struct {
+	At distribution.Version
+	// Age is that of distribution.Update.
+	Age time.Duration
+}
+
 // Source reads the servers and the configuration from the platform's store.
 type Source interface {
-	ListServers(ctx context.Context) ([]ServerChange, distribution.Version, error)
+	ListServers(ctx context.Context) ([]ServerChange, Reading, error)
 	// WatchServers returns the changes after a version. It waits up to the
 	// given time for the first one.
-	WatchServers(ctx context.Context, from distribution.Version, wait time.Duration) ([]ServerChange, distribution.Version, error)
+	WatchServers(ctx context.Context, from distribution.Version, wait time.Duration) ([]ServerChange, Reading, error)
 	// ListConfig returns nil if there is no configuration.
 	ListConfig(ctx context.Context) (*Config, distribution.Version, error)
 	// WatchConfig waits in the same way. It returns nil if there is no newer
@@ -46,6 +53,9 @@
 	// deployments tolerate while there is no other fault.
 	defaultConfigTTL  = 3 * time.Second
 	defaultServersTTL = 7 * time.Second
+	// maxServersTTL keeps a server's confirmation (ack.ListedTTL) from expiring between two
+	// watches.
+	maxServersTTL = 5500 * time.Millisecond
 	// initialWatchTimeout is how long the first watch, and the first one after
 	// a failure, waits for a change. Later ones wait longer, because each
 	// watch is charged for.
@@ -81,6 +91,8 @@
 type Syncer struct {
 	Cache  *Cache
 	Source Source
+	// Clock is that of Cache.Confirm; without it the list of servers is never confirmed.
+	Clock func() time.Duration
 	// ConfigTTL and ServersTTL bound the age of the view while one answer of
 	// the source is lost; zero selects a default.
 	ConfigTTL, ServersTTL time.Duration
@@ -105,37 +117,54 @@
 // SyncServers keeps the servers up to date until ctx ends.
 func (s *Syncer) SyncServers(ctx context.Context) error {
 	var nextWatch time.Time
-	return s.syncPart(ctx, "servers", cmp.Or(s.ServersTTL, defaultServersTTL),
+	return s.syncPart(ctx, "servers", min(cmp.Or(s.ServersTTL, defaultServersTTL), maxServersTTL),
 		func(ctx context.Context) (listResult, error) {
-			entries, at, err := s.Source.ListServers(ctx)
-			return listResult{at: at, apply: func() { s.replaceServers(entries, at) }}, err
+			entries, reading, err := s.Source.ListServers(ctx)
+			receivedAt := s.now()
+			return listResult{at: reading.At, age: reading.Age, apply: func() {
+				s.replaceServers(entries, reading.At)
+				s.Cache.ConfirmList(receivedAt, reading.Age)
+			}}, err
 		},
-		func(ctx context.Context, from distribution.Version, wait time.Duration) (distribution.Version, error) {
+		func(ctx context.Context, from distribution.Version, wait time.Duration) (Reading, error) {
 			if pause := time.Until(nextWatch); pause > 0 {
 				if !sleep(ctx, pause) {
-					return 0, ctx.Err()
+					return Reading{}, ctx.Err()
 				}
 				wait -= pause
 			}
-			changes, at, err := s.Source.WatchServers(ctx, from, wait)
+			changes, reading, err := s.Source.WatchServers(ctx, from, wait)
 			if err != nil {
-				return 0, err
+				return Reading{}, err
 			}
+			receivedAt := s.now()
 			if len(changes) > 0 {
 				nextWatch = time.Now().Add(changeBatchDelay)
 			}
 			for _, c := range changes {
-				if c.Server == nil {
+				switch {
+				case c.Server != nil:
+					s.Cache.PutEntry(c.entry(reading.At.Era()))
+				case c.Err != nil:
+					s.Cache.MarkInvalid(c.ID)
+				default:
 					s.Cache.MarkMissing(c.ID)
-				} else {
-					s.Cache.PutEntry(c.entry(at.Era()))
 				}
-				s.reportChange(c, at)
+				s.reportChange(c, reading.At)
 			}
-			return at, nil
+			s.Cache.Confirm(receivedAt, reading.Age)
+			return reading, nil
 		})
 }
 
+// now returns the reading of Clock. Without a clock it is zero, which confirms nothing.
+func (s *Syncer) now() time.Duration {
+	if s.Clock == nil {
+		return 0
+	}
+	return s.Clock()
+}
+
 // replaceServers replaces the servers by the valid entries of a complete list.
 func (s *Syncer) replaceServers(entries []ServerChange, at distribution.Version) {
 	var valid []Entry
@@ -147,6 +176,11 @@
 		valid = append(valid, e.entry(at.Era()))
 	}
 	s.Cache.ReplaceEntries(valid)
+	for _, e := range entries {
+		if e.Err != nil {
+			s.Cache.MarkInvalid(e.ID)
+		}
+	}
 }
 
 // entry returns the entry that a change of the era has put. The change must not be a
@@ -168,12 +202,12 @@
 			config, at, err := s.Source.ListConfig(ctx)
 			return listResult{at: at, apply: func() { s.setConfig(config) }}, err
 		},
-		func(ctx context.Context, from distribution.Version, wait time.Duration) (distribution.Version, error) {
+		func(ctx context.Context, from distribution.Version, wait time.Duration) (Reading, error) {
 			config, at, err := s.Source.WatchConfig(ctx, from, wait)
 			if err == nil {
 				s.setConfig(config)
 			}
-			return at, err
+			return Reading{At: at}, err
 		})
 }
 
@@ -190,6 +224,12 @@
 	return w
 }
 
+// after returns the timeout of the next watch after an answer of the given age, so that the
+// view does not become much older than the longest one.
+func (w *watchTimeouts) after(age time.Duration) time.Duration {
+	return min(w.next, max(w.longest-age, initialWatchTimeout))
+}
+
 // increase doubles the timeout of the next watch after one was answered.
 func (w *watchTimeouts) increase() { w.next = min(2*w.next, w.longest) }
 
@@ -200,12 +240,13 @@
 // cache.
 type listResult struct {
 	at    distribution.Version
+	age   time.Duration
 	apply func()
 }
 
 type (
 	listFunc  func(ctx context.Context) (listResult, error)
-	watchFunc func(ctx context.Context, from distribution.Version, wait time.Duration) (distribution.Version, error)
+	watchFunc func(ctx context.Context, from distribution.Version, wait time.Duration) (Reading, error)
 )
 
 // setConfig passes a configuration to the cache, if there is one.
@@ -222,17 +263,18 @@
 	backoff := retry.Backoff{MaxBackoff: maxSyncBackoff}
 	timeouts := newWatchTimeouts(ttl)
 	var at distribution.Version
+	var age time.Duration
 	for ctx.Err() == nil {
-		next, err := syncStep(ctx, at, timeouts.next, fetch, watch)
+		next, err := syncStep(ctx, at, timeouts.after(age), fetch, watch)
 		if s.OnSourceCall != nil && ctx.Err() == nil && !errors.Is(err, ErrHistoryGone) {
-			s.OnSourceCall(part, next, err)
+			s.OnSourceCall(part, next.At, err)
 		}
 		switch {
 		case err == nil:
 			if at != 0 {
 				timeouts.increase()
 			}
-			at = next
+			at, age = next.At, next.Age
 			backoff.Reset()
 		case errors.Is(err, ErrHistoryGone):
 			at = 0
@@ -246,20 +288,21 @@
 }
 
 // syncStep makes one call to the source: it reads the list if at is zero and
-// otherwise watches from there. It returns the revision to watch from next.
-func syncStep(ctx context.Context, at distribution.Version, wait time.Duration, fetch listFunc, watch watchFunc) (next distribution.Version, err error) {
+// otherwise watches from there. It returns the state to watch from next.
+func syncStep(ctx context.Context, at distribution.Version, wait time.Duration, fetch listFunc, watch watchFunc) (next Reading, err error) {
 	if at == 0 {
 		list, err := fetchList(ctx, fetch)
 		if err != nil {
-			return 0, eris.Wrap(err, "list")
+			return Reading{}, eris.Wrap(err, "list")
 		}
 		list.apply()
-		return list.at, nil
+		return Reading{At: list.at, Age: list.age}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+watchReplyTimeout)
 	defer cancel()
 	next, err = watch(ctx, at, wait)
-	return max(next, at), eris.Wrap(err, "watch")
+	next.At = max(next.At, at)
+	return next, eris.Wrap(err, "watch")
 }
 
 // fetchList requests a list, and once more every listRetryInterval while there is
--- a/core/distribution/distribution.go
+++ b/core/distribution/distribution.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Kind is the kind of an object, such as "group" or "account".
@@ -36,6 +37,9 @@
 	After   Version
 	Version Version
 	Objects []Object
+	// Age is the time, at most, since a moment at which no later change had been made.
+	// Follower states it; other sources leave it zero.
+	Age time.Duration
 }
 
 // Set is a host's copy of the objects. The zero value is empty. A Set is not safe
--- a/core/distribution/follower.go
+++ b/core/distribution/follower.go
@@ -134,12 +134,14 @@
 	if !f.mayCallStore(kind) {
 		return Update{}, ErrStoreBackoff
 	}
+	sentAt := f.Relay.Clock()
 	u, err := f.Store.List(ctx, kind)
 	f.noteStoreCall(kind, err)
 	if err != nil {
 		f.Relay.fail(kind)
 		return Update{}, err
 	}
+	u.Age = f.Relay.Clock() - sentAt
 	f.Relay.replace(kind, u, watchReplyTimeout)
 	f.noteVersion(kind, u.Version)
 	return u, nil
@@ -172,12 +174,14 @@
 	}
 	wait = max(wait-time.Since(started), minStoreWait)
 	f.Relay.expect(kind, wait)
+	sentAt := f.Relay.Clock()
 	u, err := f.Store.Watch(ctx, kind, after, wait)
 	f.noteStoreCall(kind, err)
 	if err != nil {
 		f.Relay.fail(kind)
 		return Update{}, err
 	}
+	u.Age = f.answerAge(u, sentAt, wait)
 	f.Relay.merge(kind, u)
 	f.noteVersion(kind, u.Version)
 	return u, nil
@@ -197,6 +201,7 @@
 func (f *Follower) pull(ctx context.Context, relay host.Info, kind Kind, after Version, wait, timeout time.Duration) (Update, bool) {
 	pullCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	sentAt := f.Relay.Clock()
 	u, current, err := f.Network.Pull(pullCtx, relay, kind, after, wait)
 	if ctx.Err() != nil {
 		return Update{}, false
@@ -213,9 +218,20 @@
 	f.mu.Unlock()
 	f.noteVersion(kind, u.Version)
 	f.Eras.Note(u.Version.Era())
+	u.Age += f.answerAge(u, sentAt, wait)
 	return u, true
 }
 
+// answerAge returns the time, at most, since an answer was given to a call that was sent at
+// a time. An answer without a change was given after the wait.
+func (f *Follower) answerAge(u Update, sentAt, wait time.Duration) time.Duration {
+	elapsed := f.Relay.Clock() - sentAt
+	if len(u.Objects) == 0 && elapsed >= wait {
+		return elapsed - wait
+	}
+	return elapsed
+}
+
 // avoid avoids a relay for some time.
 func (f *Follower) avoid(relay host.ID, kind Kind, cause error) {
 	f.mu.Lock()
--- a/core/distribution/relay.go
+++ b/core/distribution/relay.go
@@ -28,6 +28,8 @@
 // relayedCopy is a relay's copy of the objects of one kind.
 type relayedCopy struct {
 	set Set
+	// confirmedAt is a time at which the store had no later change.
+	confirmedAt time.Duration
 	// currentUntil is until when the copy counts as current without another answer
 	// of the store; zero after a failure.
 	currentUntil time.Duration
@@ -67,7 +69,9 @@
 	if c == nil || r.closed || r.Clock() > c.currentUntil || c.set.Version() < after {
 		return Update{}, nil, false
 	}
-	return c.set.Since(after), c.changed, true
+	u = c.set.Since(after)
+	u.Age = r.Clock() - c.confirmedAt
+	return u, c.changed, true
 }
 
 // Close makes the relay refuse further pulls and ends those that wait, so that the
@@ -94,6 +98,7 @@
 	r.change(kind, func(c *relayedCopy) {
 		r.reportIgnored(c, list)
 		c.set.Replace(list)
+		c.confirmedAt = r.Clock() - list.Age
 		c.currentUntil = r.Clock() + ttl
 	})
 }
@@ -118,6 +123,7 @@
 		}
 		r.reportIgnored(c, u)
 		c.set.Merge(u)
+		c.confirmedAt = max(c.confirmedAt, r.Clock()-u.Age)
 		c.currentUntil = r.Clock() + watchReplyTimeout
 	})
 }
--- a/core/proxy/confirm.go
+++ b/core/proxy/confirm.go
@@ -56,6 +56,9 @@
 		return err
 	}
 	r.witness = confirmer.receipts.Witness(acknowledged)
+	if r.witness != "" {
+		r.witnessListed = p.config.Clock() - p.config.Cache.ListedAt(r.witness)
+	}
 	return nil
 }
 
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -173,6 +173,8 @@
 	heldBack time.Duration
 	// witness is a server that was known to have received the commit then.
 	witness group.ServerID
+	// witnessListed is how long before the store was last known to list the witness.
+	witnessListed time.Duration
 	// reason says why the last attempt failed. It is logged and sent to the
 	// caller.
 	reason string
@@ -353,7 +355,7 @@
 	r.session.proxy.config.Log.Write(context.Background(), number,
 		slog.String("request", string(r.statement.ID)), slog.String("route", r.route.Name), slog.String("class", r.route.Consistency.String()),
 		slog.Int64("config", int64(r.session.proxy.config.Cache.View().ConfigVersion())), slog.Bool("writes", r.writes), slog.String("group", string(r.route.Group)), slog.String("server", string(r.server)), slog.String("gateway", string(r.gateway)),
-		slog.String("after", r.minPosition.String()), slog.String("committed", r.committed.String()), slog.Duration("held_back", r.heldBack), slog.String("witness", string(r.witness)), slog.String("leader", string(snapshot.Primary.ID)), slog.Bool("leader_known", snapshot.PrimaryKnown),
+		slog.String("after", r.minPosition.String()), slog.String("committed", r.committed.String()), slog.Duration("held_back", r.heldBack), slog.String("witness", string(r.witness)), slog.Duration("witness_listed", r.witnessListed), slog.String("leader", string(snapshot.Primary.ID)), slog.Bool("leader_known", snapshot.PrimaryKnown),
 		slog.Duration("leader_proven", proofAge), slog.Int("attempts", r.attempts), slog.Duration("elapsed", elapsed),
 		slog.String("reason", r.reason), slog.String("outcome", outcome))
 }
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -255,6 +255,8 @@
 	Status exchange.ServerStatus
 	// Pending is the server whose promotion may be pending, as of the step.
 	Pending group.ServerID
+	// Members are the servers that the attempt knows of, as of the step.
+	Members []group.ServerID
 	Err     error
 }
 
@@ -387,6 +389,9 @@
 	if a.promotionPending {
 		s.Pending = a.record.Candidate
 	}
+	for _, m := range a.Members {
+		s.Members = append(s.Members, m.ID)
+	}
 	if a.Observe != nil {
 		a.Observe(a.Group, s)
 	}
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -107,6 +107,7 @@
 		h.filterServers = func(servers []catalog.Server) []catalog.Server { return servers }
 	}
 	h.cache.ReplaceServers(h.filterServers(cluster.ServerEntries()))
+	h.cache.ConfirmList(clock(), 0)
 	var dialer link.Dialer = cluster
 	if options.partition != nil {
 		h.partition = options.partition
@@ -153,7 +154,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	go func() { _ = h.monitor.Run(ctx) }()
-	go h.syncServers(ctx, eras)
+	go h.syncServers(ctx, eras, clock)
 	return h
 }
 
@@ -210,7 +211,7 @@
 
 // syncServers keeps the host's list of servers up to date and closes connections
 // that are no longer needed, as a running host does.
-func (h *entryHost) syncServers(ctx context.Context, eras *distribution.Eras) {
+func (h *entryHost) syncServers(ctx context.Context, eras *distribution.Eras, clock func() time.Duration) {
 	ticker := time.NewTicker(50 * time.Millisecond)
 	defer ticker.Stop()
 	for {
@@ -225,6 +226,7 @@
 			}
 			eras.Note(h.cluster.Era())
 			h.cache.ReplaceServers(h.filterServers(h.cluster.ServerEntries()))
+			h.cache.ConfirmList(clock(), 0)
 			h.cache.Expire()
 			h.registry.Prune(h.isGateway)
 		}
--- a/e2e/restored/fleet_test.go
+++ b/e2e/restored/fleet_test.go
@@ -169,7 +169,7 @@
 	f.wait.Go(func() { _ = n.sweeper.Run(ctx) })
 	syncer := &catalog.Syncer{
 		Cache: &n.cache, Source: platform.Catalog{Objects: &n.follower}, ConfigTTL: calmTime, ServersTTL: 7 * time.Second,
-		Eras: &n.client.Eras, SavedServerStore: n.client, IsSaver: n.follower.IsRelay,
+		Eras: &n.client.Eras, SavedServerStore: n.client, IsSaver: n.follower.IsRelay, Clock: n.relay.Clock,
 	}
 	f.wait.Go(func() { _ = syncer.SyncServers(ctx) })
 	f.wait.Go(func() { _ = syncer.SyncConfig(ctx) })
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -186,11 +186,11 @@
 // object. The objects are ordered by version, so a truncated reply is complete up
 // to the version of its last object.
 func pullReplyToWire(self host.Info, reply PullReply) *peerpb.PullResponse {
-	objects, version, size := reply.Update.Objects, reply.Update.Version, 0
+	objects, version, age, size := reply.Update.Objects, reply.Update.Version, reply.Update.Age, 0
 	for i, o := range objects {
 		size += len(o.Value)
 		if i > 0 && size > maxPullBytes {
-			objects, version = objects[:i], objects[i-1].Version
+			objects, version, age = objects[:i], objects[i-1].Version, unknownAge
 			break
 		}
 	}
@@ -202,9 +202,25 @@
 		Applied: appliedToWire(reply.Applied),
 		Hosts:   hostsToWire(reply.Hosts),
 		Current: reply.Current,
+		AgeMs:   ageToWire(age),
 	}
 }
 
+// unknownAge is the age of an update whose age is not known. It exceeds the ages at which an
+// update counts as current.
+const unknownAge = time.Hour
+
+// ageToWire returns a positive number of milliseconds: zero stands for an age that a host of
+// an earlier version does not state.
+func ageToWire(age time.Duration) int64 { return int64(age/time.Millisecond) + 1 }
+
+func ageFromWire(ms int64) time.Duration {
+	if ms <= 0 {
+		return unknownAge
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 func pullReplyFromWire(w *peerpb.PullResponse) (reply PullReply, err error) {
 	hosts, err := hostsFromWire(w.GetHosts())
 	if err != nil {
@@ -215,6 +231,7 @@
 			After:   distribution.Version(w.GetAfter()),
 			Version: distribution.Version(w.GetVersion()),
 			Objects: objectsFromWire(w.GetObjects()),
+			Age:     ageFromWire(w.GetAgeMs()),
 		},
 		Applied: appliedFromWire(w.GetApplied()),
 		Hosts:   hosts,
