--- a/core/ack/receipts.go
+++ b/core/ack/receipts.go
@@ -1,6 +1,7 @@
 package ack
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -31,6 +32,12 @@
 // listed at the start of the span. What its predecessors stated counts no more, because
 // nothing shows that the log is still there: that can only withhold a success.
 //
+// A host's list of servers may be outdated, so that a change does not ask a server which it
+// holds. The confirmation of one witness therefore counts only within ListedTTL after the
+// store was last known to list it as one that stays. A change asks a server for longer than
+// that after its entry has gone. Without such a witness, a commit is safe once all listed
+// replicas are witnesses and have received it: a change asks one of them at least.
+//
 // A position counts within its term only. What a server holds of a later term says
 // nothing about the end of an earlier one.
 //
@@ -52,17 +59,24 @@
 	changed               chan struct{}
 }
 
+// ListedTTL is how long after the store was last known to list a server its confirmation
+// alone counts. It is shorter than the time in which a server leaves.
+const ListedTTL = 6 * time.Second
+
 // Listed is a server that the store lists. Its boot changes with each start.
 type Listed struct {
 	ID     group.ServerID
 	BootID int64
+	// ListedAt is a time at which the store is known to have listed the server as one that
+	// stays.
+	ListedAt time.Time
 }
 
 // replica is what is known of one listed server.
 type replica struct {
-	bootID int64
-	// listedAt is when the server was first seen in the list.
-	listedAt time.Time
+	Listed
+	// seenAt is when the server was first seen in the list.
+	seenAt time.Time
 	// processes are those that are not known to be the same, in the order of their last
 	// answers. An answer on a new connection may be of the process before or of another
 	// one, until an answer on an older connection shows that it is the same. Only the
@@ -119,7 +133,8 @@
 	defer r.mu.Unlock()
 	r.primary = primary
 	for id, known := range r.replicas {
-		if !slices.Contains(servers, Listed{id, known.bootID}) {
+		listed := func(s Listed) bool { return s.ID == id && s.BootID == known.BootID }
+		if !slices.ContainsFunc(servers, listed) {
 			for _, p := range known.processes {
 				r.noteEnd(p)
 			}
@@ -127,16 +142,25 @@
 		}
 	}
 	for _, s := range servers {
-		if r.replicas[s.ID] != nil {
-			continue
+		known := r.replicas[s.ID]
+		if known == nil {
+			known = &replica{seenAt: r.now()}
+			if r.replicas == nil {
+				r.replicas = map[group.ServerID]*replica{}
+			}
+			r.replicas[s.ID] = known
 		}
-		if r.replicas == nil {
-			r.replicas = map[group.ServerID]*replica{}
+		if s.ListedAt.After(known.ListedAt) && r.expired(known) {
+			r.notify()
 		}
-		r.replicas[s.ID] = &replica{bootID: s.BootID, listedAt: r.now()}
+		known.Listed = s
 	}
 }
 
+// expired reports whether the confirmation of a replica alone does not count any more,
+// because its listing is too old.
+func (r *Receipts) expired(s *replica) bool { return r.now().Sub(s.ListedAt) > ListedTTL }
+
 // NoteStatus notes what a server stated.
 func (r *Receipts) NoteStatus(server group.ServerID, s Status) {
 	r.mu.Lock()
@@ -307,7 +331,7 @@
 
 // qualify makes a process a witness if it was listed and running at clearAt.
 func (r *Receipts) qualify(s *replica, p *process) {
-	if !p.witness && !s.listedAt.After(r.clearAt) && !p.span.Since.After(r.clearAt) {
+	if !p.witness && !s.seenAt.After(r.clearAt) && !p.span.Since.After(r.clearAt) {
 		p.witness, p.witnessSince, p.received = true, r.clearKnownAt, group.Position{}
 	}
 }
@@ -356,14 +380,17 @@
 	return covered
 }
 
-// Witness returns a witness that is known to have received the commit, an empty id if
-// there is none.
+// Witness returns the witness that was last known to be listed of those that are known to
+// have received the commit, an empty id if there is none.
 func (r *Receipts) Witness(commit Commit) (witness group.ServerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, s := range r.replicas {
 		last := s.last()
-		if last.witness && id != commit.Primary && last.has(commit.Position) && (witness == "" || id < witness) {
+		if !last.witness || id == commit.Primary || !last.has(commit.Position) {
+			continue
+		}
+		if witness == "" || cmp.Or(s.ListedAt.Compare(r.replicas[witness].ListedAt), -cmp.Compare(id, witness)) > 0 {
 			witness = id
 		}
 	}
@@ -380,12 +407,21 @@
 func (r *Receipts) check(commit Commit) (changed <-chan struct{}, covered, replaced bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	confirmed, unconfirmed := 0, 0
 	for id, s := range r.replicas {
 		last := s.last()
 		has := last.has(commit.Position)
-		covered = covered || has && last.witness && id != commit.Primary
 		replaced = replaced || !has && last.term > commit.Position.Term
+		switch {
+		case id == commit.Primary:
+		case !has || !last.witness:
+			unconfirmed++
+		default:
+			confirmed++
+			covered = covered || !r.expired(s)
+		}
 	}
+	covered = covered || confirmed > 0 && unconfirmed == 0
 	if r.changed == nil {
 		r.changed = make(chan struct{})
 	}
--- a/core/ack/receipts_test.go
+++ b/core/ack/receipts_test.go
@@ -21,10 +21,10 @@
 	return group.Position{Term: term, Offset: offset}
 }
 
-// listed returns servers that were started once.
+// listed returns servers that were started once and that the store lists now.
 func listed(ids ...group.ServerID) (servers []ack.Listed) {
 	for _, id := range ids {
-		servers = append(servers, ack.Listed{ID: id, BootID: 1})
+		servers = append(servers, ack.Listed{ID: id, BootID: 1, ListedAt: time.Now()})
 	}
 	return servers
 }
@@ -178,6 +178,34 @@
 	})
 }
 
+// Guards against a success that rests on a server which a change does not ask any more,
+// because its entry has gone from the store.
+func TestConfirmationOfOneWitnessCountsWhileItIsListed(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		r.SetListed(listed("a", "b", "c"), "a")
+		r.NotePosition("b", time.Now(), processStart, position(2, 10))
+		time.Sleep(ack.ListedTTL)
+		assert.Assert(t, r.Covered(commit))
+		time.Sleep(time.Millisecond)
+		assert.Assert(t, !r.Covered(commit))
+		result, _ := await(r, time.Second)
+		synctest.Wait()
+		r.SetListed(listed("a", "b", "c"), "a")
+		assert.NilError(t, <-result)
+	})
+}
+
+// Guards against an outage of the store that holds back commits which every replica has.
+func TestConfirmationOfAllReplicasCountsWithoutTheStore(t *testing.T) {
+	inBubble(t, func(t *testing.T, r *ack.Receipts) {
+		time.Sleep(time.Hour)
+		r.NotePosition("b", time.Now(), processStart, position(2, 10))
+		assert.Assert(t, !r.Covered(commit))
+		r.NotePosition("c", time.Now(), processStart, position(2, 11))
+		assert.Assert(t, r.Covered(commit))
+	})
+}
+
 // Guards against evidence of a server that left the list and came back without its log.
 func TestServerThatLeftIsForgotten(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *ack.Receipts) {
@@ -192,7 +220,9 @@
 // Guards against evidence of a replica that started again after a change had suspended it.
 func TestServerThatStartedAgainIsForgotten(t *testing.T) {
 	inBubble(t, func(t *testing.T, r *ack.Receipts) {
-		r.SetListed([]ack.Listed{{ID: "a", BootID: 1}, {ID: "b", BootID: 2}, {ID: "c", BootID: 1}}, "a")
+		servers := listed("a", "b", "c")
+		servers[1].BootID = 2
+		r.SetListed(servers, "a")
 		r.NotePosition("b", time.Now(), processStart, position(2, 10))
 		assert.Assert(t, !r.Covered(commit))
 	})
@@ -284,6 +314,7 @@
 		time.Sleep(50 * time.Millisecond)
 		r.NoteStatus("b", status(position(2, 9)))
 		time.Sleep(time.Minute)
+		r.SetListed(listed("a", "b", "c"), "a")
 		r.NoteStatus("b", restarted(opened, status(position(2, 10))))
 		assert.Assert(t, r.Covered(commit))
 	})
--- a/core/catalog/cache.go
+++ b/core/catalog/cache.go
@@ -36,15 +36,9 @@
 	returned map[group.ServerID]returnedEntry
 	// confirmedAt is the latest time at which the entries in the view are known to have
 	// been those in the store, and lastListed holds that of each server whose entry is
-	// missing.
+	// missing or which is leaving.
 	confirmedAt time.Duration
 	lastListed  map[group.ServerID]time.Duration
-	// followedSince is when the view began to hold every entry that the store has had.
-	followedSince time.Duration
-	// unseenRemoval is set after the removal of a server that the view never held.
-	unseenRemoval bool
-	// invalid holds the names of entries that are not those of servers.
-	invalid map[group.ServerID]bool
 }
 
 // View returns the current view.
@@ -105,7 +99,7 @@
 func (c *Cache) putEntry(e Entry) (changed bool) {
 	s := e.Server
 	delete(c.missingUntil, s.ID)
-	delete(c.lastListed, s.ID)
+	c.noteEntry(s)
 	delete(c.returned, s.ID)
 	if c.numbers == nil {
 		c.numbers = map[group.ServerID]entryNumber{}
@@ -128,33 +122,16 @@
 func (c *Cache) MarkMissing(id group.ServerID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.markMissing(id) {
-		c.noteUnknownRemoval(id)
-	}
-}
-
-// MarkInvalid notes that an entry is not that of a server any more, or never was.
-func (c *Cache) MarkInvalid(id group.ServerID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.markMissing(id)
-	c.noteInvalid(id)
-}
-
-// markMissing implements MarkMissing. It returns false if the server is not in the view. The
-// caller holds the lock.
-func (c *Cache) markMissing(id group.ServerID) (known bool) {
 	delete(c.returned, id)
-	s, known := c.View().Servers[id]
-	if !known {
-		return false
+	s, ok := c.View().Servers[id]
+	if !ok {
+		return
 	}
 	if s.Leaving {
 		c.removeServer(id)
-	} else {
-		c.startGracePeriod(id)
+		return
 	}
-	return true
+	c.startGracePeriod(id)
 }
 
 // ReplaceServers replaces all servers by a complete list. Servers that it lacks
@@ -221,7 +198,7 @@
 	if _, ok := c.missingUntil[id]; ok {
 		return
 	}
-	c.noteMissing(id)
+	c.noteLastListed(id, c.confirmedAt)
 	gracePeriod := c.MissingEntryGracePeriod
 	if gracePeriod == 0 {
 		gracePeriod = DefaultMissingEntryGracePeriod
--- a/core/catalog/savedservers.go
+++ b/core/catalog/savedservers.go
@@ -57,6 +57,7 @@
 			next.Servers = map[group.ServerID]Server{}
 		}
 		next.Servers[s.ID] = s
+		c.noteLastListed(s.ID, 0)
 		c.startGracePeriod(s.ID)
 		added = append(added, s.ID)
 	}
--- a/core/catalog/sync.go
+++ b/core/catalog/sync.go
@@ -123,7 +123,7 @@
 			receivedAt := s.now()
 			return listResult{at: reading.At, age: reading.Age, apply: func() {
 				s.replaceServers(entries, reading.At)
-				s.Cache.ConfirmList(receivedAt, reading.Age)
+				s.Cache.Confirm(receivedAt, reading.Age)
 			}}, err
 		},
 		func(ctx context.Context, from distribution.Version, wait time.Duration) (Reading, error) {
@@ -142,13 +142,10 @@
 				nextWatch = time.Now().Add(changeBatchDelay)
 			}
 			for _, c := range changes {
-				switch {
-				case c.Server != nil:
-					s.Cache.PutEntry(c.entry(reading.At.Era()))
-				case c.Err != nil:
-					s.Cache.MarkInvalid(c.ID)
-				default:
+				if c.Server == nil {
 					s.Cache.MarkMissing(c.ID)
+				} else {
+					s.Cache.PutEntry(c.entry(reading.At.Era()))
 				}
 				s.reportChange(c, reading.At)
 			}
@@ -176,11 +173,6 @@
 		valid = append(valid, e.entry(at.Era()))
 	}
 	s.Cache.ReplaceEntries(valid)
-	for _, e := range entries {
-		if e.Err != nil {
-			s.Cache.MarkInvalid(e.ID)
-		}
-	}
 }
 
 // entry returns the entry that a change of the era has put. The change must not be a
--- a/core/distribution/follower_test.go
+++ b/core/distribution/follower_test.go
@@ -368,6 +368,25 @@
 	}
 }
 
+// Guards against a copy that counts as newer than it is, because the age of the relay's own
+// copy, or the time that an answer takes, is left out.
+func TestUpdatesStateTheirAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startFleet(t, 12)
+		time.Sleep(10 * time.Second)
+		last := f.nodes[f.hosts[11].ID]
+		list, err := last.follower.List(context.Background(), kind)
+		assert.NilError(t, err)
+		changedAt := time.Now()
+		f.store.write("first", false)
+		u, err := last.follower.Watch(context.Background(), kind, list.Version, time.Second)
+		assert.NilError(t, err)
+		assert.Assert(t, u.Version > list.Version)
+		// The relay's watch was sent before the change.
+		assert.Assert(t, u.Age >= time.Since(changedAt))
+	})
+}
+
 // A host that has read the store must not go back to the older copy of a relay, in
 // which a removed object still exists.
 func TestOlderCopyOfARelayIsNotUsed(t *testing.T) {
--- a/core/lead/change.go
+++ b/core/lead/change.go
@@ -24,7 +24,7 @@
 // dueChange returns the change of primary that the state calls for, if any.
 func (m *Monitor) dueChange(members []catalog.Server, now time.Duration) (takeover.Request, bool) {
 	request := takeover.Request{
-		Group: m.config.Group, Primary: m.primary, Members: members,
+		Group: m.config.Group, Primary: m.primary, Members: members, Departed: m.departures.departed(now, m.primaryReplaced || m.primary.ID == ""),
 		DeparturePosition: m.departures.position, DepartureUnproven: m.departures.unproven,
 		ReplicaDeparted: m.mayLackDepartedCommits(now),
 		LastCommitAt:    m.lastCommitAt,
@@ -64,9 +64,9 @@
 }
 
 // mayLackDepartedCommits reports whether a replica that left may have confirmed commits
-// alone, on a primary that goes on out of this host's reach.
+// alone, on a primary that goes on out of this host's reach or has crashed.
 func (m *Monitor) mayLackDepartedCommits(now time.Duration) bool {
-	return m.primary.ID != "" && !m.primaryStopped && m.departures.replicaDeparted(now)
+	return m.primary.ID != "" && !m.primaryReplaced && m.departures.replicaDeparted(now)
 }
 
 // startDueChange starts an attempt if a change is due. Stalled commits and suspended
--- a/core/lead/event.go
+++ b/core/lead/event.go
@@ -78,10 +78,9 @@
 	var refusal *exchange.Error
 	switch {
 	case errors.As(e.err, &refusal) && refusal.Code == exchange.ReadOnly:
-		m.primaryStopped, m.primaryReplaced = true, true
+		m.primaryReplaced = true
 		m.markLost("does not lead")
 	case isConnectionRefused(e.err):
-		m.primaryStopped = true
 		m.markLost("refuses connections")
 	}
 }
@@ -113,7 +112,7 @@
 		m.lostAt = at
 	}
 	m.departures.noteProof(at, position)
-	m.primaryStopped, m.primaryReplaced = false, false
+	m.primaryReplaced = false
 	m.provenAt = max(m.provenAt, at)
 	m.unprovenSince = 0
 	m.futileSearches, m.futilePeerQueries = 0, 0
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -230,9 +230,6 @@
 
 	primary      catalog.Server
 	primaryKnown bool
-	// primaryStopped is set if the last primary stated, since its last proof, that it does
-	// not lead, or its process was found to have ended.
-	primaryStopped bool
 	// primaryReplaced is set if the last primary stated, since its last proof, that it does
 	// not lead, or was replaced by this host. It may have confirmed commits since, as a
 	// replica.
@@ -365,6 +362,7 @@
 func (m *Monitor) startDueWork(ctx context.Context) {
 	now := m.config.Clock()
 	m.updateMembers(now)
+	m.departures.update(m.primary.ID, now, m.samples)
 	m.updateResponsible(now)
 	m.updatePrimaryEntry(m.members)
 	if m.primaryKnown && !m.probeInFlight && (m.probeRequested || now >= m.nextProbe) {
@@ -413,7 +411,7 @@
 		m.nextSearch, m.futileSearches = now, 0
 	}
 	m.view, m.members = view, members
-	m.departures.note(members, m.primary.ID, now)
+	m.departures.note(members, m.primary.ID, now, m.samples)
 	m.leaving.note(members, now)
 }
 
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -456,39 +456,55 @@
 }
 
 // Guards against a change of primary beside which commits are lost that only a replica had
-// confirmed which has left since the last proof (review/1). The departure of the primary
-// itself, and that of a replica that comes back with its log, do not count.
+// confirmed which has left, or has started again, since the last proof (review/1). The
+// departure of the primary itself, and that of a replica that comes back with its log, do not
+// count.
 func TestReplicaThatLeavesAfterTheLastProofIsReported(t *testing.T) {
 	f := &fakeCluster{primary: "a", position: positionAt(1, 10)}
 	runMonitor(t, f, func(t *testing.T, m *lead.Monitor, cache *catalog.Cache, _ func() time.Duration) {
 		server := func(id group.ServerID) catalog.Server {
 			return catalog.Server{ID: id, Group: "g", ClaimsPrimary: id == "a"}
 		}
-		departed := func() bool {
+		lastAttempt := func() takeover.Request {
 			time.Sleep(2 * time.Second)
 			attempts := f.attemptedChanges()
 			assert.Assert(t, len(attempts) > 0)
-			return attempts[len(attempts)-1].ReplicaDeparted
+			return attempts[len(attempts)-1]
+		}
+		departed := func() bool { return lastAttempt().ReplicaDeparted }
+		// asked reports whether a change asks the server that has left the list.
+		asked := func(id group.ServerID) bool {
+			return slices.ContainsFunc(lastAttempt().Departed, func(s takeover.DepartedServer) bool { return s.ID == id })
+		}
+		expire := func(servers ...catalog.Server) {
+			cache.ReplaceServers(servers)
+			time.Sleep(2 * catalog.DefaultMissingEntryGracePeriod)
+			cache.Expire()
 		}
 		time.Sleep(3 * time.Second)
 		f.update(func() { f.unreachable = true })
 		assert.Assert(t, !departed())
-		cache.ReplaceServers([]catalog.Server{server("a"), server("c")})
-		time.Sleep(2 * catalog.DefaultMissingEntryGracePeriod)
-		cache.Expire()
-		assert.Assert(t, departed())
+		expire(server("a"), server("c"))
+		assert.Assert(t, asked("b"))
+		time.Sleep(time.Minute)
+		assert.Assert(t, asked("b"))
 		cache.PutServer(server("b"))
+		assert.Assert(t, !asked("b") && !departed())
+		expire(server("b"), server("c"))
 		assert.Assert(t, !departed())
-		cache.ReplaceServers([]catalog.Server{server("b"), server("c")})
-		time.Sleep(2 * catalog.DefaultMissingEntryGracePeriod)
-		cache.Expire()
-		assert.Assert(t, !departed())
-		cache.ReplaceServers([]catalog.Server{server("c"), {ID: "d", Group: "g"}})
-		time.Sleep(2 * catalog.DefaultMissingEntryGracePeriod)
-		cache.Expire()
+		restarted := server("b")
+		restarted.BootID = 2
+		cache.PutServer(restarted)
 		assert.Assert(t, departed())
 		time.Sleep(30 * time.Second)
 		assert.Assert(t, !departed())
+		expire(server("a"), server("c"), server("d"))
+		assert.Assert(t, asked("b"))
+		f.update(func() { f.unreachable = false })
+		time.Sleep(5 * time.Second)
+		f.update(func() { f.unreachable = true })
+		assert.Assert(t, !asked("b"))
+		assert.Assert(t, !departed())
 	})
 }
 
--- a/core/proxy/confirm.go
+++ b/core/proxy/confirm.go
@@ -57,7 +57,7 @@
 	}
 	r.witness = confirmer.receipts.Witness(acknowledged)
 	if r.witness != "" {
-		r.witnessListed = p.config.Clock() - p.config.Cache.ListedAt(r.witness)
+		r.witnessListed = p.config.Clock() - confirmer.listed.at(catalog.Server{ID: r.witness})
 	}
 	return nil
 }
@@ -104,4 +104,8 @@
 
 // now returns the reading of Config.Clock as a time that can be compared with others of
 // this host.
-func (p *Proxy) now() time.Time { return time.Unix(0, 0).Add(p.config.Clock()) }
+func (p *Proxy) now() time.Time { return p.at(p.config.Clock()) }
+
+// at returns a reading of Config.Clock as a time that can be compared with others of this
+// host.
+func (p *Proxy) at(reading time.Duration) time.Time { return time.Unix(0, 0).Add(reading) }
--- a/core/proxy/confirmer.go
+++ b/core/proxy/confirmer.go
@@ -74,7 +74,7 @@
 	servers := c.listed.all()
 	entries := make([]ack.Listed, 0, len(servers))
 	for _, s := range servers {
-		entries = append(entries, ack.Listed{ID: s.ID, BootID: s.BootID})
+		entries = append(entries, ack.Listed{ID: s.ID, BootID: s.BootID, ListedAt: c.proxy.at(c.listed.at(s))})
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/core/proxy/listed.go
+++ b/core/proxy/listed.go
@@ -19,9 +19,12 @@
 	group  group.ID
 	config *Config
 
-	mu       sync.Mutex
-	servers  []catalog.Server
-	listedAt time.Time
+	mu      sync.Mutex
+	servers []catalog.Server
+	// listedAt is when the list was received, and requestedAt the reading of Config.Clock
+	// when it was requested.
+	listedAt    time.Time
+	requestedAt time.Duration
 }
 
 // all returns the servers.
@@ -39,16 +42,29 @@
 	return servers
 }
 
+// at returns the reading of Config.Clock at which the store was last known to list a server as
+// one that stays.
+func (l *listed) at(server catalog.Server) time.Duration {
+	at := l.config.Cache.ListedAt(server.ID)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if slices.ContainsFunc(l.servers, func(s catalog.Server) bool { return s.ID == server.ID && !s.Leaving }) {
+		return max(at, l.requestedAt)
+	}
+	return at
+}
+
 // refresh lists the servers. After a failure the last list counts until serverListTTL.
 func (l *listed) refresh(ctx context.Context) {
 	if l.config.ListServers == nil {
 		return
 	}
+	requestedAt := l.config.Clock()
 	servers, err := l.config.ListServers(ctx, l.group)
 	if err != nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.servers, l.listedAt = servers, time.Now()
+	l.servers, l.listedAt, l.requestedAt = servers, time.Now(), requestedAt
 }
--- a/core/takeover/reachable.go
+++ b/core/takeover/reachable.go
@@ -74,8 +74,8 @@
 		if !final && sleep(ctx, catchUpPollInterval) == nil {
 			continue
 		}
-		if err == nil && listErr == nil && final && a.mayDropCommits(checkedAt) {
-			suspended, err := a.suspendAll(ctx, others, max(demoted.Term, highestTerm(answers)))
+		if err == nil && listErr == nil && final && a.mayDropCommits(checkedAt) && a.findDeparted(ctx) == nil {
+			suspended, err := a.suspendAll(ctx, a.confirmingServers(), max(demoted.Term, highestTerm(answers)))
 			var candidate serverStatus
 			if err == nil {
 				candidate, err = a.chooseSuspended(suspended)
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -230,6 +230,10 @@
 	Term group.Term
 	// Members are all known servers of the group, including the primary.
 	Members []catalog.Server
+	// Departed are servers whose entries have gone from the store, so that they are no
+	// members, but that may still confirm commits of hosts which have not learnt so. A
+	// change that does not rest on the primary's own log asks them too.
+	Departed []DepartedServer
 	// DeparturePosition covers every commit that was acknowledged before a server
 	// last left the group; zero if none has left. Such a commit may be on the
 	// primary alone, because the server that confirmed it is gone.
@@ -245,6 +249,14 @@
 	LastCommitAt func() time.Time
 }
 
+// DepartedServer is a server whose entry has gone.
+type DepartedServer struct {
+	catalog.Server
+	// MayHaveConfirmed is set while the primary is waited for if the process of the server
+	// has ended: the server may have confirmed commits alone.
+	MayHaveConfirmed bool
+}
+
 // Step is a completed or failed step of an attempt, for the log.
 type Step struct {
 	Name string
@@ -290,6 +302,8 @@
 	Request
 	record           Record
 	suspendedServers []catalog.Server
+	// departed are the departed servers that are to be asked.
+	departed []catalog.Server
 	// calls counts the epochs that the attempt has used for calls to the platform.
 	calls Epoch
 	// fenced is set while the platform is known to refuse all calls of lower epochs that
@@ -389,7 +403,7 @@
 	if a.promotionPending {
 		s.Pending = a.record.Candidate
 	}
-	for _, m := range a.Members {
+	for _, m := range slices.Concat(a.Members, a.departed) {
 		s.Members = append(s.Members, m.ID)
 	}
 	if a.Observe != nil {
--- a/core/takeover/unreachable.go
+++ b/core/takeover/unreachable.go
@@ -14,10 +14,13 @@
 // replaceUnreachable replaces a primary that does not answer or is unknown. It
 // suspends all other servers and promotes the one with the highest position.
 func (a *attempt) replaceUnreachable(ctx context.Context) (group.ServerID, error) {
-	others := a.otherMembers()
-	if len(others) == 0 {
+	if len(a.otherMembers()) == 0 {
 		return "", ErrNoCandidate
 	}
+	if err := a.findDeparted(ctx); err != nil {
+		return "", err
+	}
+	others := a.confirmingServers()
 	before, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
 	a.received.note(before, a.known.Base())
 	if err != nil {
@@ -41,7 +44,7 @@
 	if server, ok := findPrimary(missing); ok {
 		return server, ErrPrimaryActive
 	}
-	final, err := a.suspendAll(ctx, a.otherMembers(), highestTerm(append(before, missing...)))
+	final, err := a.suspendAll(ctx, a.confirmingServers(), highestTerm(append(before, missing...)))
 	if err == nil {
 		final, err = a.settleUnlessRepeated(ctx, final)
 	}
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -107,7 +107,7 @@
 		h.filterServers = func(servers []catalog.Server) []catalog.Server { return servers }
 	}
 	h.cache.ReplaceServers(h.filterServers(cluster.ServerEntries()))
-	h.cache.ConfirmList(clock(), 0)
+	h.cache.Confirm(clock(), 0)
 	var dialer link.Dialer = cluster
 	if options.partition != nil {
 		h.partition = options.partition
@@ -226,7 +226,7 @@
 			}
 			eras.Note(h.cluster.Era())
 			h.cache.ReplaceServers(h.filterServers(h.cluster.ServerEntries()))
-			h.cache.ConfirmList(clock(), 0)
+			h.cache.Confirm(clock(), 0)
 			h.cache.Expire()
 			h.registry.Prune(h.isGateway)
 		}
