--- a/core/catalog/entry.go
+++ b/core/catalog/entry.go
@@ -45,8 +45,10 @@
 	return cmp.Or(cmp.Compare(n.boot, other.boot), cmp.Compare(n.sequence, other.sequence))
 }
 
-// removal is the removal of a server, for entries that come back with the store.
+// removal is the removal of a server, for entries that come back with the store and for
+// hosts that start.
 type removal struct {
+	server Server
 	number entryNumber
 	at     time.Time
 }
@@ -100,7 +102,7 @@
 			delete(c.removals, other)
 		}
 	}
-	c.removals[id] = removal{number: c.numbers[id], at: time.Now()}
+	c.removals[id] = removal{server: c.View().Servers[id], number: c.numbers[id], at: time.Now()}
 	delete(c.numbers, id)
 }
 
--- a/core/catalog/savedservers.go
+++ b/core/catalog/savedservers.go
@@ -38,6 +38,12 @@
 	// usually one host updates the saved servers and the others find them up
 	// to date.
 	maxSaveJitterDelay = 6 * time.Second
+	// initialSaveDelay bounds the random delay while no servers are saved.
+	initialSaveDelay = time.Second
+	// savedRemovalRetention is how long a server stays saved after it was removed from the
+	// view because its entry was missing: a host that starts meanwhile has to ask it before
+	// it replaces a primary.
+	savedRemovalRetention = 10 * time.Second
 	// savedServersTimeout bounds one call to the SavedServerStore.
 	savedServersTimeout = time.Second
 )
@@ -67,18 +73,26 @@
 	return added
 }
 
-// registeredServers returns the servers to be saved: those that have an entry and
-// are not leaving.
-func (c *Cache) registeredServers() []Server {
+// serversToSave returns the servers of the view, and those whose entries went missing a
+// short time ago, except those that are leaving.
+func (c *Cache) serversToSave() []Server {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var servers []Server
-	for id, s := range c.View().Servers {
-		if _, missing := c.missingUntil[id]; !missing && !s.Leaving {
+	add := func(s Server) {
+		if !s.Leaving {
 			s.ClaimsPrimary = false
 			servers = append(servers, s)
 		}
 	}
+	for _, s := range c.View().Servers {
+		add(s)
+	}
+	for id, r := range c.removals {
+		if _, ok := c.View().Servers[id]; !ok && time.Since(r.at) < savedRemovalRetention {
+			add(r.server)
+		}
+	}
 	slices.SortFunc(servers, func(a, b Server) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return servers
 }
@@ -101,15 +115,20 @@
 			saved = SavedServers{}
 			era, _ = s.Eras.Newest()
 		}
-		if servers := s.Cache.registeredServers(); len(servers) == 0 || slices.Equal(servers, saved.Servers) {
+		if servers := s.Cache.serversToSave(); len(servers) == 0 || slices.Equal(servers, saved.Servers) {
 			select {
 			case <-changed:
 			case <-risen:
+			case <-time.After(savedRemovalRetention):
 			case <-ctx.Done():
 			}
 			continue
 		}
-		if !sleep(ctx, saveDelay+rand.N(maxSaveJitterDelay)) {
+		delay := saveDelay + rand.N(maxSaveJitterDelay)
+		if len(saved.Servers) == 0 {
+			delay = rand.N(initialSaveDelay)
+		}
+		if !sleep(ctx, delay) {
 			break
 		}
 		if s.IsSaver == nil || s.IsSaver() {
@@ -148,7 +167,7 @@
 	if err != nil {
 		return old
 	}
-	wanted := SavedServers{Servers: s.Cache.registeredServers(), Version: current.Version}
+	wanted := SavedServers{Servers: s.Cache.serversToSave(), Version: current.Version}
 	if len(wanted.Servers) == 0 || slices.Equal(wanted.Servers, current.Servers) {
 		return current
 	}
--- a/core/catalog/savedservers_test.go
+++ b/core/catalog/savedservers_test.go
@@ -69,8 +69,8 @@
 	})
 }
 
-// Each change must be saved by one of several hosts. Servers that are leaving or
-// have no entry must not be saved.
+// Each change must be saved by one of several hosts. Servers that are leaving, or
+// have had no entry for some time, must not be saved.
 func TestServerChangesAreSaved(t *testing.T) {
 	store := &fakeSavedServerStore{}
 	caches := []*catalog.Cache{{}, {}, {}}
@@ -93,6 +93,27 @@
 	})
 }
 
+// Guards against a host that replaces a primary without asking a server whose entry was
+// removed a short time before the host started.
+func TestServersRemovedAShortTimeAgoAreSaved(t *testing.T) {
+	store := &fakeSavedServerStore{}
+	cache := &catalog.Cache{}
+	runHosts(t, store, []*catalog.Cache{cache}, func() {
+		cache.ReplaceServers([]catalog.Server{server("a", false), server("b", false)})
+		time.Sleep(time.Second)
+		assert.DeepEqual(t, store.ids(), []group.ServerID{"a", "b"})
+		cache.MarkMissing("b")
+		cache.PutServer(server("c", false))
+		time.Sleep(catalog.DefaultMissingEntryGracePeriod)
+		cache.Expire()
+		for range 9 {
+			time.Sleep(time.Second)
+			assert.Assert(t, slices.Contains(store.ids(), "b"))
+		}
+		assert.Assert(t, slices.Contains(store.ids(), "c"))
+	})
+}
+
 // A host that starts while entries have expired must know their servers, and
 // remove those that do not register again.
 func TestSavedServersWithoutEntriesAreRestored(t *testing.T) {
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -127,9 +127,10 @@
 	eras := &distribution.Eras{}
 	var records takeover.RecordStore = eraRecords{cluster, eras}
 	var lister takeover.ServerLister = cluster
+	var saved catalog.SavedServerStore = cluster
 	if options.partition != nil {
-		store := partitionedStore{records, lister, options.partition}
-		records, lister = store, store
+		store := partitionedStore{records, lister, saved, options.partition}
+		records, lister, saved = store, store, store
 	}
 	if options.wrapRecords != nil {
 		records = options.wrapRecords(records)
@@ -155,6 +156,8 @@
 	h.cancel = cancel
 	go func() { _ = h.monitor.Run(ctx) }()
 	go h.syncServers(ctx, eras, clock)
+	syncer := &catalog.Syncer{Cache: h.cache, SavedServerStore: saved, Eras: eras}
+	go func() { _ = syncer.SyncSavedServers(ctx) }()
 	return h
 }
 
--- a/e2e/replicated/partition_test.go
+++ b/e2e/replicated/partition_test.go
@@ -141,6 +141,7 @@
 type partitionedStore struct {
 	takeover.RecordStore
 	takeover.ServerLister
+	catalog.SavedServerStore
 	partition *partition
 }
 
@@ -172,3 +173,19 @@
 	}
 	return s.ServerLister.Servers(ctx, id)
 }
+
+// LoadServers implements catalog.SavedServerStore.
+func (s partitionedStore) LoadServers(ctx context.Context) (catalog.SavedServers, error) {
+	if s.partition.separatesStore() {
+		return catalog.SavedServers{}, errPartitioned
+	}
+	return s.SavedServerStore.LoadServers(ctx)
+}
+
+// SaveServers implements catalog.SavedServerStore.
+func (s partitionedStore) SaveServers(ctx context.Context, servers catalog.SavedServers) error {
+	if s.partition.separatesStore() {
+		return errPartitioned
+	}
+	return s.SavedServerStore.SaveServers(ctx, servers)
+}
--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -109,7 +109,8 @@
 	lateCommands       lateFaults
 	refusedConnections int
 
-	record takeover.Record
+	record       takeover.Record
+	savedServers catalog.SavedServers
 	// storeVersion is the version of the last change of the store.
 	storeVersion      distribution.Version
 	storeUnavailable  bool
@@ -406,15 +407,16 @@
 
 // StoreCopy is the state of the platform's store at one moment.
 type StoreCopy struct {
-	record  takeover.Record
-	version distribution.Version
+	record       takeover.Record
+	savedServers catalog.SavedServers
+	version      distribution.Version
 }
 
 // CopyStore returns a copy of the store for RestoreStore.
 func (c *Cluster) CopyStore() StoreCopy {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return StoreCopy{c.record, c.storeVersion}
+	return StoreCopy{c.record, c.savedServers, c.storeVersion}
 }
 
 // RestoreStore replaces the store by an earlier copy of it and starts a new era. Changes
@@ -428,6 +430,10 @@
 	if c.record.Version != 0 {
 		c.record.Version = inEra(c.record.Version, era)
 	}
+	c.savedServers = from.savedServers
+	if c.savedServers.Version != 0 {
+		c.savedServers.Version = inEra(c.savedServers.Version, era)
+	}
 }
 
 // inEra returns the version of the same revision in another era.
@@ -449,6 +455,10 @@
 // errNoAnswer is the error of a call to the platform that got no answer.
 var errNoAnswer = errors.New("no answer")
 
+// errOutdatedServers is the error of an update of saved servers that another host has
+// replaced.
+var errOutdatedServers = errors.New("the saved servers have another version")
+
 // Commit commits a write on the primary, as a host does that reaches it although it is
 // hidden from the others. It returns when the commit is acknowledged, and an error if it
 // never will be.
@@ -583,6 +593,38 @@
 	return c.record, nil
 }
 
+// LoadServers implements catalog.SavedServerStore.
+func (c *Cluster) LoadServers(ctx context.Context) (catalog.SavedServers, error) {
+	if err := sleep(ctx, NetDelay); err != nil {
+		return catalog.SavedServers{}, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.storeUnavailable {
+		return catalog.SavedServers{}, errNoAnswer
+	}
+	return c.savedServers, nil
+}
+
+// SaveServers implements catalog.SavedServerStore.
+func (c *Cluster) SaveServers(ctx context.Context, servers catalog.SavedServers) error {
+	if err := sleep(ctx, NetDelay); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.storeUnavailable {
+		return errNoAnswer
+	}
+	if servers.Version != c.savedServers.Version {
+		return errOutdatedServers
+	}
+	c.storeVersion++
+	servers.Version = c.storeVersion
+	c.savedServers = servers
+	return nil
+}
+
 // LoadStale implements takeover.RecordStore.
 func (c *Cluster) LoadStale(ctx context.Context, id group.ID) (takeover.Record, error) {
 	return c.Load(ctx, id)
