--- a/cmd/entry/groups.go
+++ b/cmd/entry/groups.go
@@ -50,6 +50,14 @@
 	}
 }
 
+// reportOutdatedView tells all monitors that the view may lack changes of servers since the
+// given time.
+func (g *groups) reportOutdatedView(since time.Duration) {
+	for _, m := range g.all() {
+		m.ReportOutdatedView(since)
+	}
+}
+
 // run starts a monitor for each group that the configuration names.
 func (g *groups) run(ctx context.Context) error {
 	var wait sync.WaitGroup
@@ -92,7 +100,7 @@
 	}
 	return lead.New(lead.Config{
 		Group: id, Cache: h.cache, Client: h.gateways, PrimaryChanger: timedPrimaryChanger{runner, h.metrics}, Clock: h.platform.Clock, Log: h.log,
-		DataCentre: h.settings.DataCentre, Peers: h.peers, Responsible: h.gateways.client.IsGatewayToAny, Standby: h.gateways.client.IsStandby,
+		DataCentre: h.settings.DataCentre, MaxViewDelay: h.settings.MaxViewDelay(), Peers: h.peers, Responsible: h.gateways.client.IsGatewayToAny, Standby: h.gateways.client.IsStandby,
 	})
 }
 
--- a/cmd/entry/report.go
+++ b/cmd/entry/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"time"
 
 	"basilmill/core/catalog"
 	"basilmill/core/distribution"
@@ -20,14 +21,17 @@
 	mu      sync.Mutex
 	failing map[string]bool
 	version catalog.Version
+	// serversConfirmedAt is when the servers were last read, by the clock of the host.
+	serversConfirmedAt time.Duration
 }
 
 func newSyncReporter(h *Host) *syncReporter {
-	return &syncReporter{host: h, failing: map[string]bool{}}
+	return &syncReporter{host: h, failing: map[string]bool{}, serversConfirmedAt: h.platform.Clock()}
 }
 
 // observeSourceCall records the result of a call that reads a part of the
-// catalogue. It also logs a configuration that has just come into force.
+// catalogue, and tells the groups of a failure to read the servers. It also logs a
+// configuration that has just come into force.
 func (r *syncReporter) observeSourceCall(part string, at distribution.Version, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -35,6 +39,13 @@
 		r.host.metrics.viewConfirmed.WithLabelValues(part).SetToCurrentTime()
 		r.host.metrics.viewRevision.WithLabelValues(part).Set(float64(at.Revision()))
 	}
+	if part == "servers" {
+		if err == nil {
+			r.serversConfirmedAt = r.host.platform.Clock()
+		} else {
+			r.host.groups.reportOutdatedView(r.serversConfirmedAt)
+		}
+	}
 	attrs := []slog.Attr{slog.String("part", part), slog.Int64("revision", at.Revision()), slog.Int64("era", int64(at.Era()))}
 	ctx := context.Background()
 	switch {
--- a/core/lead/event.go
+++ b/core/lead/event.go
@@ -42,6 +42,11 @@
 	m.recordReadAt = m.config.Clock() + rand.N(recordReadDelay)
 }
 
+// outdatedViewEvent says that the view may lack changes of servers since a time.
+type outdatedViewEvent struct{ since time.Duration }
+
+func (e outdatedViewEvent) apply(m *Monitor) { m.viewGap.extend(e.since, m.config.Clock()) }
+
 // notPrimaryEvent says that a server refused a write or a transaction because it
 // is not the primary.
 type notPrimaryEvent struct{ server group.ServerID }
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -145,8 +145,8 @@
 	// Primary is valid if PrimaryKnown is set.
 	Primary      catalog.Server
 	PrimaryKnown bool
-	// LeavingSince is the clock reading when this host learnt that the primary is
-	// leaving; valid if Primary.Leaving is set.
+	// LeavingSince is the clock reading from which on the primary may have been leaving;
+	// valid if Primary.Leaving is set.
 	LeavingSince time.Duration
 	// ProvenAt is the clock reading of the last proof that this host made itself.
 	ProvenAt time.Duration
@@ -199,6 +199,9 @@
 	// don't act. Without it, every host is. Standby hosts probe now and then without a
 	// request, so that the probes of a group do not grow with the hosts.
 	Standby func(primary catalog.Server) bool
+	// MaxViewDelay bounds how much later than the store this host learns that a server is
+	// leaving, also after it was suspended or cut off from the store.
+	MaxViewDelay time.Duration
 	// Clock returns a monotonic time that also advances while the machine is
 	// suspended.
 	Clock func() time.Duration
@@ -276,6 +279,7 @@
 	samples                []Sample
 	departures             departures
 	leaving                leaving
+	viewGap                viewGap
 }
 
 // event is an update that the goroutine of a Monitor applies to its state.
@@ -328,6 +332,10 @@
 // may lack the record of the last change.
 func (m *Monitor) ReportStoreRestored() { m.send(storeRestoredEvent{}) }
 
+// ReportOutdatedView reports that the view may lack changes of servers since the given
+// time, because the platform's store does not answer.
+func (m *Monitor) ReportOutdatedView(since time.Duration) { m.send(outdatedViewEvent{since}) }
+
 // send queues an event unless the queue is full. It never blocks: a dropped
 // report costs one probe interval.
 func (m *Monitor) send(e event) {
@@ -356,7 +364,9 @@
 		case <-timer.C:
 		}
 		m.startDueWork(ctx)
-		timer.Reset(m.untilDue())
+		wait := m.untilDue()
+		m.viewGap.noteWait(wait)
+		timer.Reset(wait)
 	}
 }
 
@@ -364,6 +374,7 @@
 // are due.
 func (m *Monitor) startDueWork(ctx context.Context) {
 	now := m.config.Clock()
+	m.viewGap.noteCheck(now)
 	m.updateMembers(now)
 	m.updateResponsible(now)
 	m.updatePrimaryEntry(m.members)
@@ -414,7 +425,7 @@
 	}
 	m.view, m.members = view, members
 	m.departures.note(members, m.primary.ID, now)
-	m.leaving.note(members, now)
+	m.leaving.note(members, now, m.viewGap.earliest(now), m.config.MaxViewDelay)
 }
 
 // untilDue returns the time until work may be due that neither an event nor a
@@ -496,7 +507,7 @@
 func (m *Monitor) publish() {
 	old := m.snapshot.Load()
 	m.snapshot.Store(&Snapshot{
-		Primary: m.primary, PrimaryKnown: m.primaryKnown, LeavingSince: m.leaving.since[m.primary.ID], ProvenAt: m.provenAt,
+		Primary: m.primary, PrimaryKnown: m.primaryKnown, LeavingSince: m.leaving.since(m.primary.ID), ProvenAt: m.provenAt,
 		Samples: append([]Sample(nil), m.samples...), changed: make(chan struct{}),
 	})
 	close(old.changed)
--- a/core/proxy/proxy_test.go
+++ b/core/proxy/proxy_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,8 +68,12 @@
 
 // fixture is a proxy with one group, whose primary is "a".
 type fixture struct {
-	cache *catalog.Cache
-	proxy *proxy.Proxy
+	cache   *catalog.Cache
+	proxy   *proxy.Proxy
+	monitor *lead.Monitor
+	clock   func() time.Duration
+	// suspend lets the machine be suspended for a time: only the clock advances.
+	suspend func(time.Duration)
 }
 
 // withProxy runs a test in virtual time with a proxy whose route has the consistency.
@@ -76,7 +81,8 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
-		clock := func() time.Duration { return time.Hour + time.Since(started) }
+		var suspended atomic.Int64
+		clock := func() time.Duration { return time.Hour + time.Since(started) + time.Duration(suspended.Load()) }
 		log := &logevent.Logger{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
 		cache := &catalog.Cache{}
 		cache.SetConfig(&catalog.Config{
@@ -84,21 +90,28 @@
 			Routes: map[string]catalog.Route{"db": {Database: "db", Group: "g", Consistency: consistency, MaxAge: time.Second, StatementTimeout: time.Second, TargetLatency: time.Second}},
 		})
 		cache.PutServer(catalog.Server{ID: "a", Group: "g", ClaimsPrimary: true})
-		monitor := lead.New(lead.Config{Group: "g", Cache: cache, Client: servers, PrimaryChanger: servers, Clock: clock, Log: log})
+		monitor := lead.New(lead.Config{Group: "g", Cache: cache, Client: servers, PrimaryChanger: servers, MaxViewDelay: maxViewDelay, Clock: clock, Log: log})
 		ctx, cancel := context.WithCancel(context.Background())
 		defer time.Sleep(time.Second)
 		defer cancel()
 		go func() { _ = monitor.Run(ctx) }()
 		time.Sleep(100 * time.Millisecond)
-		test(t, fixture{cache, proxy.New(proxy.Config{
-			Cache: cache, Monitor: func(group.ID) *lead.Monitor { return monitor }, Sources: func(catalog.Server) link.Source { return servers },
-			LeaveTime: leaveTime, Clock: clock, Log: log,
-		})})
+		test(t, fixture{
+			cache: cache, monitor: monitor, clock: clock, suspend: func(d time.Duration) { suspended.Add(int64(d)) },
+			proxy: proxy.New(proxy.Config{
+				Cache: cache, Monitor: func(group.ID) *lead.Monitor { return monitor }, Sources: func(catalog.Server) link.Source { return servers },
+				LeaveTime: leaveTime, Clock: clock, Log: log,
+			}),
+		})
 	})
 }
 
-// leaveTime is how long a leaving server may be used in these tests.
-const leaveTime = 7 * time.Second
+const (
+	// leaveTime is how long a leaving server may be used in these tests.
+	leaveTime = 7 * time.Second
+	// maxViewDelay is lead.Config.MaxViewDelay in these tests.
+	maxViewDelay = 3 * time.Second
+)
 
 // An answer without a position must not lower what the session's next reads must see.
 func TestOwnWritesAreSeenAfterAnAnswerWithoutAPosition(t *testing.T) {
--- a/core/settings/entry.go
+++ b/core/settings/entry.go
@@ -64,6 +64,11 @@
 // fresh. It is at least CalmTime for the same reason as ConfigTTL.
 func (e Entry) ServersTTL() time.Duration { return max(e.CalmTime, e.LeaveTime) }
 
+// MaxViewDelay returns how late the host may learn that a backend server is leaving and
+// still be bound by LeaveTime. A host that learns later has not been undisturbed for
+// CalmTime when LeaveTime ends.
+func (e Entry) MaxViewDelay() time.Duration { return max(e.LeaveTime-e.CalmTime, 0) }
+
 // Validate returns all faults of the settings.
 func (e Entry) Validate() validate.Faults {
 	var faults validate.Faults
