--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -26,7 +26,7 @@
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, promotionTimeout)
 	defer cancel()
-	for !a.Client.IsPrimary(waitCtx, server) {
+	for !a.leads(waitCtx, server) {
 		if err := sleep(waitCtx, promotionPollInterval); err != nil {
 			return "", eris.Wrapf(err, "wait for %s to become the primary", server.ID)
 		}
@@ -69,6 +69,7 @@
 		if ctx.Err() != nil {
 			return err
 		}
+		// A repeated order could take effect after the server has lost its log.
 		if candidate.status.Role == exchange.Replica && a.leads(ctx, candidate.server) {
 			return nil
 		}
@@ -76,8 +77,8 @@
 	return err
 }
 
-// leads reports whether a server that was a replica leads, because an order without an answer
-// was carried out. A repeated one could take effect after the server has lost its log.
+// leads reports whether a server leads. A probe without an answer is given up early, because
+// the next one may take another path.
 func (a *attempt) leads(ctx context.Context, server catalog.Server) bool {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
