--- a/e2e/replicated/latecommand_test.go
+++ b/e2e/replicated/latecommand_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -61,9 +62,10 @@
 			r.Self, r.Client = "h1", commander
 			calls, restored := 0, false
 			r.ServerLister = failingLister{cluster, &calls, &restored}
-			suspended, endDelay := 0, func() {}
+			var suspended atomic.Int32
+			endDelay := func() {}
 			r.Observe = func(_ group.ID, s takeover.Step) {
-				if suspended += map[string]int{"suspended": 1}[s.Name]; s.Name == "suspended" && suspended == 2 {
+				if s.Name == "suspended" && suspended.Add(1) == 2 {
 					endDelay = cluster.DelayCommands(replicated.LateCalls{Least: 2 * time.Second, Most: 4 * time.Second, Percent: 100, Seed: seed})
 				}
 			}
