--- a/core/lead/change.go
+++ b/core/lead/change.go
@@ -44,9 +44,9 @@
 		// primary since.
 		return request, m.newestProof() < m.lostAt
 	}
-	if min(m.unprovenFor(now), now-m.newestProof()) > unprovenThreshold && now-m.startedAt >= startupGracePeriod {
+	if m.isUnresponsive(now) {
 		request.Cause = takeover.PrimaryUnresponsive
-		return request, true
+		return request, now >= m.yieldsUntil
 	}
 	if m.primary.Leaving {
 		request.Cause = takeover.PrimaryLeaving
@@ -63,6 +63,23 @@
 	return request, false
 }
 
+// isUnresponsive reports whether no host has proven the primary for some time.
+func (m *Monitor) isUnresponsive(now time.Duration) bool {
+	return min(m.unprovenFor(now), now-m.newestProof()) > unprovenThreshold && now-m.startedAt >= startupGracePeriod
+}
+
+// attemptDue reports whether an attempt may start. Suspensions that the last one left beside
+// an active primary are ended without the pause for a replacement that is futile.
+func (m *Monitor) attemptDue(now time.Duration) bool {
+	if m.attemptInFlight {
+		return false
+	}
+	if m.primaryKnown && m.leftoverSuspensions && !m.primary.Leaving && !m.isUnresponsive(now) {
+		return now >= m.nextSuspensionsEnd
+	}
+	return now >= m.nextAttempt
+}
+
 // mayLackDepartedCommits reports whether a replica that left may have confirmed commits
 // alone, on a primary that goes on out of this host's reach.
 func (m *Monitor) mayLackDepartedCommits(now time.Duration) bool {
@@ -140,11 +157,11 @@
 	m.nextAudit = now + auditInterval + rand.N(auditInterval)
 	m.auditCount++
 	allDataCentres := m.auditCount%auditsPerFullAudit == 0 || len(m.lastSuspended) > 0 || m.mayHaveLeftSuspensions
-	primary := m.primary.ID
+	primary, term := m.primary.ID, m.Snapshot().Term()
 	go func() {
 		suspended := map[group.ServerID]bool{}
 		for _, s := range members {
-			if s.ID != primary && (allDataCentres || s.DataCentre == m.config.DataCentre) && m.isSuspended(ctx, s) {
+			if s.ID != primary && (allDataCentres || s.DataCentre == m.config.DataCentre) && m.isSuspended(ctx, s, term) {
 				suspended[s.ID] = true
 			}
 		}
@@ -155,11 +172,12 @@
 	}()
 }
 
-// isSuspended reports whether a server's status says that it is suspended. It
-// returns false if the server does not answer.
-func (m *Monitor) isSuspended(ctx context.Context, s catalog.Server) bool {
+// isSuspended reports whether a server's status says that it receives nothing from the
+// primary of a term, because it is suspended for a later one. It returns false if the server
+// does not answer.
+func (m *Monitor) isSuspended(ctx context.Context, s catalog.Server, term group.Term) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	status, err := m.config.Client.Command(ctx, s, exchange.Statement{Operation: exchange.Status})
-	return err == nil && status.SuspendedTerm != 0
+	return err == nil && status.SuspendedTerm > term
 }
--- a/core/lead/event.go
+++ b/core/lead/event.go
@@ -117,6 +117,7 @@
 	m.provenAt = max(m.provenAt, at)
 	m.unprovenSince = 0
 	m.futileSearches, m.futilePeerQueries = 0, 0
+	m.suspendingAttempts, m.yieldsUntil = 0, 0
 	m.nextProbe = max(m.nextProbe, at+m.probeInterval())
 	m.addSample(Sample{At: at, Position: position})
 	m.publish()
@@ -169,6 +170,7 @@
 	m.attemptInFlight = false
 	now := m.config.Clock()
 	m.nextAttempt = now + attemptBackoff
+	m.nextSuspensionsEnd = m.nextAttempt
 	switch {
 	case errors.Is(e.err, takeover.ErrPrimaryActive):
 		m.nextAttempt = now + futileAttemptBackoff
@@ -176,9 +178,20 @@
 	case errors.Is(e.err, takeover.ErrLogIncomplete), e.request.Cause == takeover.ReplicasSuspended:
 		m.nextAttempt = now + futileAttemptBackoff
 	}
+	if e.request.Cause == takeover.PrimaryUnresponsive && errors.Is(e.err, takeover.ErrSuspensionsRemain) {
+		if m.suspendingAttempts++; m.suspendingAttempts >= maxSuspendingAttempts {
+			m.yieldsUntil = now + yieldBackoff
+		}
+	}
+	// One that led to a later term, but not to that of all suspensions, is not futile.
+	if e.request.Cause == takeover.ReplicasSuspended && e.server == "" {
+		m.nextSuspensionsEnd = now + futileAttemptBackoff
+	}
 	if e.err != nil {
 		m.log(logevent.ChangeRefused, slog.String("cause", e.request.Cause.String()), errAttr(e.err))
-		m.mayHaveLeftSuspensions = m.mayHaveLeftSuspensions || errors.Is(e.err, takeover.ErrSuspensionsRemain)
+		// Suspended replicas stall the commits, too.
+		stalled := e.request.Cause == takeover.CommitsStalled && !errors.Is(e.err, takeover.ErrPrimaryActive)
+		m.mayHaveLeftSuspensions = m.mayHaveLeftSuspensions || stalled || errors.Is(e.err, takeover.ErrSuspensionsRemain)
 		return
 	}
 	m.log(logevent.ChangeCompleted, slog.String("cause", e.request.Cause.String()), slog.String("server", string(e.server)))
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -70,10 +70,16 @@
 	// attemptBackoff is the pause after an attempt to change the primary.
 	attemptBackoff = 250 * time.Millisecond
 	// futileAttemptBackoff is the pause after an attempt that found the primary
-	// active or no server that may replace it, and after one that was to resume
-	// suspended replicas, so that status queries do not add to the load of an
+	// active or no server that may replace it, and after one that was to end
+	// suspensions, so that status queries do not add to the load of an
 	// overloaded group.
 	futileAttemptBackoff = 1500 * time.Millisecond
+	// yieldBackoff is the pause after repeated attempts to replace an unresponsive primary
+	// that were given up with suspensions left. It exceeds the lease, so that a host which
+	// reaches the primary can end them.
+	yieldBackoff = takeover.LeaseTTL + 2*futileAttemptBackoff
+	// maxSuspendingAttempts is the number of such attempts before the pause.
+	maxSuspendingAttempts = 2
 	// startupGracePeriod is how long after its start a host tolerates an
 	// unreachable primary, so that servers can register: expired entries are
 	// back within two seconds after the store recovers.
@@ -256,6 +262,13 @@
 	// attemptInFlight is set while an attempt runs or the record is read.
 	attemptInFlight bool
 	nextAttempt     time.Duration
+	// nextSuspensionsEnd is when suspensions may be ended next.
+	nextSuspensionsEnd time.Duration
+	// suspendingAttempts counts the attempts since the last proof that were to replace an
+	// unresponsive primary and left servers suspended.
+	suspendingAttempts int
+	// yieldsUntil is until when an unresponsive primary is left to other hosts.
+	yieldsUntil time.Duration
 	// changeDueSince is since when a change has been due; zero if none is.
 	changeDueSince time.Duration
 	// recordReadAt is when the record is to be read; zero if it need not be.
@@ -270,7 +283,8 @@
 	lastSuspended     map[group.ServerID]bool
 	// leftoverSuspensions is set if the last audit found replicas that an
 	// unfinished attempt left suspended. mayHaveLeftSuspensions is set after
-	// an attempt of this host that may have left some.
+	// an attempt of this host that may have left some, and while commits are stalled and
+	// this host can't replace the primary.
 	leftoverSuspensions    bool
 	mayHaveLeftSuspensions bool
 	samples                []Sample
@@ -373,7 +387,7 @@
 	if m.searchDue(m.members, now) {
 		m.startSearch(ctx, m.members, now)
 	}
-	if !m.attemptInFlight && now >= m.nextAttempt {
+	if m.attemptDue(now) {
 		m.startDueChange(ctx, now)
 	}
 	if m.responsible && !m.attemptInFlight && m.recordReadAt != 0 && now >= m.recordReadAt {
--- a/core/takeover/command.go
+++ b/core/takeover/command.go
@@ -76,7 +76,6 @@
 
 var commandNames = map[exchange.Operation]string{
 	exchange.Suspend: "suspended",
-	exchange.Resume:  "resumed",
 	exchange.Demote:  "demoted",
 }
 
--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -21,7 +21,6 @@
 		err = a.orderPromotion(ctx, candidate)
 	}
 	if err != nil {
-		a.resumeAll(ctx)
 		return "", err
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, promotionTimeout)
@@ -32,7 +31,7 @@
 		}
 	}
 	a.reportStep(Step{Name: "leads", Server: server.ID, Epoch: a.record.Epoch})
-	a.resumeFollowers(ctx, server)
+	a.suspensionsRemain = a.longestSuspension > a.nextTerm
 	if err := a.settle(ctx, a.candidateTookEffect); err != nil {
 		// The next attempt settles it.
 		a.reportStep(Step{Name: "left pending", Server: server.ID, Epoch: a.record.Epoch, Err: err})
@@ -96,14 +95,17 @@
 	return err
 }
 
-// endLeftoverSuspensions resumes replicas that an unfinished attempt left suspended while
-// the primary is active. They stay suspended until no promotion of that attempt can take
-// effect any more.
+// endLeftoverSuspensions ends the suspensions that an unfinished attempt left beside an
+// active primary. It demotes the primary and promotes it again, because a suspension ends
+// only with the next term.
 func (a *attempt) endLeftoverSuspensions(ctx context.Context) (group.ServerID, error) {
 	status, err := a.primaryStatus(ctx)
 	if err != nil {
 		return "", err
 	}
+	if !a.findSuspensions(ctx, status.Term) {
+		return a.Primary.ID, nil
+	}
 	if err := a.claim(ctx, status.ReceivedPosition); err != nil {
 		return "", err
 	}
@@ -111,9 +113,20 @@
 		return "", err
 	}
 	a.suspendedServers = a.otherMembers()
-	a.resumeAll(ctx)
-	a.recordPromotionAnswered(ctx)
-	return a.Primary.ID, nil
+	demoted, err := a.command(ctx, a.Primary, exchange.Statement{Operation: exchange.Demote, Term: status.Term + 1})
+	if err != nil {
+		return "", err
+	}
+	a.noteTerm(demoted.Term)
+	return a.promote(ctx, serverStatus{a.Primary, demoted})
+}
+
+// findSuspensions reports whether a server that answers is suspended for a term above that
+// of the primary. Another host may have ended the suspensions meanwhile.
+func (a *attempt) findSuspensions(ctx context.Context, primary group.Term) bool {
+	answers, _ := a.commandAll(ctx, a.otherMembers(), exchange.Statement{Operation: exchange.Status})
+	a.noteSuspensions(answers)
+	return a.longestSuspension > primary
 }
 
 // primaryStatus returns the status of the primary. It fails with ErrNoCandidate if the
--- a/core/takeover/reachable.go
+++ b/core/takeover/reachable.go
@@ -83,7 +83,6 @@
 			if err == nil {
 				return candidate
 			}
-			a.resumeAll(ctx)
 		}
 		return serverStatus{a.Primary, demoted}
 	}
--- a/core/takeover/record.go
+++ b/core/takeover/record.go
@@ -145,8 +145,8 @@
 }
 
 // recordPromotionAnswered records that the attempt has ended and no promotion is pending.
-// A failure is only reported. It costs one more call if the next attempt is given up: its
-// replicas then stay suspended until a promotion has been ordered under a higher epoch.
+// A failure is only reported. It costs the next attempt one more call and a wait, in which it
+// settles the promotion.
 func (a *attempt) recordPromotionAnswered(ctx context.Context) {
 	next := a.record
 	next.BasePosition = next.Base()
--- a/core/takeover/suspend.go
+++ b/core/takeover/suspend.go
@@ -61,7 +61,9 @@
 func (a *attempt) suspend(ctx context.Context, servers []catalog.Server, seen group.Term) (suspended []serverStatus, err error) {
 	a.suspendedServers = slices.Concat(a.suspendedServers, servers)
 	for range maxSuspendTries {
+		a.longestSuspension = max(a.longestSuspension, a.suspendTerm)
 		suspended, err = a.commandAll(ctx, servers, exchange.Statement{Operation: exchange.Suspend, Term: a.suspendTerm})
+		a.noteSuspensions(suspended)
 		if err != nil {
 			return suspended, err
 		}
@@ -79,14 +81,20 @@
 	return suspended, eris.Wrap(ErrServerUnresponsive, "a server was not suspended")
 }
 
-// resumeFollowers resumes the servers that may be suspended for a later term than that of
-// the new primary, which then has not ended their suspension.
-func (a *attempt) resumeFollowers(ctx context.Context, primary catalog.Server) {
-	if a.suspendTerm <= a.nextTerm {
+// noteSuspensions notes the highest term for which one of the servers is suspended.
+func (a *attempt) noteSuspensions(answers []serverStatus) {
+	for _, answer := range answers {
+		a.longestSuspension = max(a.longestSuspension, answer.status.SuspendedTerm)
+	}
+}
+
+// leaveSuspended notes that servers stay suspended after an attempt that was given up. The
+// next promotion ends their suspension. A command that ends it could be delivered late, when
+// another attempt relies on its own suspension of the same servers.
+func (a *attempt) leaveSuspended() {
+	if len(a.suspendedServers) == 0 {
 		return
 	}
-	followers := slices.DeleteFunc(slices.Clone(a.suspendedServers), func(s catalog.Server) bool { return s.ID == primary.ID })
-	_, err := a.commandAll(ctx, followers, exchange.Statement{Operation: exchange.Resume})
-	a.suspensionsRemain = err != nil
-	a.reportStep(Step{Name: "resumed", Epoch: a.record.Epoch, Err: err})
+	a.suspensionsRemain = true
+	a.reportStep(Step{Name: "left suspended", Epoch: a.record.Epoch})
 }
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -23,6 +23,10 @@
 // order that can still take effect: an attempt that finds a promotion pending either
 // orders the same server again or fences the orders of earlier epochs before it stops
 // the primary or orders another server.
+//
+// A suspension ends only by a promotion, which an epoch fences, or the restart of the server.
+// An attempt that is given up leaves the servers suspended. A command that ended this could
+// be delivered during a later attempt.
 package takeover
 
 import (
@@ -85,7 +89,7 @@
 
 // ServerClient sends commands to backend servers.
 type ServerClient interface {
-	// Command runs Status, Suspend, Resume or Demote.
+	// Command runs Status, Suspend or Demote.
 	Command(ctx context.Context, server catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error)
 	// IsPrimary reports whether a probe proves that the server is the primary.
 	IsPrimary(ctx context.Context, server catalog.Server) bool
@@ -303,6 +307,9 @@
 	// nextTerm is the lowest term that the next primary leads, and suspendTerm the one for
 	// which servers are suspended.
 	nextTerm, suspendTerm group.Term
+	// longestSuspension is the highest term for which a server may be suspended, as far as
+	// the attempt has seen.
+	longestSuspension group.Term
 	// claimedBase is the base position of the record that was claimed.
 	claimedBase group.Position
 	// requiredPosition is the lowest position that a server must have reached to be
@@ -319,6 +326,7 @@
 	a := &attempt{Runner: r, Request: request}
 	primary, err = a.run(ctx)
 	if err != nil {
+		a.leaveSuspended()
 		a.recordGivenUp(ctx)
 	}
 	if a.suspensionsRemain {
--- a/core/takeover/unreachable.go
+++ b/core/takeover/unreachable.go
@@ -50,7 +50,6 @@
 		candidate, err = a.chooseSuspended(final)
 	}
 	if err != nil {
-		a.resumeAll(ctx)
 		return "", err
 	}
 	return a.promote(ctx, candidate)
@@ -126,18 +125,3 @@
 	}
 	return a.commandAll(ctx, missing, exchange.Statement{Operation: exchange.Status})
 }
-
-// resumeAll resumes the suspended servers after an attempt was given up. While a
-// promotion may be pending they stay suspended: the server that it names would
-// lack the commits acknowledged after they resumed. So do servers that another attempt may
-// have suspended since, or may suspend before the commands arrive.
-func (a *attempt) resumeAll(ctx context.Context) {
-	if a.promotionPending || a.renewLease(ctx, changeRetryTimeout) != nil {
-		a.suspensionsRemain = len(a.suspendedServers) > 0
-		a.reportStep(Step{Name: "left suspended", Epoch: a.record.Epoch})
-		return
-	}
-	_, err := a.commandAll(ctx, a.suspendedServers, exchange.Statement{Operation: exchange.Resume})
-	a.suspensionsRemain = err != nil
-	a.reportStep(Step{Name: "resumed", Epoch: a.record.Epoch, Err: err})
-}
