--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -331,7 +331,8 @@
 		})
 		time.Sleep(time.Second)
 		f.update(func() { f.primary = "" })
-		time.Sleep(500 * time.Millisecond)
+		// The probe in flight has to time out before the next one is refused.
+		time.Sleep(time.Second)
 		f.update(func() {
 			assert.Assert(t, countAttempts(f.attempts, takeover.PrimaryGone) > 0)
 			f.primary, f.unreachable = "a", false
