--- a/e2e/replicated/changes_test.go
+++ b/e2e/replicated/changes_test.go
@@ -32,6 +32,10 @@
 	// confirmingRuns is how often a schedule is run once one has failed. The hosts draw
 	// random delays, so that a schedule may fail in some runs only.
 	confirmingRuns = 8
+	// laterHosts is the number of hosts that a schedule can start beside the initial ones.
+	laterHosts = 1
+	// reportPollInterval is the interval at which awaitReport looks for a report.
+	reportPollInterval = 50 * time.Millisecond
 	// recordedRuns is how often a recorded schedule is run.
 	recordedRuns = 3
 )
@@ -39,10 +43,14 @@
 // changesRun is one run of a schedule.
 type changesRun struct {
 	cluster *replicated.Cluster
-	hosts   []*entryHost
+	saved   *savedServers
 	started time.Time
+	// until is the end of the writes.
+	until time.Time
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// hosts holds nil for a host that does not run.
+	hosts      []*entryHost
 	cuts       []*activeCut
 	operations []clientOperation
 	// replacements counts the servers that planned replacements have started.
@@ -70,6 +78,13 @@
 	return r.cluster.Server(r.resolve(id))
 }
 
+// awaitReport waits until a server reports to the store.
+func (r *changesRun) awaitReport(id group.ServerID) {
+	for r.cluster.IsSilent(id) {
+		time.Sleep(reportPollInterval)
+	}
+}
+
 // startReplacement starts a server under an id of its own.
 func (r *changesRun) startReplacement(listingDelay time.Duration) *replicated.Server {
 	r.mu.Lock()
@@ -80,14 +95,20 @@
 
 // activeCut is what a step cuts a host off from at present.
 type activeCut struct {
-	host    int
-	servers []group.ServerID
-	store   bool
+	host      int
+	separates func(group.ServerID) bool
+	fromStore bool
 }
 
 // cut cuts a host off, beside other cuts, until the returned function is called.
 func (r *changesRun) cut(h int, servers []group.ServerID, store bool) (end func()) {
-	c := &activeCut{h, servers, store}
+	return r.separate(h, store, func(id group.ServerID) bool { return slices.Contains(servers, id) })
+}
+
+// separate cuts a host off from the servers that separates selects, beside other cuts, until
+// the returned function is called.
+func (r *changesRun) separate(h int, store bool, separates func(group.ServerID) bool) (end func()) {
+	c := &activeCut{h, separates, store}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cuts = append(r.cuts, c)
@@ -100,49 +121,111 @@
 	}
 }
 
-// updatePartition applies the active cuts to a host. The caller must hold the mutex.
+// updatePartition applies the active cuts to a host if it runs. The caller must hold the
+// mutex.
 func (r *changesRun) updatePartition(h int) {
-	var servers []group.ServerID
+	if r.hosts[h] != nil {
+		r.applyCuts(h, r.hosts[h].partition)
+	}
+}
+
+// applyCuts sets the partition of a host. The caller must hold the mutex.
+func (r *changesRun) applyCuts(h int, p *partition) {
+	var separates []func(group.ServerID) bool
 	store := false
 	for _, c := range r.cuts {
 		if c.host == h {
-			servers = append(servers, c.servers...)
-			store = store || c.store
+			separates = append(separates, c.separates)
+			store = store || c.fromStore
 		}
 	}
-	r.hosts[h].partition.set(store, servers...)
+	p.separate(store, func(id group.ServerID) bool {
+		return slices.ContainsFunc(separates, func(separates func(group.ServerID) bool) bool { return separates(id) })
+	})
+}
+
+// startHost starts a host unless it runs.
+func (r *changesRun) startHost(h int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.hosts[h] != nil {
+		return
+	}
+	p := &partition{}
+	r.applyCuts(h, p)
+	r.hosts[h] = startHost(r.cluster, host.ID(fmt.Sprint("h", h)), hostOptions{
+		dataCentre: host.DataCentre("dc-" + string(initialServers[h%len(initialServers)])),
+		partition:  p, savedServers: partitionedSavedServers{r.saved, p}, onStep: r.traceStep,
+	})
+}
+
+// killHost ends a host at once. What it has sent and not delivered is lost.
+func (r *changesRun) killHost(h int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	killed := r.hosts[h]
+	if killed == nil {
+		return
+	}
+	r.hosts[h] = nil
+	killed.partition.separate(true, func(group.ServerID) bool { return true })
+	killed.cancel()
+}
+
+// host returns a host, or nil if it does not run.
+func (r *changesRun) host(h int) *entryHost {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hosts[h]
 }
 
 // sinceStart returns the time from the start of the steps.
 func (r *changesRun) sinceStart(at time.Time) time.Duration { return at.Sub(r.started) }
 
-// write makes writes through a host until the given time, in transactions or as single
-// statements.
-func (r *changesRun) write(h int, inTransaction bool, until time.Time) {
+// errHostKilled stands for the answer of a host that was killed before it gave one.
+var errHostKilled = exchange.Error{Code: exchange.InDoubt, Text: "the host was killed"}
+
+// write makes writes through a host until the end of the writes, in transactions or as
+// single statements.
+func (r *changesRun) write(h int, inTransaction bool) {
 	ctx := context.Background()
-	for n := 0; time.Now().Before(until); n++ {
-		s, failure := r.hosts[h].proxy.Open(ctx, currentDB)
-		if failure == nil {
-			o := clientOperation{id: fmt.Sprintf("%s-%d", r.hosts[h].id, n), started: time.Now()}
-			if inTransaction {
-				o.id += "-commit"
-				s.Execute(ctx, operation(exchange.Begin, o.id+"-begin"))
-				o.answer = s.Execute(ctx, write(o.id+"-write"))
-				if o.answer.Failure == nil {
-					o.answer = s.Execute(ctx, operation(exchange.Commit, o.id))
+	for n := 0; time.Now().Before(r.until); n++ {
+		if current := r.host(h); current != nil {
+			o := clientOperation{id: fmt.Sprintf("%s-%d", current.id, n), started: time.Now()}
+			if opened := executeWrite(ctx, current, inTransaction, &o); opened {
+				if r.host(h) != current {
+					o.answer.Failure = &errHostKilled
 				}
-			} else {
-				o.answer = s.Execute(ctx, write(o.id))
+				r.mu.Lock()
+				r.operations = append(r.operations, o)
+				r.mu.Unlock()
 			}
-			s.Close()
-			r.mu.Lock()
-			r.operations = append(r.operations, o)
-			r.mu.Unlock()
 		}
 		time.Sleep(changesWriteInterval)
 	}
 }
 
+// executeWrite makes a write through a host, in a transaction or as a single statement. It
+// reports whether the host opened a session.
+func executeWrite(ctx context.Context, h *entryHost, inTransaction bool, o *clientOperation) (opened bool) {
+	s, failure := h.proxy.Open(ctx, currentDB)
+	if failure != nil {
+		return false
+	}
+	defer s.Close()
+	if !inTransaction {
+		o.answer = s.Execute(ctx, write(o.id))
+		return true
+	}
+	o.id += "-commit"
+	s.Execute(ctx, operation(exchange.Begin, o.id+"-begin"))
+	o.answer = s.Execute(ctx, write(o.id+"-write"))
+	if o.answer.Failure == nil {
+		o.answer = s.Execute(ctx, operation(exchange.Commit, o.id))
+	}
+	return true
+}
+
 // brokenPromise is a promise that was broken to a caller.
 type brokenPromise struct{ promise, detail string }
 
@@ -187,19 +270,19 @@
 func runSchedule(t *testing.T, s schedule) (violations []brokenPromise) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
-		r := &changesRun{cluster: replicated.New()}
+		r := &changesRun{cluster: replicated.New(), hosts: make([]*entryHost, s.hosts+laterHosts)}
 		r.cluster.PromotionDelay = s.promotionDelay.duration()
+		r.saved = newSavedServers(r.cluster.ServerEntries())
 		for h := range s.hosts {
-			dataCentre := host.DataCentre("dc-" + string(initialServers[h]))
-			r.hosts = append(r.hosts, startHost(r.cluster, host.ID(fmt.Sprint("h", h)), hostOptions{dataCentre: dataCentre, partition: &partition{}, onStep: r.traceStep}))
+			r.startHost(h)
 		}
 		time.Sleep(settleDelay)
 		r.started = time.Now().Add(calmDuration)
-		until := r.started.Add(cmp.Or(s.duration.duration(), changesDuration))
+		r.until = r.started.Add(cmp.Or(s.duration.duration(), changesDuration))
 		var wait sync.WaitGroup
 		for h := range r.hosts {
 			for _, inTransaction := range []bool{false, true} {
-				wait.Go(func() { r.write(h, inTransaction, until) })
+				wait.Go(func() { r.write(h, inTransaction) })
 			}
 		}
 		time.Sleep(calmDuration)
@@ -215,8 +298,8 @@
 		}
 		violations = r.violations()
 		endTrace()
-		for _, h := range r.hosts {
-			h.cancel()
+		for h := range r.hosts {
+			r.killHost(h)
 		}
 		r.cluster.Stop()
 		time.Sleep(time.Minute)
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -72,6 +72,8 @@
 	connectionLimit int
 	// partition, if set, separates the host from servers and from the store.
 	partition *partition
+	// savedServers, if set, keeps a list of the servers for hosts that start later.
+	savedServers catalog.SavedServerStore
 	// network, if set, connects the host with the other hosts on it.
 	network *hostNetwork
 }
@@ -106,7 +108,9 @@
 	if h.filterServers == nil {
 		h.filterServers = func(servers []catalog.Server) []catalog.Server { return servers }
 	}
-	h.cache.ReplaceServers(h.filterServers(cluster.ServerEntries()))
+	if options.partition == nil || !options.partition.separatesStore() {
+		h.cache.ReplaceServers(h.filterServers(cluster.ServerEntries()))
+	}
 	var dialer link.Dialer = cluster
 	if options.partition != nil {
 		h.partition = options.partition
@@ -136,7 +140,7 @@
 	updates := 0
 	runner := &takeover.Runner{
 		Self: id, Client: client, Records: records, ServerLister: lister, Promotions: cluster, Eras: eras,
-		NewUpdateID: func() string { updates++; return fmt.Sprint(id, "-", updates) },
+		NewUpdateID: func() string { updates++; return fmt.Sprint(id, "-", started.UnixNano(), "-", updates) },
 	}
 	if options.onStep != nil {
 		runner.Observe = func(_ group.ID, s takeover.Step) { options.onStep(id, s) }
@@ -154,6 +158,10 @@
 	h.cancel = cancel
 	go func() { _ = h.monitor.Run(ctx) }()
 	go h.syncServers(ctx, eras)
+	if options.savedServers != nil {
+		syncer := &catalog.Syncer{Cache: h.cache, SavedServerStore: options.savedServers, Eras: eras}
+		go func() { _ = syncer.SyncSavedServers(ctx) }()
+	}
 	return h
 }
 
--- a/e2e/replicated/partition_test.go
+++ b/e2e/replicated/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 
 	"basilmill/core/catalog"
@@ -17,20 +18,25 @@
 // partition separates one host from servers and from the platform's store. The zero value
 // separates it from nothing.
 type partition struct {
-	mu      sync.Mutex
-	servers map[group.ServerID]bool
-	store   bool
-	changed chan struct{}
+	mu sync.Mutex
+	// separates reports whether the host is separated from a server. If it is nil, the host
+	// is separated from none.
+	separates func(group.ServerID) bool
+	store     bool
+	changed   chan struct{}
 }
 
 // set separates the host from these servers, and from the store if storeToo is set.
 func (p *partition) set(storeToo bool, servers ...group.ServerID) {
+	p.separate(storeToo, func(id group.ServerID) bool { return slices.Contains(servers, id) })
+}
+
+// separate separates the host from the servers that separates selects, and from the store if
+// storeToo is set.
+func (p *partition) separate(storeToo bool, separates func(group.ServerID) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.servers, p.store = map[group.ServerID]bool{}, storeToo
-	for _, s := range servers {
-		p.servers[s] = true
-	}
+	p.separates, p.store = separates, storeToo
 	if p.changed != nil {
 		close(p.changed)
 		p.changed = nil
@@ -47,7 +53,7 @@
 func (p *partition) await(server group.ServerID, done <-chan struct{}) error {
 	for {
 		p.mu.Lock()
-		separated := p.servers[server]
+		separated := p.separates != nil && p.separates(server)
 		if p.changed == nil {
 			p.changed = make(chan struct{})
 		}
--- a/e2e/replicated/series_test.go
+++ b/e2e/replicated/series_test.go
@@ -26,7 +26,7 @@
 )
 
 // primaryFaultKinds are the kinds of steps that drawDisturbance draws.
-var primaryFaultKinds = []string{"crash", "split", "split", "host cut", "rebirth", "leave", "replacement"}
+var primaryFaultKinds = []string{"crash", "split", "split", "host cut", "rebirth", "leave", "replacement", "outage"}
 
 // drawDisturbance draws a step by which hosts lose the server that leads then.
 func drawDisturbance(t *rapid.T, hosts int) step {
@@ -39,6 +39,8 @@
 		return split{at, lasts, presentPrimary, drawSubset(t, "beside", hostNumbers), rapid.Bool().Draw(t, "store")}
 	case "host cut":
 		return hostCut{at, lasts, rapid.SampledFrom(hostNumbers).Draw(t, "host"), []group.ServerID{presentPrimary}, false}
+	case "outage":
+		return drawOutage(t, at, presentPrimary)
 	case "leave":
 		return leave{at, drawMS(t, "drains", 500, 8000), presentPrimary}
 	case "replacement":
@@ -49,7 +51,7 @@
 }
 
 // drawReplaceAll draws a planned replacement of all servers.
-func drawReplaceAll(t *rapid.T) step {
+func drawReplaceAll(t *rapid.T) replaceAll {
 	return replaceAll{
 		at: drawMS(t, "at", 0, 12_000), every: drawMS(t, "every", 500, 2500),
 		listing: drawMS(t, "listing", 0, 600), lasts: drawMS(t, "drains", 500, 8000),
@@ -87,7 +89,7 @@
 		s.steps = append(s.steps, rapid.SliceOfN(rapid.Custom(draw), least, most).Draw(t, label)...)
 	}
 	add("disturbances", 1, 5, func(t *rapid.T) step { return drawDisturbance(t, s.hosts) })
-	add("replacements", 0, 2, drawReplaceAll)
+	add("replacements", 0, 2, func(t *rapid.T) step { return drawReplaceAll(t) })
 	add("replica faults", 0, 4, drawReplicaFault)
 	if !leftOut("late promotions") {
 		add("late promotions", 0, 2, func(t *rapid.T) step { return latePromotions{drawLateCalls(t)} })
@@ -95,6 +97,9 @@
 	if !leftOut("late commands") {
 		add("late commands", 0, 1, func(t *rapid.T) step { return lateCommands{drawLateCalls(t)} })
 	}
+	if isDrawn(t, "isolation", isolationShare) {
+		s.steps = append(s.steps, drawIsolation(t, s.hosts, seriesServers)...)
+	}
 	others := stepDraws{hosts: s.hosts, latest: 14_000, started: seriesStartedServers, reborn: rebornServers, replaced: initialServers, all: seriesServers}
 	add("steps", 0, 6, others.draw)
 	return s
--- a/e2e/replicated/steps_test.go
+++ b/e2e/replicated/steps_test.go
@@ -110,6 +110,88 @@
 	}
 }
 
+// entryLifetime is the time after the last report of a server at which its entry expires.
+const entryLifetime = 3600 * time.Millisecond
+
+// reportInterval is the time between two reports of a server.
+const reportInterval ms = 1200
+
+// isolation cuts servers and hosts off from all other servers and from the store, and the
+// other hosts off from these servers unless they are reachable. The entries of the servers
+// expire entryLifetime after their last reports, and are back after a time.
+type isolation struct {
+	at, lasts ms
+	servers   []group.ServerID
+	hosts     []int
+	reachable bool
+	// reported is the time from the last report of the first server to the cut, and apart the
+	// one between the reports of two servers.
+	reported, apart ms
+	// returns is the time from the end of the cut to the next reports.
+	returns ms
+}
+
+func (s isolation) run(r *changesRun) {
+	time.Sleep(s.at.duration())
+	servers := r.resolveAll(s.servers)
+	isolated := r.cluster.Isolate(servers)
+	var silences []*replicated.Silence
+	for i, id := range servers {
+		reported := (s.reported + ms(i)*s.apart) % reportInterval
+		silences = append(silences, r.cluster.Silence([]group.ServerID{id}, entryLifetime-reported.duration()))
+	}
+	var ends []func()
+	for h := range r.hosts {
+		inside := slices.Contains(s.hosts, h)
+		ends = append(ends, r.separate(h, inside, func(id group.ServerID) bool {
+			return isolated.Contains(id) != inside && (inside || !s.reachable)
+		}))
+	}
+	time.Sleep(s.lasts.duration())
+	isolated.End()
+	for _, silence := range silences {
+		silence.End(s.returns.duration())
+	}
+	for _, end := range ends {
+		end()
+	}
+}
+
+// hostStart starts a host, which first ends if it runs. It knows nothing of before.
+type hostStart struct {
+	at, lasts ms
+	host      int
+}
+
+func (s hostStart) run(r *changesRun) {
+	time.Sleep(s.at.duration())
+	r.killHost(s.host)
+	time.Sleep(s.lasts.duration())
+	r.startHost(s.host)
+}
+
+// outage stops a server for a time, in which its entry expires. It keeps its log.
+type outage struct {
+	at, lasts ms
+	server    group.ServerID
+	// returns is the time from the start of the server to its next report.
+	returns ms
+}
+
+func (s outage) run(r *changesRun) {
+	time.Sleep(s.at.duration())
+	id := r.resolve(s.server)
+	server := r.cluster.Server(id)
+	if server == nil {
+		return
+	}
+	silence := r.cluster.Silence([]group.ServerID{id}, entryLifetime)
+	server.Crash()
+	time.Sleep(s.lasts.duration())
+	server.Start()
+	silence.End(s.returns.duration())
+}
+
 // crash stops a server for a time. It keeps its log.
 type crash struct {
 	at, lasts ms
@@ -199,7 +281,7 @@
 	server.SetReplicationStopped(false)
 }
 
-// leave makes a server report that it leaves. It ends after a time.
+// leave makes a server report that it leaves. It ends a time after the report.
 type leave struct {
 	at, lasts ms
 	server    group.ServerID
@@ -207,11 +289,13 @@
 
 func (s leave) run(r *changesRun) {
 	time.Sleep(s.at.duration())
-	server := r.server(s.server)
+	id := r.resolve(s.server)
+	server := r.cluster.Server(id)
 	if server == nil {
 		return
 	}
 	server.SetLeaving(true)
+	r.awaitReport(id)
 	time.Sleep(s.lasts.duration())
 	server.End()
 }
@@ -303,12 +387,14 @@
 
 func (s replacement) run(r *changesRun) {
 	time.Sleep(s.at.duration())
-	old := r.server(s.server)
+	id := r.resolve(s.server)
+	old := r.cluster.Server(id)
 	if old == nil {
 		return
 	}
 	started := r.startReplacement(s.listing.duration())
 	old.SetLeaving(true)
+	r.awaitReport(id)
 	time.Sleep(s.lasts.duration())
 	old.Transfer(started)
 }
@@ -342,6 +428,9 @@
 	_ step = hostCut{}
 	_ step = serverCut{}
 	_ step = split{}
+	_ step = isolation{}
+	_ step = hostStart{}
+	_ step = outage{}
 	_ step = crash{}
 	_ step = rebirth{}
 	_ step = reset{}
--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -12,7 +12,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -95,6 +94,8 @@
 	changed chan struct{}
 	// separations counts the faults that separate the servers of a pair.
 	separations map[serverPair]int
+	silences    []*Silence
+	isolations  []*Isolation
 	// startedServers counts the servers, so that each gets another address.
 	startedServers byte
 
@@ -231,24 +232,6 @@
 	return c.servers[id]
 }
 
-// ServerEntries returns the catalogue entries of the servers in the platform's
-// store, without those of unlisted servers.
-func (c *Cluster) ServerEntries() []catalog.Server {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var entries []catalog.Server
-	for _, id := range slices.Sorted(maps.Keys(c.servers)) {
-		s := c.servers[id]
-		if s.unlisted {
-			continue
-		}
-		e := s.catalogEntry
-		e.ClaimsPrimary = s.primary
-		entries = append(entries, e)
-	}
-	return entries
-}
-
 // Servers implements takeover.ServerLister.
 func (c *Cluster) Servers(ctx context.Context, _ group.ID) ([]catalog.Server, error) {
 	if err := sleep(ctx, NetDelay); err != nil {
--- a/standin/replicated/server.go
+++ b/standin/replicated/server.go
@@ -116,6 +116,7 @@
 	primary, term, log := s.primary, s.term, s.log
 	address := s.catalogEntry.Address
 	s.end()
+	c.inheritFaults(s.id, id)
 	started := c.add(id)
 	started.primary, started.term, started.log, started.appliedCount = primary, term, log, len(log)
 	started.catalogEntry.Address = address
@@ -261,7 +262,7 @@
 // receivesFrom reports whether a replica receives the log of a primary that sends it.
 func (s *Server) receivesFrom(primary *Server) bool {
 	return s.up && !s.unreachable && !s.replicationStopped && !s.isolated && s.suspendedTerm <= primary.term &&
-		s.cluster.separations[newServerPair(s.id, primary.id)] == 0
+		!s.cluster.areSeparated(s.id, primary.id)
 }
 
 // copyLog copies the primary's log to the server and reports whether that changed it. The
