--- a/e2e/replicated/recorded_test.go
+++ b/e2e/replicated/recorded_test.go
@@ -5,10 +5,12 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"basilmill/core/group"
 )
 
 // recordedSchedules are schedules that lost successful writes, by what confirmed the
-// writes, or by what was carried out late.
+// writes, what was carried out late, or which host made the change.
 var recordedSchedules = map[string]schedule{
 	"unlisted server": {hosts: 2, promotionDelay: 300, steps: []step{
 		start{at: 0, server: "d", listing: 10_000},
@@ -87,6 +89,36 @@
 		crash{at: 100, lasts: 3800, server: "a"},
 		serverCut{at: 3600, lasts: 4000, server: "a", and: "b"},
 	}},
+	"witness whose entry has expired for the other hosts": {hosts: 2, promotionDelay: 300, duration: 12_000, steps: []step{
+		start{at: 0, server: "d"},
+		isolation{at: 0, lasts: 9500, servers: []group.ServerID{"a", "c"}, hosts: []int{1}, reachable: true, apart: 600, returns: 1000},
+	}},
+	"witness whose entry expires for a host that has started": {hosts: 2, promotionDelay: 300, duration: 13_000, steps: []step{
+		start{at: 0, server: "d"},
+		isolation{at: 0, lasts: 11_000, servers: []group.ServerID{"a", "c"}, hosts: []int{1}, returns: 1000},
+		hostStart{at: 1000, host: 0},
+	}},
+	"host that starts while entries are missing": {hosts: 2, promotionDelay: 300, duration: 13_000, steps: []step{
+		start{at: 0, server: "d"},
+		isolation{at: 0, lasts: 11_000, servers: []group.ServerID{"a", "c"}, hosts: []int{1}, returns: 1000},
+		hostStart{at: 5500, host: 0},
+	}},
+	"host that has started without the store": {hosts: 1, promotionDelay: 300, duration: 9000, steps: []step{
+		start{at: 0, server: "d"},
+		isolation{at: 0, lasts: 6000, servers: []group.ServerID{"a", "b"}, hosts: []int{0, 1}, returns: 1000},
+		hostStart{at: 500, host: 1},
+	}},
+	"only replica that ends beside a crashed primary": {hosts: 1, promotionDelay: 300, steps: []step{
+		serverCut{at: 0, lasts: 3000, server: "a", and: "c"},
+		leave{at: 0, lasts: 1000, server: "b"},
+		crash{at: 1000, lasts: 400, server: "a"},
+	}},
+	"demoted primary that loses its log before the order": {hosts: 1, promotionDelay: 300, steps: []step{
+		serverCut{at: 0, lasts: 800, server: "a", and: "b"},
+		serverCut{at: 0, lasts: 800, server: "a", and: "c"},
+		leave{at: 0, lasts: 800, server: "c"},
+		reset{at: 800, lasts: 500, server: "a"},
+	}},
 }
 
 // Guards against the loss of successful writes in schedules that were generated earlier.
