--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -106,8 +106,10 @@
 	if h.filterServers == nil {
 		h.filterServers = func(servers []catalog.Server) []catalog.Server { return servers }
 	}
-	h.cache.ReplaceServers(h.filterServers(cluster.ServerEntries()))
-	h.cache.Confirm(clock(), 0)
+	if options.partition == nil || !options.partition.separatesStore() {
+		h.cache.ReplaceServers(h.filterServers(cluster.ServerEntries()))
+		h.cache.Confirm(clock(), 0)
+	}
 	var dialer link.Dialer = cluster
 	if options.partition != nil {
 		h.partition = options.partition
@@ -138,7 +140,7 @@
 	updates := 0
 	runner := &takeover.Runner{
 		Self: id, Client: client, Records: records, ServerLister: lister, Promotions: cluster, Eras: eras,
-		NewUpdateID: func() string { updates++; return fmt.Sprint(id, "-", updates) },
+		NewUpdateID: func() string { updates++; return fmt.Sprint(id, "-", started.UnixNano(), "-", updates) },
 	}
 	if options.onStep != nil {
 		runner.Observe = func(_ group.ID, s takeover.Step) { options.onStep(id, s) }
