--- a/core/takeover/reachable.go
+++ b/core/takeover/reachable.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"basilmill/core/catalog"
 	"basilmill/core/exchange"
 	"basilmill/core/group"
@@ -42,19 +44,23 @@
 		return "", err
 	}
 	a.noteTerm(demoted.Term)
-	return a.promote(ctx, a.chooseAfterDemotion(ctx, demoted, checkedAt))
+	candidate, err := a.chooseAfterDemotion(ctx, demoted, checkedAt)
+	if err != nil {
+		return "", err
+	}
+	return a.promote(ctx, candidate)
 }
 
 // chooseAfterDemotion returns the server to be promoted after the primary was
 // demoted: one that holds the whole log of the primary. If there is none
 // and the cause is CommitsStalled, it is the replica with the highest position,
 // provided that nothing beyond it can have been acknowledged; otherwise the old primary
-// itself.
+// itself, unless it has lost its log since.
 //
 // No commit is confirmed after the demotion, but a server that the store lists only
 // afterwards may have confirmed some before it. The servers are therefore listed again
 // until the choice is made.
-func (a *attempt) chooseAfterDemotion(ctx context.Context, demoted exchange.ServerStatus, checkedAt time.Time) serverStatus {
+func (a *attempt) chooseAfterDemotion(ctx context.Context, demoted exchange.ServerStatus, checkedAt time.Time) (serverStatus, error) {
 	listedAt := time.Now()
 	deadline := listedAt.Add(catchUpTimeout)
 	for {
@@ -68,7 +74,7 @@
 		answers, err := a.commandAll(ctx, others, exchange.Statement{Operation: exchange.Status})
 		for _, answer := range answers {
 			if !answer.server.Leaving && answer.status.ReceivedPosition.Compare(demoted.ReceivedPosition) >= 0 {
-				return answer
+				return answer, nil
 			}
 		}
 		if !final && sleep(ctx, catchUpPollInterval) == nil {
@@ -81,11 +87,24 @@
 				candidate, err = a.chooseSuspended(suspended)
 			}
 			if err == nil {
-				return candidate
+				return candidate, nil
 			}
 		}
-		return serverStatus{a.Primary, demoted}
+		return a.demotedPrimary(ctx, demoted)
+	}
+}
+
+// demotedPrimary returns the old primary to be promoted again. It fails with
+// ErrLogIncomplete if the server has lost its log since it was demoted.
+func (a *attempt) demotedPrimary(ctx context.Context, demoted exchange.ServerStatus) (serverStatus, error) {
+	status, err := a.command(ctx, a.Primary, exchange.Statement{Operation: exchange.Status})
+	if err != nil {
+		return serverStatus{}, eris.Wrapf(ErrServerUnresponsive, "%s: %v", a.Primary.ID, err)
+	}
+	if status.ReceivedPosition.Compare(demoted.ReceivedPosition) < 0 {
+		return serverStatus{}, eris.Wrapf(ErrLogIncomplete, "%s was demoted at %v and is at %v", a.Primary.ID, demoted.ReceivedPosition, status.ReceivedPosition)
 	}
+	return serverStatus{a.Primary, status}, nil
 }
 
 // mayDropCommits reports whether the commits that no replica has may be dropped: they were
