--- a/core/takeover/command.go
+++ b/core/takeover/command.go
@@ -71,7 +71,7 @@
 func (a *attempt) commandOnce(ctx context.Context, server catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	return a.Client.Command(ctx, server, statement)
+	return a.clientOf(server.ID).Command(ctx, server, statement)
 }
 
 var commandNames = map[exchange.Operation]string{
--- a/core/takeover/departed.go
+++ b/core/takeover/departed.go
@@ -9,6 +9,7 @@
 
 	"basilmill/core/catalog"
 	"basilmill/core/exchange"
+	"basilmill/core/group"
 	"basilmill/core/link"
 )
 
@@ -49,3 +50,12 @@
 	}
 	return nil
 }
+
+// clientOf returns the client for a server.
+func (a *attempt) clientOf(id group.ServerID) ServerClient {
+	departed := func(s DepartedServer) bool { return s.ID == id }
+	if a.Direct == nil || !slices.ContainsFunc(a.Departed, departed) {
+		return a.Client
+	}
+	return a.Direct
+}
--- a/core/takeover/departed_test.go
+++ b/core/takeover/departed_test.go
@@ -81,3 +81,34 @@
 		})
 	}
 }
+
+// deafTo is a client that gets no answer from one server.
+type deafTo struct {
+	takeover.ServerClient
+	server group.ServerID
+}
+
+func (c deafTo) Command(ctx context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
+	if s.ID == c.server {
+		<-ctx.Done()
+		return exchange.ServerStatus{}, ctx.Err()
+	}
+	return c.ServerClient.Command(ctx, s, statement)
+}
+
+// Guards against a group without a primary where hosts reach servers through others, which
+// don't know one without an entry.
+func TestDepartedServerIsAskedDirectly(t *testing.T) {
+	f := newFakeCluster()
+	f.statuses["d"] = replicaAt(10)
+	f.unresponsive["a"] = true
+	synctest.Test(t, func(t *testing.T) {
+		r := &takeover.Runner{Self: "h1", Client: deafTo{f, "d"}, Direct: f, Records: f, ServerLister: f, Promotions: f, NewUpdateID: func() string { return "x" }}
+		server, err := r.Run(context.Background(), takeover.Request{
+			Group: "g", Cause: takeover.PrimaryGone, Primary: catalog.Server{ID: "a"}, Members: members()[1:],
+			Departed: []takeover.DepartedServer{{Server: catalog.Server{ID: "d"}}},
+		})
+		assert.NilError(t, err)
+		assert.Equal(t, server, group.ServerID("d"))
+	})
+}
--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -81,7 +81,7 @@
 func (a *attempt) leads(ctx context.Context, server catalog.Server) bool {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	return a.Client.IsPrimary(ctx, server)
+	return a.clientOf(server.ID).IsPrimary(ctx, server)
 }
 
 func (a *attempt) orderPromotionOnce(ctx context.Context, candidate serverStatus) error {
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -279,8 +279,11 @@
 // Runner makes attempts to change the primary of one group on behalf of a host.
 // Self is that host.
 type Runner struct {
-	Self         host.ID
-	Client       ServerClient
+	Self   host.ID
+	Client ServerClient
+	// Direct, if set, is the client for departed servers: the hosts through which Client
+	// may reach a server don't know them.
+	Direct       ServerClient
 	Records      RecordStore
 	ServerLister ServerLister
 	Promotions   PromotionService
