--- a/core/catalog/confirmation.go
+++ b/core/catalog/confirmation.go
@@ -16,10 +16,13 @@
 }
 
 // ListedAt returns the latest time at which the store is known to have listed a server of
-// the view as one that stays; zero if it is not known.
+// the view as one that stays; zero if it is not known, or the server is not in the view.
 func (c *Cache) ListedAt(id group.ServerID) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if _, ok := c.View().Servers[id]; !ok {
+		return 0
+	}
 	if at, outdated := c.lastListed[id]; outdated {
 		return at
 	}
--- a/core/catalog/confirmation_test.go
+++ b/core/catalog/confirmation_test.go
@@ -30,6 +30,9 @@
 	assert.Equal(t, cache.ListedAt("c"), time.Duration(0))
 	cache.PutServer(server("a", false))
 	assert.Equal(t, cache.ListedAt("a"), 12*time.Second)
+	cache.MarkMissing("b")
+	assert.Equal(t, cache.ListedAt("b"), time.Duration(0))
+	assert.Equal(t, cache.ListedAt("unknown"), time.Duration(0))
 	cache.Restore([]catalog.Server{server("d", false)})
 	assert.Equal(t, cache.ListedAt("d"), time.Duration(0))
 }
