--- a/core/link/dial.go
+++ b/core/link/dial.go
@@ -96,8 +96,11 @@
 		return
 	}
 	cause := eris.Wrap(ErrNoConnection, err.Error())
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		cause = ErrServerRefused
+	case hasCode(err, exchange.WrongServer):
+		cause = ErrServerReplaced
 	}
 	for _, w := range p.waiters {
 		w.result <- acquireResult{err: cause}
@@ -106,9 +109,12 @@
 }
 
 // isOverLimit reports whether the server refused a connection over its limit.
-func isOverLimit(err error) bool {
+func isOverLimit(err error) bool { return hasCode(err, exchange.TooManyConnections) }
+
+// hasCode reports whether the server refused a connection with the code.
+func hasCode(err error, code exchange.Code) bool {
 	var refusal *exchange.Error
-	return errors.As(err, &refusal) && refusal.Code == exchange.TooManyConnections
+	return errors.As(err, &refusal) && refusal.Code == code
 }
 
 // removeConn removes a closed connection from the pool.
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -257,6 +257,18 @@
 	})
 }
 
+// Guards against a server that has ended and is taken for one out of reach, because another
+// one answers at its address.
+func TestServerWhoseAddressAnotherOneHasIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPool(&fakeDialer{err: &exchange.Error{Code: exchange.WrongServer}})
+		defer p.Close()
+		_, err := p.Acquire(context.Background(), link.Request{})
+		assert.Assert(t, errors.Is(err, link.ErrNoConnection))
+		assert.Assert(t, errors.Is(err, link.ErrServerReplaced))
+	})
+}
+
 // A server that does not respond to dials must not be dialled once per waiting
 // request, because each dial may also be tried through several other hosts.
 func TestUnresponsiveServerIsDialledOnceAtATime(t *testing.T) {
--- a/core/link/pool.go
+++ b/core/link/pool.go
@@ -43,6 +43,10 @@
 // connections, because its process is not running.
 var ErrServerRefused = fmt.Errorf("%w: the server refuses connections", ErrNoConnection)
 
+// ErrServerReplaced is the ErrNoConnection of a server whose address another one has, so
+// that its process is not running there.
+var ErrServerReplaced = fmt.Errorf("%w: another server has the address", ErrNoConnection)
+
 // Observer receives how long requests wait for connections and hold them. Its
 // methods are called with the pool's mutex held and must not block.
 type Observer interface {
--- a/core/takeover/departed.go
+++ b/core/takeover/departed.go
@@ -20,7 +20,7 @@
 }
 
 // findDeparted determines which departed servers are to be asked. One whose machine refuses
-// connections has ended and confirms nothing more. It fails with ErrLogIncomplete if such a
+// connections, or whose address another server has, has ended and confirms nothing more. It fails with ErrLogIncomplete if such a
 // server may have confirmed commits alone.
 //
 // If the primary is not known and none of the members leads, one of the departed servers does.
@@ -38,7 +38,7 @@
 		switch {
 		case err == nil:
 			answering = append(answering, s.Server)
-		case !errors.Is(err, link.ErrServerRefused):
+		case !errors.Is(err, link.ErrServerRefused) && !errors.Is(err, link.ErrServerReplaced):
 			silent = append(silent, s.Server)
 		case s.MayHaveConfirmed:
 			return eris.Wrapf(ErrLogIncomplete, "%s has ended and may have confirmed commits alone", s.ID)
--- a/core/takeover/departed_test.go
+++ b/core/takeover/departed_test.go
@@ -15,15 +15,17 @@
 	"basilmill/core/takeover"
 )
 
-// refusingServers are servers whose machines refuse connections.
+// refusingServers are servers whose machines refuse connections, or whose addresses others
+// have.
 type refusingServers struct {
 	takeover.ServerClient
 	ids map[group.ServerID]bool
+	err error
 }
 
 func (r refusingServers) Command(ctx context.Context, s catalog.Server, statement exchange.Statement) (exchange.ServerStatus, error) {
 	if r.ids[s.ID] {
-		return exchange.ServerStatus{}, link.ErrServerRefused
+		return exchange.ServerStatus{}, r.err
 	}
 	return r.ServerClient.Command(ctx, s, statement)
 }
@@ -50,14 +52,16 @@
 		primary         group.ServerID
 		departed        []takeover.DepartedServer
 		silent, refuses map[group.ServerID]bool
+		refusal         error
 		promoted        group.ServerID
 		err             error
 	}{
 		"it has more than the members":                  {primary: "a", departed: departed("d"), promoted: "d"},
 		"it is silent":                                  {primary: "a", departed: departed("d"), silent: ids("d"), err: takeover.ErrServerUnresponsive},
 		"it is the silent primary":                      {primary: "a", departed: departed("a"), silent: ids("a"), promoted: "c"},
-		"its process has ended":                         {primary: "a", departed: departed("d"), refuses: ids("d"), promoted: "c"},
-		"its process has ended and it may have commits": {primary: "a", departed: ended, refuses: ids("d"), err: takeover.ErrLogIncomplete},
+		"its process has ended":                         {primary: "a", departed: departed("d"), refuses: ids("d"), refusal: link.ErrServerRefused, promoted: "c"},
+		"another server has its address":                {primary: "a", departed: departed("d"), refuses: ids("d"), refusal: link.ErrServerReplaced, promoted: "c"},
+		"its process has ended and it may have commits": {primary: "a", departed: ended, refuses: ids("d"), refusal: link.ErrServerRefused, err: takeover.ErrLogIncomplete},
 		"it may be the unknown primary":                 {departed: departed("d"), silent: ids("d"), promoted: "c"},
 		"one of two may be the unknown primary":         {departed: departed("d", "e"), silent: ids("d", "e"), err: takeover.ErrServerUnresponsive},
 	} {
@@ -71,7 +75,7 @@
 			var server group.ServerID
 			var err error
 			synctest.Test(t, func(*testing.T) {
-				r := &takeover.Runner{Self: "h1", Client: refusingServers{f, test.refuses}, Records: f, ServerLister: f, Promotions: f, NewUpdateID: func() string { return "x" }}
+				r := &takeover.Runner{Self: "h1", Client: refusingServers{f, test.refuses, test.refusal}, Records: f, ServerLister: f, Promotions: f, NewUpdateID: func() string { return "x" }}
 				server, err = r.Run(context.Background(), takeover.Request{
 					Group: "g", Cause: takeover.PrimaryGone, Primary: catalog.Server{ID: test.primary}, Members: members()[1:], Departed: test.departed,
 				})
