--- a/cmd/entry/entry.go
+++ b/cmd/entry/entry.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/rand"
 	"errors"
 	"log/slog"
 	"net"
@@ -104,7 +105,7 @@
 	h.groups = newGroups(h)
 	h.proxy = proxy.New(proxy.Config{
 		Cache: h.cache, Monitor: h.groups.monitor, Sources: h.gateways.client.Source, DataCentre: s.DataCentre,
-		ListServers: catalog.ServerLister{Source: p.Source}.Servers, ChangeInProgress: takeover.Inspector{Records: p.RecordStore, Eras: h.platform.Eras}.InProgress, LeaveTime: s.LeaveTime, Clock: p.Clock, Log: h.log, Observe: h.metrics.observeStatement,
+		ListServers: catalog.ServerLister{Source: p.Source}.Servers, ChangeInProgress: (&takeover.Inspector{Records: p.RecordStore, Eras: h.platform.Eras, NewUpdateID: rand.Text}).InProgress, LeaveTime: s.LeaveTime, Clock: p.Clock, Log: h.log, Observe: h.metrics.observeStatement,
 	})
 	h.callers = newCallers(h)
 	h.metrics.registerGauges(h)
--- a/core/takeover/ended_test.go
+++ b/core/takeover/ended_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,7 +85,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFakeCluster()
 			f.record = test.record
-			inProgress, err := takeover.Inspector{Records: f}.InProgress(context.Background(), "g")
+			inProgress, err := (&takeover.Inspector{Records: f}).InProgress(context.Background(), "g")
 			assert.NilError(t, err)
 			assert.Equal(t, inProgress, test.inProgress)
 		})
@@ -120,7 +121,7 @@
 		f.record = takeover.Record{Epoch: 3, Holder: "h2", Ended: true}
 		var eras distribution.Eras
 		eras.Note(2)
-		inProgress, err := takeover.Inspector{Records: f, Eras: &eras}.InProgress(context.Background(), "g")
+		inProgress, err := (&takeover.Inspector{Records: f, Eras: &eras}).InProgress(context.Background(), "g")
 		assert.NilError(t, err)
 		assert.Assert(t, inProgress)
 	})
@@ -137,3 +138,38 @@
 	_, err = runAttempt(t, f, takeover.PrimaryGone, nil)
 	assert.NilError(t, err)
 }
+
+// Guards against hosts that give no success for as long as nobody ends an attempt whose host
+// has died, and against an order of a host that goes on after all.
+func TestAbandonedAttemptIsClosed(t *testing.T) {
+	for name, test := range map[string]struct {
+		record takeover.Record
+		closed bool
+	}{
+		"no promotion ordered": {takeover.Record{Epoch: 16, Holder: "h2", Version: 3}, true},
+		"promotion pending":    {takeover.Record{Epoch: 16, Holder: "h2", Version: 3, PromotionPending: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeCluster()
+				f.record = test.record
+				inspector := &takeover.Inspector{Records: f, NewUpdateID: func() string { return "closed" }}
+				inProgress := func() bool {
+					inProgress, err := inspector.InProgress(t.Context(), "g")
+					assert.NilError(t, err)
+					return inProgress
+				}
+				assert.Assert(t, inProgress())
+				time.Sleep(takeover.LeaseTTL - time.Millisecond)
+				assert.Assert(t, inProgress())
+				assert.Assert(t, !f.record.Ended)
+				time.Sleep(time.Millisecond)
+				assert.Assert(t, inProgress())
+				assert.Equal(t, f.record.Ended, test.closed)
+				assert.Equal(t, inProgress(), !test.closed)
+				_, err := f.Store(t.Context(), "g", test.record)
+				assert.Equal(t, errors.Is(err, takeover.ErrConflict), test.closed)
+			})
+		})
+	}
+}
--- a/core/takeover/lost.go
+++ b/core/takeover/lost.go
@@ -82,28 +82,3 @@
 	}
 	return nil
 }
-
-// Inspector tells from the records in the platform's store whether attempts are in
-// progress.
-type Inspector struct {
-	Records RecordStore
-	// Eras, if set, tracks the era of the store.
-	Eras *distribution.Eras
-}
-
-// InProgress reports whether an attempt that was claimed before the call may still change
-// the primary of a group. It also does so for some time after the store was restored and
-// may have lost the record of one.
-func (i Inspector) InProgress(ctx context.Context, id group.ID) (inProgress bool, err error) {
-	defer func() { err = eris.Wrapf(err, "inspect the record of %s", id) }()
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	record, err := i.Records.Load(ctx, id)
-	if err != nil {
-		return true, err
-	}
-	if mayHaveLostPromotion(i.Eras, record) {
-		return true, nil
-	}
-	return record.Epoch != 0 && !record.Ended, nil
-}
--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -137,10 +138,11 @@
 	if options.wrapRecords != nil {
 		records = options.wrapRecords(records)
 	}
-	updates := 0
+	var updates atomic.Int64
+	newUpdateID := func() string { return fmt.Sprint(id, "-", started.UnixNano(), "-", updates.Add(1)) }
 	runner := &takeover.Runner{
 		Self: id, Client: client, Records: records, ServerLister: lister, Promotions: cluster, Eras: eras,
-		NewUpdateID: func() string { updates++; return fmt.Sprint(id, "-", started.UnixNano(), "-", updates) },
+		NewUpdateID: newUpdateID,
 	}
 	if options.onStep != nil {
 		runner.Observe = func(_ group.ID, s takeover.Step) { options.onStep(id, s) }
@@ -150,7 +152,7 @@
 	})
 	h.proxy = proxy.New(proxy.Config{
 		Cache: h.cache, Monitor: func(group.ID) *lead.Monitor { return h.monitor }, Sources: h.sources,
-		ListServers: lister.Servers, ChangeInProgress: takeover.Inspector{Records: records, Eras: eras}.InProgress, DataCentre: dataCentre, Clock: clock, Log: log, Observe: options.onResult,
+		ListServers: lister.Servers, ChangeInProgress: (&takeover.Inspector{Records: records, Eras: eras, NewUpdateID: newUpdateID}).InProgress, DataCentre: dataCentre, Clock: clock, Log: log, Observe: options.onResult,
 	})
 	eras.OnRise = func(_, _ distribution.Era) { h.monitor.ReportStoreRestored() }
 	eras.Note(cluster.Era())
