--- a/core/lead/departures.go
+++ b/core/lead/departures.go
@@ -49,6 +49,11 @@
 // then.
 const departureTTL = 15 * time.Second
 
+// lostTTL is how long after a server left the list an answer of it is waited for. It exceeds
+// the cuts after which the server comes back in most cases; a group that has lost it for good
+// together with the primary has no primary meanwhile.
+const lostTTL = time.Minute
+
 // note compares the members of the group with those of the last call. The departure of the
 // primary is not that of a replica. Samples are the positions proven so far.
 func (d *departures) note(members []catalog.Server, primary group.ServerID, now time.Duration, samples []Sample) {
@@ -106,7 +111,7 @@
 		until = d.leavingSince[s.ID] + askedTTL
 	}
 	if now >= until {
-		d.depart(s, primary, until, samples)
+		d.depart(s, primary, now, samples)
 		return
 	}
 	if d.asked == nil {
@@ -146,7 +151,7 @@
 func (d *departures) departed(now time.Duration, primaryReplaced bool) (servers []takeover.DepartedServer) {
 	for _, s := range d.asked {
 		mayHaveConfirmed := !primaryReplaced && now-s.leftAt < departureTTL
-		servers = append(servers, takeover.DepartedServer{Server: s.Server, MayHaveConfirmed: mayHaveConfirmed})
+		servers = append(servers, takeover.DepartedServer{Server: s.Server, MayHaveConfirmed: mayHaveConfirmed, Lost: now-s.leftAt >= lostTTL})
 	}
 	return servers
 }
--- a/core/takeover/fence.go
+++ b/core/takeover/fence.go
@@ -135,7 +135,7 @@
 func (a *attempt) pendingCandidate(final []serverStatus) (serverStatus, bool) {
 	highest := mostAdvanced(final).status.ReceivedPosition
 	for _, s := range final {
-		if s.server.ID == a.record.Candidate && s.status.ReceivedPosition.Compare(highest) >= 0 {
+		if s.server.ID == a.record.Candidate && !a.isDeparted(s.server.ID) && s.status.ReceivedPosition.Compare(highest) >= 0 {
 			return s, true
 		}
 	}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -259,6 +259,9 @@
 	// MayHaveConfirmed is set while the primary is waited for if the process of the server
 	// has ended: the server may have confirmed commits alone.
 	MayHaveConfirmed bool
+	// Lost is set once the server has not been listed for so long that an answer is no
+	// longer waited for.
+	Lost bool
 }
 
 // Step is a completed or failed step of an attempt, for the log.
--- a/core/takeover/unreachable.go
+++ b/core/takeover/unreachable.go
@@ -34,7 +34,11 @@
 			return "", err
 		}
 	}
-	if err := a.claim(ctx, mostAdvanced(before).status.ReceivedPosition); err != nil {
+	highest, err := a.mostAdvancedListed(before)
+	if err != nil {
+		return "", err
+	}
+	if err := a.claim(ctx, highest.status.ReceivedPosition); err != nil {
 		return "", err
 	}
 	missing, err := a.addListedMembers(ctx)
@@ -60,9 +64,12 @@
 
 // chooseSuspended returns the suspended server with the highest position, and among these
 // the one whose promotion is pending. It fails with ErrLogIncomplete if acknowledged commits
-// may lie beyond that position.
+// may lie beyond that position, or only a server without an entry has reached it.
 func (a *attempt) chooseSuspended(final []serverStatus) (serverStatus, error) {
-	candidate := mostAdvanced(final)
+	candidate, err := a.mostAdvancedListed(final)
+	if err != nil {
+		return serverStatus{}, err
+	}
 	if a.promotionPending {
 		pending, ok := a.pendingCandidate(final)
 		if !ok {
@@ -76,6 +83,21 @@
 	return candidate, nil
 }
 
+// mostAdvancedListed is mostAdvanced for the servers that have an entry. It fails with
+// ErrLogIncomplete if another one has a higher position: nobody would find it if it led.
+func (a *attempt) mostAdvancedListed(answers []serverStatus) (serverStatus, error) {
+	highest := mostAdvanced(answers)
+	listed := slices.DeleteFunc(slices.Clone(answers), func(s serverStatus) bool { return a.isDeparted(s.server.ID) })
+	if len(listed) == 0 {
+		return serverStatus{}, eris.Wrap(ErrNoCandidate, "no server has an entry")
+	}
+	candidate := mostAdvanced(listed)
+	if candidate.status.ReceivedPosition.Compare(highest.status.ReceivedPosition) < 0 {
+		return serverStatus{}, eris.Wrapf(ErrLogIncomplete, "%s, which has no entry, is at %v", highest.server.ID, highest.status.ReceivedPosition)
+	}
+	return candidate, nil
+}
+
 // checkProgress fails with ErrPrimaryActive if a replica has received anything
 // since the status before: then a primary is active, and only this host cannot
 // reach it.
