--- /dev/null
+++ b/e2e/replicated/departed_test.go
@@ -0,0 +1,52 @@
+package replicated_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/group"
+)
+
+// departedWitnesses are schedules in which a server confirms commits that a later change
+// does not ask.
+var departedWitnesses = map[string]schedule{
+	"replicas without entries in an outdated view": {hosts: 2, promotionDelay: 300, duration: 24_000, steps: []step{
+		hostCut{at: 0, lasts: 22_000, host: 1, store: true},
+		unlist{at: 100, lasts: 22_000, server: "b"},
+		unlist{at: 100, lasts: 22_000, server: "c"},
+		start{at: 500, server: "d"},
+		start{at: 500, server: "e"},
+		serverCut{at: 14_000, lasts: 8000, server: "a", and: "d"},
+		serverCut{at: 14_000, lasts: 8000, server: "a", and: "e"},
+		hostCut{at: 14_000, lasts: 8000, host: 0, servers: []group.ServerID{"a", "b", "c"}},
+		hostCut{at: 14_000, lasts: 8000, host: 1, servers: []group.ServerID{"d", "e"}},
+	}},
+	"replicas without entries beside replicas that lag": {hosts: 2, promotionDelay: 300, duration: 24_000, steps: []step{
+		hostCut{at: 0, lasts: 22_000, host: 1, store: true},
+		unlist{at: 100, lasts: 22_000, server: "b"},
+		unlist{at: 100, lasts: 22_000, server: "c"},
+		start{at: 500, server: "d"},
+		start{at: 500, server: "e"},
+		lagging{at: 14_000, lasts: 8000, server: "d"},
+		lagging{at: 14_000, lasts: 8000, server: "e"},
+	}},
+	"only replica that ends before a host starts": {hosts: 1, promotionDelay: 300, duration: 12_000, steps: []step{
+		serverCut{at: 0, lasts: 11_000, server: "a", and: "c"},
+		leave{at: 0, lasts: 1000, server: "b"},
+		crash{at: 1100, lasts: 8000, server: "a"},
+		hostStart{at: 1200, host: 0},
+	}},
+}
+
+// Guards against the loss of successful writes that servers have confirmed whose entries
+// have gone.
+func TestCommitsOfDepartedWitnessesAreKept(t *testing.T) {
+	for name, s := range departedWitnesses {
+		t.Run(name, func(t *testing.T) {
+			violations := runSchedule(t, s)
+			assert.Equal(t, len(violations), 0, "%s", strings.Join(descriptions(violations), "\n"))
+		})
+	}
+}
