--- a/e2e/replicated/departed_test.go
+++ b/e2e/replicated/departed_test.go
@@ -12,6 +12,14 @@
 // departedWitnesses are schedules in which a server confirms commits that a later change
 // does not ask.
 var departedWitnesses = map[string]schedule{
+	"leaving replicas that confirm until they end": {hosts: 2, promotionDelay: 300, duration: 22_000, steps: []step{
+		hostCut{at: 0, lasts: 20_000, host: 1, store: true},
+		start{at: 200, server: "d"},
+		leave{at: 300, lasts: 12_000, server: "b"},
+		leave{at: 300, lasts: 12_000, server: "c"},
+		lagging{at: 11_500, lasts: 8000, server: "d"},
+		crash{at: 12_500, lasts: 8000, server: "a"},
+	}},
 	"replicas without entries in an outdated view": {hosts: 2, promotionDelay: 300, duration: 24_000, steps: []step{
 		hostCut{at: 0, lasts: 22_000, host: 1, store: true},
 		unlist{at: 100, lasts: 22_000, server: "b"},
