--- a/e2e/replicated/departed_test.go
+++ b/e2e/replicated/departed_test.go
@@ -40,6 +40,14 @@
 		lagging{at: 14_000, lasts: 8000, server: "d"},
 		lagging{at: 14_000, lasts: 8000, server: "e"},
 	}},
+	"silent replica beside a crashed primary for a host that has started": {hosts: 1, promotionDelay: 300, duration: 24_000, steps: []step{
+		start{at: 0, server: "d"},
+		lagging{at: 500, lasts: 22_000, server: "b"},
+		lagging{at: 500, lasts: 22_000, server: "d"},
+		isolation{at: 1500, lasts: 20_000, servers: []group.ServerID{"c"}},
+		outage{at: 1500, lasts: 20_000, server: "a"},
+		hostStart{at: 1800, lasts: 100, host: 0},
+	}},
 	"only replica that ends before a host starts": {hosts: 1, promotionDelay: 300, duration: 12_000, steps: []step{
 		serverCut{at: 0, lasts: 11_000, server: "a", and: "c"},
 		leave{at: 0, lasts: 1000, server: "b"},
