--- a/e2e/replicated/departed_test.go
+++ b/e2e/replicated/departed_test.go
@@ -48,6 +48,22 @@
 		outage{at: 1500, lasts: 20_000, server: "a"},
 		hostStart{at: 1800, lasts: 100, host: 0},
 	}},
+	"witness without an entry that loses its log": {hosts: 1, promotionDelay: 300, duration: 10_000, steps: []step{
+		start{at: 0, server: "d"},
+		serverCut{at: 100, lasts: 9000, server: "a", and: "b"},
+		serverCut{at: 100, lasts: 9000, server: "a", and: "d"},
+		unlist{at: 100, lasts: 9000, server: "c"},
+		reset{at: 3000, lasts: 50, server: "c"},
+		crash{at: 3000, lasts: 6000, server: "a"},
+	}},
+	"witness that has left the list and loses its log": {hosts: 1, promotionDelay: 300, duration: 14_000, steps: []step{
+		start{at: 0, server: "d"},
+		serverCut{at: 100, lasts: 12_000, server: "a", and: "b"},
+		serverCut{at: 100, lasts: 12_000, server: "a", and: "d"},
+		unlist{at: 100, lasts: 12_000, server: "c"},
+		reset{at: 5500, lasts: 50, server: "c"},
+		crash{at: 5500, lasts: 6000, server: "a"},
+	}},
 	"only replica that ends before a host starts": {hosts: 1, promotionDelay: 300, duration: 12_000, steps: []step{
 		serverCut{at: 0, lasts: 11_000, server: "a", and: "c"},
 		leave{at: 0, lasts: 1000, server: "b"},
