--- a/e2e/replicated/host_test.go
+++ b/e2e/replicated/host_test.go
@@ -60,6 +60,8 @@
 type hostOptions struct {
 	wrapClient  func(takeover.ServerClient) takeover.ServerClient
 	wrapRecords func(takeover.RecordStore) takeover.RecordStore
+	// wrapDialer, if set, replaces what opens connections to servers.
+	wrapDialer func(link.Dialer) link.Dialer
 	// filterServers changes the list of servers that the host sees.
 	filterServers func([]catalog.Server) []catalog.Server
 	// onResult is called with the result of each statement.
@@ -115,6 +117,9 @@
 		h.partition = options.partition
 		dialer = partitionedDialer{dialer, options.partition}
 	}
+	if options.wrapDialer != nil {
+		dialer = options.wrapDialer(dialer)
+	}
 	h.registry = link.NewRegistry(h.cache, dialer)
 	h.sources = h.pool
 	if options.network != nil {
