--- a/e2e/replicated/departed_outage_test.go
+++ b/e2e/replicated/departed_outage_test.go
@@ -15,7 +15,7 @@
 const departedTimeout = 40 * time.Second
 
 // lose makes a server unreachable for good. Its entry goes after entryLifetime.
-func lose(cluster *replicated.Cluster, server *replicated.Server) {
+func lose(server *replicated.Server) {
 	server.SetUnreachable(true)
 	time.AfterFunc(entryLifetime, func() { server.SetUnlisted(true) })
 }
@@ -24,11 +24,11 @@
 // beside the loss of the primary, and d stays.
 var departedOutages = map[string]func(cluster *replicated.Cluster){
 	"primary and replica are lost": func(cluster *replicated.Cluster) {
-		lose(cluster, cluster.Server("a"))
-		lose(cluster, cluster.Server("b"))
+		lose(cluster.Server("a"))
+		lose(cluster.Server("b"))
 	},
 	"primary crashes after a replica was lost": func(cluster *replicated.Cluster) {
-		lose(cluster, cluster.Server("b"))
+		lose(cluster.Server("b"))
 		time.Sleep(6 * time.Second)
 		cluster.Server("a").Crash()
 	},
