--- /dev/null
+++ b/e2e/replicated/departed_test.go
@@ -0,0 +1,84 @@
+package replicated_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"basilmill/core/group"
+)
+
+// departedWitnesses are schedules in which a server confirms commits that a later change
+// does not ask.
+var departedWitnesses = map[string]schedule{
+	"leaving replicas that confirm until they end": {hosts: 2, promotionDelay: 300, duration: 22_000, steps: []step{
+		hostCut{at: 0, lasts: 20_000, host: 1, store: true},
+		start{at: 200, server: "d"},
+		leave{at: 300, lasts: 12_000, server: "b"},
+		leave{at: 300, lasts: 12_000, server: "c"},
+		lagging{at: 11_500, lasts: 8000, server: "d"},
+		crash{at: 12_500, lasts: 8000, server: "a"},
+	}},
+	"replicas without entries in an outdated view": {hosts: 2, promotionDelay: 300, duration: 24_000, steps: []step{
+		hostCut{at: 0, lasts: 22_000, host: 1, store: true},
+		unlist{at: 100, lasts: 22_000, server: "b"},
+		unlist{at: 100, lasts: 22_000, server: "c"},
+		start{at: 500, server: "d"},
+		start{at: 500, server: "e"},
+		serverCut{at: 14_000, lasts: 8000, server: "a", and: "d"},
+		serverCut{at: 14_000, lasts: 8000, server: "a", and: "e"},
+		hostCut{at: 14_000, lasts: 8000, host: 0, servers: []group.ServerID{"a", "b", "c"}},
+		hostCut{at: 14_000, lasts: 8000, host: 1, servers: []group.ServerID{"d", "e"}},
+	}},
+	"replicas without entries beside replicas that lag": {hosts: 2, promotionDelay: 300, duration: 24_000, steps: []step{
+		hostCut{at: 0, lasts: 22_000, host: 1, store: true},
+		unlist{at: 100, lasts: 22_000, server: "b"},
+		unlist{at: 100, lasts: 22_000, server: "c"},
+		start{at: 500, server: "d"},
+		start{at: 500, server: "e"},
+		lagging{at: 14_000, lasts: 8000, server: "d"},
+		lagging{at: 14_000, lasts: 8000, server: "e"},
+	}},
+	"silent replica beside a crashed primary for a host that has started": {hosts: 1, promotionDelay: 300, duration: 24_000, steps: []step{
+		start{at: 0, server: "d"},
+		lagging{at: 500, lasts: 22_000, server: "b"},
+		lagging{at: 500, lasts: 22_000, server: "d"},
+		isolation{at: 1500, lasts: 20_000, servers: []group.ServerID{"c"}},
+		outage{at: 1500, lasts: 20_000, server: "a"},
+		hostStart{at: 1800, lasts: 100, host: 0},
+	}},
+	"witness without an entry that loses its log": {hosts: 1, promotionDelay: 300, duration: 10_000, steps: []step{
+		start{at: 0, server: "d"},
+		serverCut{at: 100, lasts: 9000, server: "a", and: "b"},
+		serverCut{at: 100, lasts: 9000, server: "a", and: "d"},
+		unlist{at: 100, lasts: 9000, server: "c"},
+		reset{at: 3000, lasts: 50, server: "c"},
+		crash{at: 3000, lasts: 6000, server: "a"},
+	}},
+	"witness that has left the list and loses its log": {hosts: 1, promotionDelay: 300, duration: 14_000, steps: []step{
+		start{at: 0, server: "d"},
+		serverCut{at: 100, lasts: 12_000, server: "a", and: "b"},
+		serverCut{at: 100, lasts: 12_000, server: "a", and: "d"},
+		unlist{at: 100, lasts: 12_000, server: "c"},
+		reset{at: 5500, lasts: 50, server: "c"},
+		crash{at: 5500, lasts: 6000, server: "a"},
+	}},
+	"only replica that ends before a host starts": {hosts: 1, promotionDelay: 300, duration: 12_000, steps: []step{
+		serverCut{at: 0, lasts: 11_000, server: "a", and: "c"},
+		leave{at: 0, lasts: 1000, server: "b"},
+		crash{at: 1100, lasts: 8000, server: "a"},
+		hostStart{at: 1200, host: 0},
+	}},
+}
+
+// Guards against the loss of successful writes that servers have confirmed whose entries
+// have gone.
+func TestCommitsOfDepartedWitnessesAreKept(t *testing.T) {
+	for name, s := range departedWitnesses {
+		t.Run(name, func(t *testing.T) {
+			violations := runSchedule(t, s)
+			assert.Equal(t, len(violations), 0, "%s", strings.Join(descriptions(violations), "\n"))
+		})
+	}
+}
