--- a/core/takeover/departed.go
+++ b/core/takeover/departed.go
@@ -64,7 +64,18 @@
 // hasLostLog reports whether a server lacks the log that the last primary started from. It has
 // confirmed nothing since, or has started again without its log.
 func (a *attempt) hasLostLog(status exchange.ServerStatus) bool {
-	return status.ReceivedPosition.IsZero() || status.ReceivedPosition.Compare(a.known.BasePosition) < 0
+	return status.ReceivedPosition.Offset == 0 || status.ReceivedPosition.Compare(a.known.BasePosition) < 0
+}
+
+// checkUnlisted fails with ErrLogIncomplete if a member that the store does not list has lost
+// its log. No entry shows that it has started again, and what it confirmed before is gone.
+func (a *attempt) checkUnlisted(answers []serverStatus) error {
+	for _, s := range answers {
+		if !a.listed[s.server.ID] && a.hasLostLog(s.status) {
+			return eris.Wrapf(ErrLogIncomplete, "%s, which has no entry, has lost its log", s.server.ID)
+		}
+	}
+	return nil
 }
 
 // isDeparted reports whether a server has no entry, so that nobody would find it if it led.
--- a/core/takeover/departedprimary_test.go
+++ b/core/takeover/departedprimary_test.go
@@ -10,6 +10,7 @@
 
 	"basilmill/core/catalog"
 	"basilmill/core/group"
+	"basilmill/core/link"
 	"basilmill/core/takeover"
 )
 
@@ -18,7 +19,7 @@
 func TestSilentServerBesideADepartedPrimaryThatHasEnded(t *testing.T) {
 	f := newFakeCluster()
 	f.unresponsive["a"], f.unresponsive["d"] = true, true
-	client := refusingServers{f, map[group.ServerID]bool{"a": true}}
+	client := refusingServers{f, map[group.ServerID]bool{"a": true}, link.ErrServerRefused}
 	departed := []takeover.DepartedServer{{Server: catalog.Server{ID: "a"}}, {Server: catalog.Server{ID: "d"}}}
 	synctest.Test(t, func(t *testing.T) {
 		r := &takeover.Runner{Self: "h1", Client: client, Records: f, ServerLister: f, Promotions: f, NewUpdateID: func() string { return "x" }}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -314,6 +314,8 @@
 	suspendedServers []catalog.Server
 	// departed are the departed servers that are to be asked.
 	departed []catalog.Server
+	// listed are the servers that the store listed last.
+	listed map[group.ServerID]bool
 	// calls counts the epochs that the attempt has used for calls to the platform.
 	calls Epoch
 	// fenced is set while the platform is known to refuse all calls of lower epochs that
--- a/core/takeover/unreachable.go
+++ b/core/takeover/unreachable.go
@@ -66,6 +66,9 @@
 // the one whose promotion is pending. It fails with ErrLogIncomplete if acknowledged commits
 // may lie beyond that position, or only a server without an entry has reached it.
 func (a *attempt) chooseSuspended(final []serverStatus) (serverStatus, error) {
+	if err := a.checkUnlisted(final); err != nil {
+		return serverStatus{}, err
+	}
 	candidate, err := a.mostAdvancedListed(final)
 	if err != nil {
 		return serverStatus{}, err
@@ -129,8 +132,10 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "list the servers")
 	}
+	a.listed = map[group.ServerID]bool{}
 	var missing []catalog.Server
 	for _, s := range listed {
+		a.listed[s.ID] = true
 		known := func(m catalog.Server) bool {
 			return m.ID == s.ID && (m.BootID == s.BootID || m.ID == a.Primary.ID)
 		}
