--- a/core/lead/change.go
+++ b/core/lead/change.go
@@ -33,7 +33,7 @@
 		request.Term = m.samples[n-1].Position.Term
 	}
 	if !m.primaryKnown {
-		if len(members) < 2 || now-m.lostAt < noPrimaryThreshold || now-m.startedAt < startupGracePeriod {
+		if len(members) < 2 || now-m.lostAt < noPrimaryThreshold || m.isStartingUp(now) {
 			return request, false
 		}
 		request.Cause = takeover.PrimaryGone
@@ -65,7 +65,13 @@
 
 // isUnresponsive reports whether no host has proven the primary for some time.
 func (m *Monitor) isUnresponsive(now time.Duration) bool {
-	return min(m.unprovenFor(now), now-m.newestProof()) > unprovenThreshold && now-m.startedAt >= startupGracePeriod
+	return min(m.unprovenFor(now), now-m.newestProof()) > unprovenThreshold && !m.isStartingUp(now)
+}
+
+// isStartingUp reports whether the list of servers may still lack entries that expired before
+// this host had one.
+func (m *Monitor) isStartingUp(now time.Duration) bool {
+	return m.listedAt == 0 || now-m.listedAt < startupGracePeriod
 }
 
 // attemptDue reports whether an attempt may start. Suspensions that the last one left beside
--- a/core/lead/lead.go
+++ b/core/lead/lead.go
@@ -80,9 +80,9 @@
 	yieldBackoff = takeover.LeaseTTL + 2*futileAttemptBackoff
 	// maxSuspendingAttempts is the number of such attempts before the pause.
 	maxSuspendingAttempts = 2
-	// startupGracePeriod is how long after its start a host tolerates an
-	// unreachable primary, so that servers can register: expired entries are
-	// back within two seconds after the store recovers.
+	// startupGracePeriod is how long after its first list of servers a host
+	// tolerates an unreachable primary, so that servers can register: expired
+	// entries are back within two seconds after the store recovers.
 	startupGracePeriod = 2500 * time.Millisecond
 	// peerQueryThreshold is the age of this host's own newest proof from which
 	// it queries other hosts for theirs. It is longer than probeInterval and the
@@ -243,7 +243,8 @@
 	// not lead, or was replaced by this host. It may have confirmed commits since, as a
 	// replica.
 	primaryReplaced bool
-	startedAt       time.Duration // when Run was called
+	// listedAt is when the view first held servers of the group; zero if it never did.
+	listedAt time.Duration
 	// lostAt is when the last primary was lost; while one is known, when the
 	// probe or statement that first proved it was sent.
 	lostAt   time.Duration
@@ -360,9 +361,8 @@
 func (m *Monitor) Run(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	m.startedAt = m.config.Clock()
-	m.lostAt = m.startedAt
-	m.departures = departures{lastAt: m.startedAt, unproven: true}
+	m.lostAt = m.config.Clock()
+	m.departures = departures{lastAt: m.lostAt, unproven: true}
 	viewChanged := m.config.Cache.Changed()
 	for {
 		select {
@@ -436,6 +436,9 @@
 		m.nextSearch, m.futileSearches = now, 0
 	}
 	m.view, m.members = view, members
+	if m.listedAt == 0 && len(members) > 0 {
+		m.listedAt = now
+	}
 	m.departures.note(members, m.primary.ID, now, m.samples)
 	m.leaving.note(members, now, m.viewGap.earliest(now), m.config.MaxViewDelay)
 }
--- a/core/lead/lead_test.go
+++ b/core/lead/lead_test.go
@@ -122,15 +122,19 @@
 	runMonitorConfig(t, f, lead.Config{Responsible: responsible}, test)
 }
 
-// runMonitorConfig is runMonitor with the given Responsible and Standby.
+// runMonitorConfig is runMonitor with the given Responsible and Standby, and with the servers
+// of the given Cache if there is one.
 func runMonitorConfig(t *testing.T, f *fakeCluster, config lead.Config, test func(t *testing.T, m *lead.Monitor, cache *catalog.Cache, clock func() time.Duration)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
 		clock := func() time.Duration { f.clockReadings.Add(1); return time.Hour + time.Since(started) }
-		cache := &catalog.Cache{}
-		for _, id := range []group.ServerID{"a", "b", "c"} {
-			cache.PutServer(catalog.Server{ID: id, Group: "g", ClaimsPrimary: id == "a"})
+		cache := config.Cache
+		if cache == nil {
+			cache = &catalog.Cache{}
+			for _, id := range []group.ServerID{"a", "b", "c"} {
+				cache.PutServer(catalog.Server{ID: id, Group: "g", ClaimsPrimary: id == "a"})
+			}
 		}
 		m := lead.New(lead.Config{
 			Group: "g", Cache: cache, Client: f, PrimaryChanger: f, Peers: f, Clock: clock, Responsible: config.Responsible, Standby: config.Standby,
@@ -224,6 +228,23 @@
 	})
 }
 
+// A host that starts without the store gets its first list later, when entries that expired
+// meanwhile are not back yet.
+func TestFirstListWaitsForServersToRegister(t *testing.T) {
+	f := &fakeCluster{}
+	runMonitorConfig(t, f, lead.Config{Cache: &catalog.Cache{}}, func(t *testing.T, _ *lead.Monitor, cache *catalog.Cache, _ func() time.Duration) {
+		time.Sleep(10 * time.Second)
+		cache.PutServer(catalog.Server{ID: "b", Group: "g"})
+		cache.PutServer(catalog.Server{ID: "c", Group: "g"})
+		// Entries are back within two seconds after the store recovers.
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(f.attemptedChanges()), 0)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, len(f.attemptedChanges()) > 0)
+		assert.Equal(t, f.attemptedChanges()[0].Cause, takeover.PrimaryGone)
+	})
+}
+
 // The lease of the last change counts from when a host first reads its record. A
 // host that reads it only when it attempts a change would wait for the lease
 // while the group has no primary.
--- a/e2e/replicated/recorded_test.go
+++ b/e2e/replicated/recorded_test.go
@@ -108,6 +108,11 @@
 		isolation{at: 0, lasts: 6000, servers: []group.ServerID{"a", "b"}, hosts: []int{0, 1}, returns: 1000},
 		hostStart{at: 500, host: 1},
 	}},
+	"host whose first list lacks expired entries": {hosts: 2, promotionDelay: 300, duration: 13_000, steps: []step{
+		start{at: 0, server: "d"},
+		isolation{at: 0, lasts: 6700, servers: []group.ServerID{"a", "b"}, hosts: []int{1}, reachable: true, returns: 1500},
+		hostStart{at: 500, host: 1},
+	}},
 	"only replica that ends beside a crashed primary": {hosts: 1, promotionDelay: 300, steps: []step{
 		serverCut{at: 0, lasts: 3000, server: "a", and: "c"},
 		leave{at: 0, lasts: 1000, server: "b"},
