--- a/core/takeover/promotion.go
+++ b/core/takeover/promotion.go
@@ -72,10 +72,27 @@
 		if candidate.status.Role == exchange.Replica && a.leads(ctx, candidate.server) {
 			return nil
 		}
+		if err := a.checkHoldsLog(ctx, candidate); err != nil {
+			// The next attempt settles the orders without an answer.
+			return errors.Join(err, a.fence(ctx))
+		}
 	}
 	return err
 }
 
+// checkHoldsLog fails with ErrLogIncomplete if the candidate has started again without its
+// log since it was chosen, and with ErrServerUnresponsive if that cannot be ruled out.
+func (a *attempt) checkHoldsLog(ctx context.Context, candidate serverStatus) error {
+	status, err := a.command(ctx, candidate.server, exchange.Statement{Operation: exchange.Status})
+	if err != nil {
+		return eris.Wrapf(ErrServerUnresponsive, "%s: %v", candidate.server.ID, err)
+	}
+	if chosen := candidate.status.ReceivedPosition; status.ReceivedPosition.Compare(chosen) < 0 {
+		return eris.Wrapf(ErrLogIncomplete, "%s was chosen at %v and is at %v", candidate.server.ID, chosen, status.ReceivedPosition)
+	}
+	return nil
+}
+
 // leads reports whether a server leads. A probe without an answer is given up early, because
 // the next one may take another path.
 func (a *attempt) leads(ctx context.Context, server catalog.Server) bool {
--- a/e2e/replicated/recorded_test.go
+++ b/e2e/replicated/recorded_test.go
@@ -55,6 +55,11 @@
 		lateOrders{at: 0, lasts: 3000, delay: 100},
 		reset{at: 1400, lasts: 50, server: "b"},
 	}},
+	"order repeated after its server has lost its log": {hosts: 2, promotionDelay: 1000, steps: []step{
+		crash{at: 0, lasts: 3000, server: "a"},
+		reset{at: 400, lasts: 250, server: "b"},
+		lateOrders{at: 50, lasts: 1150, delay: 150},
+	}},
 	"reborn replica": {hosts: 2, promotionDelay: 1000, steps: []step{
 		crash{at: 0, lasts: 600, server: "a"},
 		rebirth{at: 700, lasts: 50, server: "c", as: "r"},
