--- a/e2e/replicated/recorded_test.go
+++ b/e2e/replicated/recorded_test.go
@@ -118,6 +118,13 @@
 		isolation{at: 0, lasts: 6700, servers: []group.ServerID{"a", "b"}, hosts: []int{1}, reachable: true, returns: 1500},
 		hostStart{at: 500, host: 1},
 	}},
+	"log transferred to a suspended replacement": {hosts: 2, promotionDelay: 1000, duration: 12_000, steps: []step{
+		replacement{at: 0, lasts: 9750, server: "c"},
+		unlist{at: 500, lasts: 11_000, server: "c"},
+		hostCut{at: 7900, lasts: 3000, host: 1, servers: []group.ServerID{"a"}},
+		serverCut{at: 8550, lasts: 3000, server: "a", and: "b"},
+		serverCut{at: 8550, lasts: 3000, server: "a", and: "n1"},
+	}},
 	"only replica that ends beside a crashed primary": {hosts: 1, promotionDelay: 300, steps: []step{
 		serverCut{at: 0, lasts: 3000, server: "a", and: "c"},
 		leave{at: 0, lasts: 1000, server: "b"},
