--- a/e2e/replicated/recorded_test.go
+++ b/e2e/replicated/recorded_test.go
@@ -125,6 +125,13 @@
 		serverCut{at: 8550, lasts: 3000, server: "a", and: "b"},
 		serverCut{at: 8550, lasts: 3000, server: "a", and: "n1"},
 	}},
+	"all listed servers without logs": {hosts: 2, promotionDelay: 600, duration: 13_000, steps: []step{
+		start{at: 0, server: "e"},
+		isolation{at: 300, lasts: 9600, servers: []group.ServerID{"b", "c"}, reported: 1200, apart: 500, returns: 2000},
+		reset{at: 0, lasts: 350, server: "a"},
+		rebirth{at: 350, lasts: 2700, server: "b", as: "r", listing: 300},
+		reset{at: 2000, lasts: 2950, server: "c"},
+	}},
 	"only replica that ends beside a crashed primary": {hosts: 1, promotionDelay: 300, steps: []step{
 		serverCut{at: 0, lasts: 3000, server: "a", and: "c"},
 		leave{at: 0, lasts: 1000, server: "b"},
