--- a/e2e/replicated/recorded_test.go
+++ b/e2e/replicated/recorded_test.go
@@ -55,6 +55,11 @@
 		lateOrders{at: 0, lasts: 3000, delay: 100},
 		reset{at: 1400, lasts: 50, server: "b"},
 	}},
+	"order repeated after its server has lost its log": {hosts: 2, promotionDelay: 1000, steps: []step{
+		crash{at: 0, lasts: 3000, server: "a"},
+		reset{at: 400, lasts: 250, server: "b"},
+		lateOrders{at: 50, lasts: 1150, delay: 150},
+	}},
 	"reborn replica": {hosts: 2, promotionDelay: 1000, steps: []step{
 		crash{at: 0, lasts: 600, server: "a"},
 		rebirth{at: 700, lasts: 50, server: "c", as: "r"},
@@ -108,6 +113,25 @@
 		isolation{at: 0, lasts: 6000, servers: []group.ServerID{"a", "b"}, hosts: []int{0, 1}, returns: 1000},
 		hostStart{at: 500, host: 1},
 	}},
+	"host whose first list lacks expired entries": {hosts: 2, promotionDelay: 300, duration: 13_000, steps: []step{
+		start{at: 0, server: "d"},
+		isolation{at: 0, lasts: 6700, servers: []group.ServerID{"a", "b"}, hosts: []int{1}, reachable: true, returns: 1500},
+		hostStart{at: 500, host: 1},
+	}},
+	"log transferred to a suspended replacement": {hosts: 2, promotionDelay: 1000, duration: 12_000, steps: []step{
+		replacement{at: 0, lasts: 9750, server: "c"},
+		unlist{at: 500, lasts: 11_000, server: "c"},
+		hostCut{at: 7900, lasts: 3000, host: 1, servers: []group.ServerID{"a"}},
+		serverCut{at: 8550, lasts: 3000, server: "a", and: "b"},
+		serverCut{at: 8550, lasts: 3000, server: "a", and: "n1"},
+	}},
+	"all listed servers without logs": {hosts: 2, promotionDelay: 600, duration: 13_000, steps: []step{
+		start{at: 0, server: "e"},
+		isolation{at: 300, lasts: 9600, servers: []group.ServerID{"b", "c"}, reported: 1200, apart: 500, returns: 2000},
+		reset{at: 0, lasts: 350, server: "a"},
+		rebirth{at: 350, lasts: 2700, server: "b", as: "r", listing: 300},
+		reset{at: 2000, lasts: 2950, server: "c"},
+	}},
 	"only replica that ends beside a crashed primary": {hosts: 1, promotionDelay: 300, steps: []step{
 		serverCut{at: 0, lasts: 3000, server: "a", and: "c"},
 		leave{at: 0, lasts: 1000, server: "b"},
