--- a/standin/replicated/cluster.go
+++ b/standin/replicated/cluster.go
@@ -40,9 +40,6 @@
 	// PromotionDelay is the default time from the acceptance of a promotion by the
 	// platform until the server is the primary.
 	PromotionDelay = 300 * time.Millisecond
-	// lostLogNoticeTime is the time from the end of a server that loses its log in which no
-	// host can be expected to have noticed that and fenced the orders sent before.
-	lostLogNoticeTime = 1500 * time.Millisecond
 	// minHolderChangeInterval is the minimum time between promotions ordered
 	// by two different hosts. An earlier one is a violation. The value is a
 	// little shorter than takeover.LeaseTTL.
@@ -467,13 +464,12 @@
 	if err := sleep(ctx, NetDelay); err != nil {
 		return err
 	}
-	sentAt := time.Now()
 	if delay, late := c.promotionDelay(); late {
-		time.AfterFunc(delay, func() { _ = c.orderPromotion(id, holder, epoch, sentAt) })
+		time.AfterFunc(delay, func() { _ = c.orderPromotion(id, holder, epoch) })
 		<-ctx.Done()
 		return errNoAnswer
 	}
-	if err := c.orderPromotion(id, holder, epoch, sentAt); err != nil {
+	if err := c.orderPromotion(id, holder, epoch); err != nil {
 		return err
 	}
 	return sleep(ctx, NetDelay)
@@ -493,7 +489,7 @@
 
 // orderPromotion checks an order of a host to promote a server and schedules the
 // promotion.
-func (c *Cluster) orderPromotion(id group.ServerID, holder host.ID, epoch takeover.Epoch, sentAt time.Time) error {
+func (c *Cluster) orderPromotion(id group.ServerID, holder host.ID, epoch takeover.Epoch) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if epoch < c.fencingEpoch {
@@ -507,7 +503,7 @@
 	}
 	c.fencingEpoch, c.lastHolder, c.lastHolderAt = epoch, holder, time.Now()
 	s := c.servers[id]
-	if s == nil || !s.up || s.hasJustLostLog(sentAt) {
+	if s == nil || !s.up {
 		return takeover.ErrRefused
 	}
 	if s.primary {
--- a/standin/replicated/late_test.go
+++ b/standin/replicated/late_test.go
@@ -96,35 +96,3 @@
 		assert.Equal(t, g.Server("b").SuspendedTerm(), group.Term(0))
 	})
 }
-
-// An order that was sent before its server lost its log can't be withdrawn at once. Guards
-// against orders that are also dropped when hosts can withdraw them, or must not send them.
-func TestDelayedPromotionOfAServerThatHasLostItsLog(t *testing.T) {
-	for _, test := range []struct {
-		name           string
-		delay          time.Duration
-		sentAfterStart bool
-		want           group.ServerID
-	}{
-		{"just lost", time.Second, false, "a"},
-		{"lost long ago", 2 * time.Second, false, "b"},
-		{"sent later", time.Second, true, "b"},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			inCluster(t, func(t *testing.T, g *testGroup) {
-				g.LosePromotionAnswers(test.delay)
-				if !test.sentAfterStart {
-					assert.ErrorContains(t, g.giveUp("b"), "no answer")
-				}
-				g.Server("b").Crash()
-				time.Sleep(100 * time.Millisecond)
-				g.Server("b").StartEmpty()
-				if test.sentAfterStart {
-					assert.ErrorContains(t, g.giveUp("b"), "no answer")
-				}
-				time.Sleep(test.delay + promotionWait)
-				assert.Equal(t, g.Primary(), test.want)
-			})
-		})
-	}
-}
--- a/standin/replicated/server.go
+++ b/standin/replicated/server.go
@@ -44,27 +44,17 @@
 	// but are not answered.
 	answersToLose int
 	busy          bool
-	// stoppedAt is when the server was last stopped, and lostLogAt when it was stopped before
-	// it started without its log.
-	stoppedAt, lostLogAt time.Time
 }
 
 // Crash stops the server and closes its connections. Its log remains.
 func (s *Server) Crash() {
 	s.cluster.mu.Lock()
 	defer s.cluster.mu.Unlock()
-	s.up, s.stoppedAt = false, time.Now()
+	s.up = false
 	s.closeStreams()
 	s.cluster.notify()
 }
 
-// hasJustLostLog reports whether the server has lost its log since an order was sent, so
-// short a time ago that nothing could prevent the order. The caller must hold the cluster's
-// mutex.
-func (s *Server) hasJustLostLog(sentAt time.Time) bool {
-	return s.lostLogAt.After(sentAt) && time.Since(s.lostLogAt) < lostLogNoticeTime
-}
-
 // End stops the server for good. Its entry and its log are gone.
 func (s *Server) End() {
 	s.cluster.mu.Lock()
@@ -106,10 +96,7 @@
 	if s.cluster.servers[s.id] != s {
 		return
 	}
-	if s.up {
-		s.stoppedAt = time.Now()
-	}
-	s.up, s.primary, s.suspendedTerm, s.lostLogAt = true, false, 0, s.stoppedAt
+	s.up, s.primary, s.suspendedTerm = true, false, 0
 	s.log, s.appliedCount = nil, 0
 	s.catalogEntry.BootID++
 	s.closeStreams()
