--- a/cmd/entry/leaving_test.go
+++ b/cmd/entry/leaving_test.go
@@ -57,7 +57,7 @@
 	h := startHostOf(t, cluster, source, s, newCodec, func(d link.Dialer) link.Dialer { return d })
 	c := h.dial(t, "CONNECT orders u1")
 	assert.Equal(t, c.readLine(), "READY I -")
-	time.Sleep(2 * time.Second)
+	time.Sleep(2 * time.Second) // Real sockets do not work with a fake clock.
 	assert.Equal(t, c.query("READ item")[0], "ROW item")
 	source.leaving.Store(true)
 	time.Sleep(time.Second)
