--- a/review/lab2/collision.go
+++ b/review/lab2/collision.go
@@ -6,7 +6,7 @@
 	"strings"
 )
 
-// preparedCollision plays case 6. The first client prepares a read, the second one a write. The
+// preparedCollision plays case 7. The first client prepares a read, the second one a write. The
 // shapes differ, but the system gives both the same name on its connections, a hash without a
 // key of which a second text is found in a second. With trouble == false the first shape has
 // another last letter.
--- a/review/lab2/database.go
+++ b/review/lab2/database.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -52,6 +53,13 @@
 	items     map[string]string
 	// fence is the highest Fencing-Token that the platform has seen.
 	fence int64
+	// split is the cut that may separate databases, nil if there is none in the case.
+	split *split
+	// commits holds the commits of writes outside of transactions by their digests.
+	commits map[string]position
+	// promotedID is the first database that was promoted, and promotedFrom what it had received.
+	promotedID   string
+	promotedFrom position
 }
 
 // database is one database of a service.
@@ -73,30 +81,65 @@
 
 // newService starts the databases of a service, one in each zone, and registers them.
 func newService(s *store, rec *record, name string, zones []string) (*service, error) {
-	v := &service{name: name, record: rec, term: 1, items: map[string]string{}}
-	for i, zone := range zones {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	v := &service{name: name, record: rec, term: 1, items: map[string]string{}, commits: map[string]position{}}
+	for _, zone := range zones {
+		if _, err := v.join(zone); err != nil {
 			return nil, err
 		}
-		d := &database{service: v, id: fmt.Sprintf("i-%s-%d", name, i+1), zone: zone, listener: listener, received: position{1, 1}, applied: position{1, 1}, open: map[net.Conn]struct{}{}}
-		v.databases = append(v.databases, d)
-		go d.serve()
 	}
 	v.primary = v.databases[0]
 	for _, d := range v.databases {
-		role := "replica"
-		if d == v.primary {
-			role = "primary"
-		}
-		s.write("servers", d.id, map[string]any{
-			"service": name, "address": d.listener.Addr().String(), "zone": d.zone, "configVersion": "v1", "slots": 2, "state": "ready",
-			"coldRemainingMs": 0, "sequence": 1, "dbRole": role, "born": time.Now().UnixMilli(),
-		})
+		d.register(s)
 	}
 	return v, nil
 }
 
+// join starts a further database, which receives the log of the primary.
+func (v *service) join(zone string) (*database, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	d := &database{service: v, id: fmt.Sprintf("i-%s-%d", v.name, len(v.databases)+1), zone: zone, listener: listener, received: position{1, 1}, open: map[net.Conn]struct{}{}}
+	if v.primary != nil {
+		d.received = v.primary.received
+	}
+	d.applied = d.received
+	v.databases = append(v.databases, d)
+	go d.serve(listener, zone)
+	return d, nil
+}
+
+// register writes the entry of a database.
+func (d *database) register(s *store) {
+	d.service.mu.Lock()
+	role := "replica"
+	if d == d.service.primary {
+		role = "primary"
+	}
+	d.service.mu.Unlock()
+	s.write("servers", d.id, map[string]any{
+		"service": d.service.name, "address": d.listener.Addr().String(), "zone": d.zone, "configVersion": "v1", "slots": 2, "state": "ready",
+		"coldRemainingMs": 0, "sequence": 1, "dbRole": role, "born": time.Now().UnixMilli(),
+	})
+}
+
+// all returns the databases of the service.
+func (v *service) all() []*database {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.databases)
+}
+
+// promoted reports whether a database has been promoted.
+func (v *service) promoted() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.promotedID != ""
+}
+
 // promoteTime is how long after its acceptance a promotion takes effect.
 const promoteTime = 300 * time.Millisecond
 
@@ -144,10 +187,16 @@
 	if v.primary == d || d.lost {
 		return
 	}
-	v.record.note("%s leads term %d", d.id, v.term+1)
+	v.record.note("%s leads term %d with %s; %s had %s", d.id, v.term+1, d.received, v.databases[0].id, v.databases[0].received)
+	if v.promotedID == "" {
+		v.promotedID, v.promotedFrom = d.id, d.received
+	}
 	v.term++
 	v.primary = d
 	for _, o := range v.databases {
+		if v.split.parts(o.zone, d.zone) {
+			continue
+		}
 		o.suspended = 0
 		o.received = position{v.term, d.received.number + 1}
 		o.applied = o.received
@@ -186,13 +235,14 @@
 	delete(d.open, conn)
 }
 
-func (d *database) serve() {
+// serve serves the connections of a listener, which come from a zone.
+func (d *database) serve(listener net.Listener, from string) {
 	for number := 1; ; number++ {
-		conn, err := d.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		c := &databaseConn{database: d, name: fmt.Sprintf("%s#%d", d.id, number), conn: conn, state: "I", prepared: map[string]preparedShape{}, values: map[string]string{}}
+		c := &databaseConn{database: d, from: from, name: fmt.Sprintf("%s#%d", d.id, number), conn: conn, state: "I", prepared: map[string]preparedShape{}, values: map[string]string{}}
 		go c.serve()
 	}
 }
@@ -200,6 +250,8 @@
 // databaseConn is one connection to a database.
 type databaseConn struct {
 	database *database
+	// from is the zone of the other end.
+	from     string
 	name     string
 	conn     net.Conn
 	state    string
@@ -207,6 +259,7 @@
 	writes   map[string]string
 	prepared map[string]preparedShape
 	values   map[string]string
+	released sync.Once
 }
 
 // preparedShape is a prepared statement of a connection. Only the digest of a long shape is
@@ -229,11 +282,12 @@
 		_, _ = fmt.Fprintf(c.conn, "ERROR WRONGNODE %s\r\n", c.database.id)
 		return
 	}
-	defer c.database.conns.Add(-1)
+	defer c.release()
 	if c.database.conns.Add(1) > maxConns {
 		_, _ = fmt.Fprint(c.conn, "ERROR CONNLIMIT too many\r\n")
 		return
 	}
+	c.pass()
 	if _, err := fmt.Fprint(c.conn, c.ready()); err != nil {
 		return
 	}
@@ -242,13 +296,28 @@
 		if err != nil || line == "TERMINATE" {
 			return
 		}
+		c.pass()
 		id, text, _ := strings.Cut(strings.TrimPrefix(line, "QUERY "), " ")
-		if _, err := fmt.Fprint(c.conn, c.run(id, text)+c.ready()); err != nil {
+		answer := c.run(id, text) + c.ready()
+		c.pass()
+		if _, err := fmt.Fprint(c.conn, answer); err != nil {
 			return
 		}
 	}
 }
 
+// pass waits while the connection is cut. It takes no room at the database after some time.
+func (c *databaseConn) pass() {
+	if c.database.service.split.parts(c.from, c.database.zone) {
+		timer := time.AfterFunc(droppedTime, c.release)
+		defer timer.Stop()
+		c.database.service.split.pass(c.from, c.database.zone)
+	}
+}
+
+// release gives back the room that the connection takes.
+func (c *databaseConn) release() { c.released.Do(func() { c.database.conns.Add(-1) }) }
+
 func (c *databaseConn) ready() string {
 	c.database.service.mu.Lock()
 	defer c.database.service.mu.Unlock()
@@ -381,8 +450,8 @@
 		c.writes[item] = data
 		return "COMPLETE " + digest + "\r\n"
 	}
-	if !c.database.apply(map[string]string{item: data}) {
-		return failure("READONLY", c.database.id)
+	if code := c.database.apply(map[string]string{item: data}, digest); code != "" {
+		return failure(code, c.database.id)
 	}
 	return "COMPLETE " + digest + "\r\n"
 }
@@ -395,8 +464,10 @@
 	time.Sleep(workTime)
 	writes := c.writes
 	c.state, c.writes = "I", nil
-	if len(writes) > 0 && !c.database.apply(writes) {
-		return failure("READONLY", c.database.id)
+	if len(writes) > 0 {
+		if code := c.database.apply(writes, ""); code != "" {
+			return failure(code, c.database.id)
+		}
 	}
 	digest := c.digest()
 	c.database.service.record.noteRun("run id=%s on %s: COMMIT of %d writes (digest %s)", id, c.name, len(writes), digest)
@@ -420,14 +491,14 @@
 	return "ROW " + prepared.shape + ":" + rest + "\r\nCOMPLETE " + digest + "\r\n"
 }
 
-// apply commits writes, and returns when a replica has received them. It returns false if the
-// database does not lead.
-func (d *database) apply(writes map[string]string) bool {
+// apply commits writes, and returns when a replica has received them. It returns the code of a
+// failure if the database does not lead, or no longer does before that.
+func (d *database) apply(writes map[string]string, digest string) (code string) {
 	v := d.service
 	v.mu.Lock()
 	if v.primary != d {
 		v.mu.Unlock()
-		return false
+		return "READONLY"
 	}
 	for item, data := range writes {
 		v.items[item] = data
@@ -435,9 +506,12 @@
 	d.received.number++
 	d.applied = d.received
 	at := d.received
+	if digest != "" {
+		v.commits[digest] = at
+	}
 	v.mu.Unlock()
-	for _, o := range v.databases {
-		if o == d {
+	for _, o := range v.all() {
+		if o == d || v.split.parts(d.zone, o.zone) {
 			continue
 		}
 		time.AfterFunc(receiveDelay, func() {
@@ -458,10 +532,14 @@
 	for {
 		time.Sleep(receiveDelay)
 		v.mu.Lock()
+		if v.primary != d {
+			v.mu.Unlock()
+			return "FAILED"
+		}
 		for _, o := range v.databases {
 			if o != d && !o.lost && !o.received.less(at) {
 				v.mu.Unlock()
-				return true
+				return ""
 			}
 		}
 		v.mu.Unlock()
--- a/review/lab2/foreign.go
+++ b/review/lab2/foreign.go
@@ -21,7 +21,7 @@
 	phaseTime       = 5 * time.Second
 )
 
-// foreignEntry plays case 9. A writer that is no database leaves an entry that lacks most fields
+// foreignEntry plays case 10. A writer that is no database leaves an entry that lacks most fields
 // in the list of the databases. A database, the primary, is lost for good as all machines lose
 // power after a change of the config. With trouble == false there is no such entry.
 func foreignEntry(ctx context.Context, d *deployment, trouble bool) (broken []string, err error) {
--- a/review/lab2/host.go
+++ b/review/lab2/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -32,6 +33,8 @@
 	dir      string
 	zones    []string
 	machines []*machine
+	// split is the cut between regions, nil if the case has none.
+	split *split
 }
 
 // machine runs one process of the system.
@@ -41,8 +44,11 @@
 	zone       string
 	ip         string
 	port       int
+	region     string
 	process    *exec.Cmd
 	exited     chan struct{}
+	// storeAddress and ordersAddress are where the machine reaches the platform.
+	storeAddress, ordersAddress string
 }
 
 func newDeployment(rec *record, dir string) (*deployment, error) {
@@ -74,15 +80,21 @@
 	}
 }
 
-// addMachines starts one machine in each zone.
+// addMachines adds one machine in each zone.
 func (d *deployment) addMachines() error {
 	ports, err := freePorts(d.zones)
 	if err != nil {
 		return err
 	}
 	for i, zone := range d.zones {
-		m := &machine{deployment: d, name: "edge-" + zone + "-1", zone: zone, ip: ipOf(i), port: ports}
-		d.machines = append(d.machines, m)
+		d.machines = append(d.machines, &machine{deployment: d, name: "edge-" + zone + "-1", zone: zone, region: "flanders", ip: ipOf(i), port: ports})
+	}
+	return nil
+}
+
+// startMachines starts all machines and waits until they are ready.
+func (d *deployment) startMachines() error {
+	for _, m := range d.machines {
 		if err := m.start(); err != nil {
 			return err
 		}
@@ -137,7 +149,7 @@
 serves=edge
 ip=%s
 zone=%s
-region=flanders
+region=%s
 bindAddrs.front=%s
 bindAddrs.ready=%s
 internalPortRange=%d,%d
@@ -159,7 +171,7 @@
 platform.form=objects
 cloudApi.address=%s
 cloudApi.duties=failover
-`, m.name, m.ip, m.zone, m.front(), m.ready(), m.port+2, m.port+portsPerMachine-1, memoryMB, maxFDs, d.store.address(), d.orders)
+`, m.name, m.ip, m.zone, m.region, m.front(), m.ready(), m.port+2, m.port+portsPerMachine-1, memoryMB, maxFDs, cmp.Or(m.storeAddress, d.store.address()), cmp.Or(m.ordersAddress, d.orders))
 }
 
 // writeSettings replaces the settings file.
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -20,19 +20,27 @@
 // caseTimeout ends a case in any event.
 const caseTimeout = 110 * time.Second
 
-// cases are the cases by their numbers. Each returns what broke the rule, if anything.
-var cases = map[string]func(ctx context.Context, d *deployment, trouble bool) (broken []string, err error){
-	"6":  preparedCollision,
-	"7":  preparedMemory,
-	"8":  startupMemory,
-	"9":  foreignEntry,
-	"10": movedStore,
+// reviewCase is a case.
+type reviewCase struct {
+	// prepare, if set, is called before the machines start.
+	prepare func(d *deployment) error
+	// play plays the case and returns what broke the rule, if anything.
+	play func(ctx context.Context, d *deployment, trouble bool) (broken []string, err error)
+}
+
+// cases are the cases by their numbers.
+var cases = map[string]reviewCase{
+	"6":  {prepare: (*deployment).separable, play: lostRegions},
+	"7":  {play: preparedCollision},
+	"8":  {play: preparedMemory},
+	"9":  {play: startupMemory},
+	"10": {play: foreignEntry},
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+	if len(os.Args) != 3 || cases[os.Args[1]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab2 CASE RECORD")
 		return 2
 	}
@@ -76,7 +84,15 @@
 	if err := d.addMachines(); err != nil {
 		return nil, err
 	}
-	broken, err = cases[name](ctx, d, trouble)
+	if prepare := cases[name].prepare; prepare != nil {
+		if err := prepare(d); err != nil {
+			return nil, err
+		}
+	}
+	if err := d.startMachines(); err != nil {
+		return nil, err
+	}
+	broken, err = cases[name].play(ctx, d, trouble)
 	for _, what := range broken {
 		rec.note("broken: %s", what)
 	}
--- a/review/lab2/memory.go
+++ b/review/lab2/memory.go
@@ -22,7 +22,7 @@
 	attackedMachines = 2
 )
 
-// preparedMemory plays case 7. A client prepares a statement, executes it and releases it,
+// preparedMemory plays case 8. A client prepares a statement, executes it and releases it,
 // again and again with another shape, one at a time. With trouble == false all have the same
 // shape. A process above the memory of its machine is killed, as the platform does, and started
 // again.
--- a/review/lab2/startup.go
+++ b/review/lab2/startup.go
@@ -16,7 +16,7 @@
 	openSessions = 320
 )
 
-// startupMemory plays case 8. On the first machine a crowd opens one session after the other and
+// startupMemory plays case 9. On the first machine a crowd opens one session after the other and
 // stays connected, and each names a long user. On the second one a client prepares statements
 // under long ids. With trouble == false users and ids are short.
 func startupMemory(ctx context.Context, d *deployment, trouble bool) (broken []string, err error) {
--- a/review/lab2/store.go
+++ b/review/lab2/store.go
@@ -16,7 +16,6 @@
 // store is the platform's metadata store, with the calls that PROTOCOL.md names.
 type store struct {
 	listener net.Listener
-	server   *http.Server
 
 	mu       sync.Mutex
 	revision int64
@@ -47,21 +46,8 @@
 }
 
 func (s *store) serve() {
-	server, listener := &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}, s.listener
-	s.server = server
-	go func() { _ = server.Serve(listener) }()
-}
-
-// move makes the store serve at another address, and no longer at the one that it had.
-func (s *store) move() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	_ = s.server.Close()
-	s.listener = listener
-	s.serve()
-	return nil
+	server := &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = server.Serve(s.listener) }()
 }
 
 func (s *store) address() string { return s.listener.Addr().String() }
