proxy, link: a shared name runs only the content that the session prepared

What callers saw: a write was answered with success and had not run, because its prepared name ran another client's read; and a read ran as another client's write.

Cause: names on shared connections were the XXH64 of kind and text, for which a second text is found in about a second, and a connection that had the name took the statement for the same one without comparing its content.

Names of other hosts are compared in the same way, also those of hosts of the earlier version.

Ruled out: a keyed 64-bit hash, because a collision by chance stays possible and gateways would need the key; names numbered by each connection, because gateways of the earlier version would run another session's statement under the caller's name.

TestPreparedNameWithOtherContentIsPreparedAgain (no second PREPARE) and TestStatementsWithTheSameHashAreKeptApart (s4modfcyl9cylcloam2 ran for q2c) failed before and pass.

--- a/core/link/conn.go
+++ b/core/link/conn.go
@@ -221,7 +221,9 @@
 
 // transition returns the statements that bring a connection to the desired state
 // and records that state. A value that the desired state lacks can only be
-// removed by a reset, which also removes the prepared statements.
+// removed by a reset, which also removes the prepared statements. A name that has
+// another content is prepared again: hosts choose the names, and the connection
+// does not rely on how.
 func (s *SessionState) transition(desired *SessionState) []exchange.Statement {
 	var batch []exchange.Statement
 	for name := range s.Values {
@@ -243,9 +245,13 @@
 		batch = append(batch, exchange.Statement{Operation: exchange.Set, Name: name, Value: value})
 	}
 	for name, prepared := range desired.Prepared {
-		if _, ok := s.Prepared[name]; ok {
+		current, ok := s.Prepared[name]
+		if ok && current == prepared {
 			continue
 		}
+		if ok {
+			batch = append(batch, exchange.Statement{Operation: exchange.Release, Name: name})
+		}
 		if s.Prepared == nil {
 			s.Prepared = map[string]exchange.PreparedStatement{}
 		}
--- a/core/link/link_test.go
+++ b/core/link/link_test.go
@@ -158,6 +158,31 @@
 	})
 }
 
+// Guards against running the statement of another session: hosts of other versions may
+// give two statements the same name.
+func TestPreparedNameWithOtherContentIsPreparedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stream := newFakeStream(0)
+		stream.answer = func(exchange.Statement) (exchange.Answer, bool) { return exchange.Answer{}, true }
+		c := link.NewConn(stream, nil)
+		defer c.Close()
+		read, write := exchange.PreparedStatement{Text: "q1"}, exchange.PreparedStatement{Text: "q1", Writes: true}
+		other := exchange.PreparedStatement{Text: "q2", Writes: true}
+		for _, content := range []exchange.PreparedStatement{read, read, write, write, other} {
+			desired := &link.SessionState{Prepared: map[string]exchange.PreparedStatement{"p": content}}
+			_, err := link.Run(context.Background(), c, desired, exchange.Statement{ID: "1", Operation: exchange.Execute, Name: "p"})
+			assert.NilError(t, err)
+		}
+		assert.DeepEqual(t, stream.operations(), []exchange.Operation{
+			exchange.Prepare, exchange.Execute,
+			exchange.Execute,
+			exchange.Release, exchange.Prepare, exchange.Execute,
+			exchange.Execute,
+			exchange.Release, exchange.Prepare, exchange.Execute,
+		})
+	})
+}
+
 // After a lost answer, later answers would go to the wrong sessions, so the
 // connection must be closed.
 func TestMissingAnswerClosesConnection(t *testing.T) {
--- a/core/proxy/choose.go
+++ b/core/proxy/choose.go
@@ -1,15 +1,11 @@
 package proxy
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"basilmill/core/balance"
 	"basilmill/core/catalog"
-	"basilmill/core/exchange"
 	"basilmill/core/group"
 	"basilmill/core/lead"
 )
@@ -115,10 +111,3 @@
 	}
 	return cost
 }
-
-// sharedPreparedName returns the name of a prepared statement on connections to
-// backend servers. It is derived from the content, so that sessions that prepare
-// the same statement share it.
-func sharedPreparedName(prepared exchange.PreparedStatement) string {
-	return fmt.Sprintf("p%x", xxhash.Sum64String(fmt.Sprint(prepared.Writes, prepared.Text)))
-}
--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -143,7 +143,8 @@
 	database string
 	// key is the digest of the caller's API key.
 	key              catalog.KeyDigest
-	sessionState     link.SessionState
+	values           map[string]string
+	prepared         map[string]preparedStatement
 	transactionState exchange.State
 	// account is the client account of the statement or transaction that runs; empty if
 	// the caller has none.
@@ -270,37 +271,37 @@
 }
 
 func (s *Session) set(statement exchange.Statement) exchange.Answer {
-	old, known := s.sessionState.Values[statement.Name]
-	if !s.keep(entrySize(statement.Name, old), entrySize(statement.Name, statement.Value), known, len(s.sessionState.Values) >= maxValues) {
+	old, known := s.values[statement.Name]
+	if !s.keep(entrySize(statement.Name, old), entrySize(statement.Name, statement.Value), known, len(s.values) >= maxValues) {
 		return s.fail(exchange.Busy, "too many session values")
 	}
 	// Statements of this session that are still in flight use the old map, so it
 	// must not be modified.
-	values := maps.Clone(s.sessionState.Values)
+	values := maps.Clone(s.values)
 	if values == nil {
 		values = map[string]string{}
 	}
 	values[statement.Name] = statement.Value
-	s.sessionState.Values = values
+	s.values = values
 	return s.success()
 }
 
 func (s *Session) prepare(statement exchange.Statement) exchange.Answer {
-	old, known := s.sessionState.Prepared[statement.Name]
-	if !s.keep(entrySize(statement.Name, old.Text), entrySize(statement.Name, statement.Prepared.Text), known, len(s.sessionState.Prepared) >= maxPrepared) {
+	old, known := s.prepared[statement.Name]
+	if !s.keep(entrySize(statement.Name, old.content.Text), entrySize(statement.Name, statement.Prepared.Text), known, len(s.prepared) >= maxPrepared) {
 		return s.fail(exchange.Busy, "too many prepared statements")
 	}
-	if s.sessionState.Prepared == nil {
-		s.sessionState.Prepared = map[string]exchange.PreparedStatement{}
+	if s.prepared == nil {
+		s.prepared = map[string]preparedStatement{}
 	}
-	s.sessionState.Prepared[statement.Name] = statement.Prepared
+	s.prepared[statement.Name] = newPreparedStatement(statement.Prepared)
 	return s.success()
 }
 
 func (s *Session) release(statement exchange.Statement) exchange.Answer {
-	if old, known := s.sessionState.Prepared[statement.Name]; known {
-		s.holder.Return(budget.State, entrySize(statement.Name, old.Text))
-		delete(s.sessionState.Prepared, statement.Name)
+	if old, known := s.prepared[statement.Name]; known {
+		s.holder.Return(budget.State, entrySize(statement.Name, old.content.Text))
+		delete(s.prepared, statement.Name)
 	}
 	return s.success()
 }
@@ -316,11 +317,11 @@
 func (s *Session) run(ctx context.Context, statement exchange.Statement) exchange.Answer {
 	writes := statement.Operation == exchange.Write
 	if statement.Operation == exchange.Execute {
-		prepared, ok := s.sessionState.Prepared[statement.Name]
+		prepared, ok := s.prepared[statement.Name]
 		if !ok {
 			return s.fail(exchange.NoStatement, "no prepared statement of this name")
 		}
-		writes = prepared.Writes
+		writes = prepared.content.Writes
 	}
 	if s.transaction != nil {
 		return s.runInTransaction(ctx, statement, writes)
@@ -368,11 +369,11 @@
 // statement, and the statement with the prepared statement's name on the
 // connection instead of the caller's.
 func (s *Session) desiredState(statement exchange.Statement) (*link.SessionState, exchange.Statement) {
-	state := &link.SessionState{Values: s.sessionState.Values}
+	state := &link.SessionState{Values: s.values}
 	if statement.Operation == exchange.Execute {
-		prepared := s.sessionState.Prepared[statement.Name]
-		statement.Name = sharedPreparedName(prepared)
-		state.Prepared = map[string]exchange.PreparedStatement{statement.Name: prepared}
+		prepared := s.prepared[statement.Name]
+		statement.Name = prepared.sharedName
+		state.Prepared = map[string]exchange.PreparedStatement{statement.Name: prepared.content}
 	}
 	return state, statement
 }
--- a/core/proxy/state.go
+++ b/core/proxy/state.go
@@ -10,8 +10,9 @@
 	// some hundred prepared statements, and some values. Each SET copies the values.
 	maxPrepared = 10_000
 	maxValues   = 1_000
-	// entryOverhead is what a name or value uses in a map beside its text.
-	entryOverhead = 128
+	// entryOverhead is what a name or value uses in a map beside its text, with the
+	// digest of a prepared statement.
+	entryOverhead = 192
 )
 
 // SetHolder makes the session count its names and values. It must be called before the
--- a/e2e/replicated/session_test.go
+++ b/e2e/replicated/session_test.go
@@ -171,6 +171,31 @@
 	})
 }
 
+// Guards against a write that is answered with success while the read of another caller runs
+// in its place, and the other way round. The texts of each pair have the same XXH64 with the
+// kinds before them.
+func TestStatementsWithTheSameHashAreKeptApart(t *testing.T) {
+	withCluster(t, func(t *testing.T, cluster *replicated.Cluster, h *entryHost) {
+		ctx := context.Background()
+		one, two := h.open(t, currentDB), h.open(t, currentDB)
+		for i, pair := range [][2]exchange.PreparedStatement{
+			{{Text: "s4modfcyl9cylcloam2"}, {Text: "q2c", Writes: true}},
+			{{Text: "4oi5xv9q0vcbakhzbger", Writes: true}, {Text: "q2c"}},
+		} {
+			for j, s := range []interface {
+				Execute(context.Context, exchange.Statement) exchange.Answer
+			}{one, two} {
+				name := fmt.Sprint("s", i)
+				s.Execute(ctx, exchange.Statement{ID: "p", Operation: exchange.Prepare, Name: name, Prepared: pair[j]})
+				answer := s.Execute(ctx, exchange.Statement{ID: "e", Operation: exchange.Execute, Name: name, Arguments: "item"})
+				assert.Assert(t, answer.Failure == nil, "%v", answer.Failure)
+				run, _ := executionOf(cluster, answer.Digest)
+				assert.Equal(t, run.Text, pair[j].Text)
+			}
+		}
+	})
+}
+
 // A read must not fail because of a busy replica while another server can serve it.
 func TestBusyReplicaIsSkipped(t *testing.T) {
 	withCluster(t, func(t *testing.T, cluster *replicated.Cluster, h *entryHost) {
--- a/standin/replicated/stream.go
+++ b/standin/replicated/stream.go
@@ -255,6 +255,8 @@
 			st.prepared = map[string]exchange.PreparedStatement{}
 		}
 		st.prepared[statement.Name] = statement.Prepared
+	case exchange.Release:
+		delete(st.prepared, statement.Name)
 	case exchange.Reset:
 		st.sessionValues, st.prepared = nil, nil
 	case exchange.Begin, exchange.BeginRead:
