--- a/cmd/entry/secrets_test.go
+++ b/cmd/entry/secrets_test.go
@@ -164,7 +164,7 @@
 			"services":[{"name":"svc","maxConns":16,"syncReplicas":0}],"tenants":%s}`, version, version, tenants)))
 	}
 	writeConfig(1, `[{"name":"acct-a","apiKeys":["`+known+`"],"ratePerS":100}]`)
-	store.WriteRaw("servers", "i-1", []byte(fmt.Sprintf(`{"service":"svc","address":%q,"zone":"dc-a","state":"ready","dbRole":"primary","sequence":1,"born":1000,"slots":4}`, serveLines(t, &output))))
+	store.WriteRaw("servers", "i-1", []byte(fmt.Sprintf(`{"service":"svc","address":%q,"zone":"dc-a","state":"ready","dbRole":"primary","sequence":1,"born":1000,"slots":4,"configVersion":"v1","coldRemainingMs":0}`, serveLines(t, &output))))
 	var hosts []*host
 	for i := range relayedHosts {
 		hosts = append(hosts, startPlatformHost(t, fmt.Sprint("h", i), store, &output))
--- a/e2e/clients/system_test.go
+++ b/e2e/clients/system_test.go
@@ -103,7 +103,7 @@
 	backendAddress := startBackend(t)
 	store := &objectstore.Server{}
 	store.Write("servers", "s1", map[string]any{
-		"service": "orders", "address": backendAddress, "zone": "dc-a", "configVersion": 1, "slots": 4, "state": "ready",
+		"service": "orders", "address": backendAddress, "zone": "dc-a", "configVersion": "v1", "slots": 4, "state": "ready",
 		"coldRemainingMs": 0, "sequence": 1, "dbRole": "primary", "born": 1,
 	})
 	store.Write("config", "main", map[string]any{
--- a/e2e/restored/restored_test.go
+++ b/e2e/restored/restored_test.go
@@ -206,7 +206,8 @@
 	for name, value := range map[string]string{
 		"deeply nested":    nested,
 		"number too large": `{"born":1e400}`,
-		"port":             `{"service":"svc","address":"10.1.0.1:99999","zone":"dc","state":"ready","dbRole":"replica","sequence":1}`,
+		"port":             `{"service":"svc","address":"10.1.0.1:99999","zone":"dc","configVersion":"v1","slots":2,"state":"ready","coldRemainingMs":0,"dbRole":"replica","sequence":1,"born":1}`,
+		"missing fields":   `{"service":"svc","address":"10.1.0.1:80","zone":"dc","state":"ready","dbRole":"replica"}`,
 	} {
 		for _, hosts := range []int{aloneHosts, fleetHosts} {
 			t.Run(fmt.Sprintf("%s, %d hosts", name, hosts), func(t *testing.T) {
--- a/standin/objectstore/entries.go
+++ b/standin/objectstore/entries.go
@@ -15,7 +15,7 @@
 		state = "draining"
 	}
 	s.Write("servers", id, map[string]any{
-		"service": e.Group, "address": "10.1.0.1:5432", "zone": e.DataCentre, "configVersion": 1, "slots": 2, "state": state,
+		"service": e.Group, "address": "10.1.0.1:5432", "zone": e.DataCentre, "configVersion": "v1", "slots": 2, "state": state,
 		"coldRemainingMs": 0, "sequence": e.Sequence, "dbRole": "replica", "born": e.Boot,
 	})
 }
