caller: names of prepared statements hold the whole digest

Nobody is known to have been affected.

Two texts with one name need about 2^64 tries, which is no protection to rely on.

Change: names hold all 32 bytes in base64, 53 of the 63 bytes that PostgreSQL compares.

Ruled out: hexadecimal digits, which exceed the 63 bytes with the prefix, so that PostgreSQL would shorten the names; comparing the contents at the connection, which would keep 200 texts of up to 16 MiB for each connection, or hash the text for each execution.

Measured: TestPreparedNamesHoldTheWholeDigest failed before (24 bytes decoded, not 32) and passes, with the tests of io/caller under the race detector.

--- a/io/caller/fake_test.go
+++ b/io/caller/fake_test.go
@@ -35,6 +35,7 @@
 	keys           map[string]string        // committed request keys with their tags
 	locks          map[string]chan struct{} // by request key, closed when its transaction ends
 	log            []string                 // statements of all servers
+	parsedNames    []string                 // names of statements prepared on all servers
 	events         []caller.Event
 	routedRequests []caller.Request
 	local          *backendserver.LocalConnector
@@ -307,6 +308,9 @@
 			return c.sendError("42601")
 		}
 		c.parsed[m.Name] = m.Query
+		c.mu.Lock()
+		c.parsedNames = append(c.parsedNames, m.Name)
+		c.mu.Unlock()
 		c.wire.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
 		c.boundSQL = c.parsed[m.PreparedStatement]
--- a/io/caller/protocol_test.go
+++ b/io/caller/protocol_test.go
@@ -6,8 +6,11 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/base64"
+	"fmt"
 	"io"
 	"math/big"
 	"net"
@@ -124,6 +127,28 @@
 	})
 }
 
+// Guards against running the statement of another caller: a connection takes statements of
+// the same name for the same one, so that a shortened digest, or a name beyond the 63 bytes
+// that PostgreSQL compares, lets two statements share a name.
+func TestPreparedNamesHoldTheWholeDigest(t *testing.T) {
+	runInEnv(t, func(t *testing.T, e *testEnv) {
+		r := e.newRawClient(nil)
+		names := map[string]bool{}
+		for i, m := range []*pgproto3.Parse{{Query: "SELECT 1"}, {Query: "SELECT 2"}, {Query: "SELECT 1", ParameterOIDs: []uint32{23}}} {
+			m.Name = fmt.Sprint("p", i)
+			assert.Equal(t, r.exchange(m, &pgproto3.Bind{PreparedStatement: m.Name}, &pgproto3.Execute{}, &pgproto3.Sync{}), "1 2 D SELECT 1 ZI")
+		}
+		for _, name := range e.parsedNames {
+			digest, err := base64.RawURLEncoding.DecodeString(strings.TrimPrefix(name, "basilmill_"))
+			assert.NilError(t, err, name)
+			assert.Equal(t, len(digest), sha256.Size)
+			assert.Assert(t, len(name) <= 63)
+			names[name] = true
+		}
+		assert.Equal(t, len(names), 3)
+	})
+}
+
 // Guards against COPY data that is lost or mixed with the next statement, and
 // against a COPY that is acknowledged without confirmation.
 func TestCopy(t *testing.T) {
--- a/io/caller/session.go
+++ b/io/caller/session.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/binary"
-	"encoding/hex"
 	"errors"
 	"os"
 	"slices"
@@ -362,6 +362,9 @@
 	}
 }
 
+// preparedName returns a name for connections. It holds the whole digest, because a
+// connection takes statements of the same name for the same one, and is shorter than the
+// 63 bytes of a name that PostgreSQL compares.
 func preparedName(m *pgproto3.Parse) string {
 	h := sha256.New()
 	h.Write([]byte(m.Query))
@@ -369,5 +372,5 @@
 	for _, oid := range m.ParameterOIDs {
 		h.Write(binary.BigEndian.AppendUint32(nil, oid))
 	}
-	return "basilmill_" + hex.EncodeToString(h.Sum(nil)[:16])
+	return "basilmill_" + base64.RawURLEncoding.EncodeToString(h.Sum(nil))
 }
