io/platform: a group whose servers cannot be asked is refused

Cause: DecodeGroup took each server of a record, although the operators' command accepts only complete ones; a change of primary needs the answers of the listed servers.

Change: a record with a server that lacks its id, its address with a port, or its data centre cannot be decoded. Hosts keep the last valid one (ObjectInvalid).

Ruled out: to leave out only the odd server: the record is one object with one writer at a time, so that a part of it means nothing.

Measured: TestGroupWithAnIncompleteServerIsRefused failed before for all six servers and passes, with the tests of io/platform, cmd and standin.

--- a/io/platform/group.go
+++ b/io/platform/group.go
@@ -75,6 +75,10 @@
 // probably not of the expected kind.
 var errIncomplete = errors.New("the object lacks its id, term, generation or revision")
 
+// errIncompleteServer means that a group names a server that cannot be asked. A change of
+// primary would wait for its answer.
+var errIncompleteServer = errors.New("a server of the group lacks its id, address or data centre")
+
 // DecodeGroup decodes the value of a group's object.
 func DecodeGroup(value json.RawMessage) (record *group.Record, err error) {
 	defer wrapf(&err, "decode group")
@@ -97,6 +101,9 @@
 		ChangeID:        wire.ChangeID,
 	}
 	for _, server := range wire.Servers {
+		if server.ID == "" || !server.Address.IsValid() || server.Address.Port() == 0 || server.DataCentre == "" {
+			return nil, errIncompleteServer
+		}
 		record.Servers = append(record.Servers, group.Server(server))
 	}
 	for _, change := range wire.Changes {
--- a/io/platform/odd_test.go
+++ b/io/platform/odd_test.go
@@ -46,3 +46,19 @@
 		})
 	}
 }
+
+// Guards against a change of primary that waits for the answer of a server that nobody can
+// ask.
+func TestGroupWithAnIncompleteServerIsRefused(t *testing.T) {
+	group := func(server string) error {
+		_, err := platform.DecodeGroup(fmt.Appendf(nil, `{"ID":"g","Term":1,"Generation":1,"Primary":"a","Servers":[%s]}`, server))
+		return err
+	}
+	assert.NilError(t, group(`{"ID":"a","Address":"10.0.0.1:80","DataCentre":"z"}`))
+	for _, server := range []string{
+		`{"Address":"10.0.0.1:80","DataCentre":"z"}`, `{"ID":"a","DataCentre":"z"}`, `{"ID":"a","Address":"","DataCentre":"z"}`,
+		`{"ID":"a","Address":"10.0.0.1:0","DataCentre":"z"}`, `{"ID":"a","Address":"10.0.0.1:80"}`, "null",
+	} {
+		assert.Check(t, group(server) != nil, server)
+	}
+}
