catalog: an entry with another group counts as missing for its server

What callers could see: a lost success, if another writer replaces the entry of a server by one with another service while a primary is changed.

Cause: the cache took such an entry as a move to another group. The server left its group without the grace period of a missing entry, on which departures of core/lead rely: changes asked it for 2 s after that, while hosts with an older view count its confirmations for up to 6 s. Cache.ListedAt went on to call it listed.

Change: the server counts as missing, and the other entry waits as one that came back with a restored store does, so that a server that does move is known after 6 s.

Ruled out: to refuse groups that the configuration does not name, because servers are often known before the configuration that names their group; to ignore the entry, because the server's own would then count as confirmed.

Measured: TestEntryOfAnotherGroupDoesNotMoveAServer failed before (the server was gone from its group at once) and passes, with the tests of core/catalog, core/lead and core/proxy under the race detector.

--- a/core/catalog/cache.go
+++ b/core/catalog/cache.go
@@ -91,7 +91,8 @@
 // PutEntry adds a server or replaces its entry. An entry that the store has again only
 // because it was restored from a copy is ignored if the server has reported since, and
 // waits for returnedEntryGracePeriod if the server had been removed or had started again.
-// It reports whether the view changed.
+// An entry that names another group than the one of the server in the view waits too, and
+// the server counts as missing meanwhile. PutEntry reports whether the view changed.
 func (c *Cache) PutEntry(e Entry) (changed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -106,6 +107,10 @@
 	case c.isReturned(e):
 		c.holdBack(e)
 		return false
+	case c.namesAnotherGroup(e):
+		c.markMissing(e.ID)
+		c.holdBack(e)
+		return false
 	default:
 		return c.putEntry(e)
 	}
--- a/core/catalog/entry.go
+++ b/core/catalog/entry.go
@@ -10,9 +10,9 @@
 
 const (
 	// returnedEntryGracePeriod is how long an entry waits that came back with a
-	// restored store although its server had been removed or had started again. The
-	// store removes the entries of servers that are gone after three report intervals,
-	// and a live server writes its entry again.
+	// restored store although its server had been removed or had started again, or that
+	// names another group than before. The store removes the entries of servers that are
+	// gone after three report intervals, and a live server writes its entry again.
 	returnedEntryGracePeriod = 6 * time.Second
 	// removalRetention is how long a removal is remembered. It exceeds the age of the
 	// copies from which the store is restored.
@@ -79,6 +79,15 @@
 	return ok && e.Era > r.number.era && time.Since(r.at) < removalRetention && e.number().compareReport(r.number) <= 0
 }
 
+// namesAnotherGroup reports whether an entry names another group than the one of the server in
+// the view, as one that another writer has put in place of the server's own. Changes of
+// primary rely on the grace period of a server that leaves its group. The caller holds the
+// lock.
+func (c *Cache) namesAnotherGroup(e Entry) bool {
+	known, ok := c.latest().Servers[e.ID]
+	return ok && known.Group != e.Group
+}
+
 // holdBack starts the wait of a returned entry. The caller holds the lock.
 func (c *Cache) holdBack(e Entry) {
 	if c.returned == nil {
--- a/core/catalog/entry_test.go
+++ b/core/catalog/entry_test.go
@@ -100,3 +100,42 @@
 		assert.Assert(t, cache.PutEntry(entry(2, 10, 7, false)))
 	})
 }
+
+// Guards against a server that leaves its group at once, and still counts as listed, because
+// another writer has put an entry with another group in its place: hosts would count its
+// confirmations for longer than changes of primary ask it.
+func TestEntryOfAnotherGroupDoesNotMoveAServer(t *testing.T) {
+	for name, put := range map[string]func(*catalog.Cache, catalog.Server){
+		"in a watch": func(c *catalog.Cache, s catalog.Server) { c.PutServer(s) },
+		"in a list":  func(c *catalog.Cache, s catalog.Server) { c.ReplaceServers([]catalog.Server{s}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var cache catalog.Cache
+				own, foreign := server("a", false), server("a", false)
+				foreign.Group = "other"
+				put(&cache, own)
+				cache.Confirm(time.Second, 0)
+				put(&cache, foreign)
+				cache.Confirm(2*time.Second, 0)
+				assert.Equal(t, len(cache.View().Members("g")), 1)
+				assert.Equal(t, len(cache.Listed("g")), 0)
+				assert.Equal(t, cache.ListedAt("a"), time.Second)
+
+				time.Sleep(4 * time.Second)
+				put(&cache, own)
+				cache.Expire()
+				cache.Confirm(6*time.Second, 0)
+				assert.Equal(t, cache.ListedAt("a"), 6*time.Second)
+
+				put(&cache, foreign)
+				time.Sleep(catalog.DefaultMissingEntryGracePeriod)
+				cache.Expire()
+				assert.Equal(t, len(cache.View().Servers), 0)
+				time.Sleep(2 * time.Second)
+				cache.Expire()
+				assert.Equal(t, len(cache.View().Members("other")), 1)
+			})
+		})
+	}
+}
