--- a/core/logevent/logevent.go
+++ b/core/logevent/logevent.go
@@ -93,7 +93,7 @@
 	{DrainIncomplete, "DrainIncomplete", slog.LevelWarn, "callers still connected at the end of the grace time", "Check what the remaining callers wait for; their statements are cut."},
 	{PlatformUnavailable, "PlatformUnavailable", slog.LevelWarn, "platform unavailable", "Restore the platform. Traffic continues; no change of primary and no new configuration is possible meanwhile."},
 	{PlatformAvailable, "PlatformAvailable", slog.LevelInfo, "platform available", "None."},
-	{ObjectInvalid, "ObjectInvalid", slog.LevelError, "platform object cannot be decoded", "Inspect the object; the host keeps the last valid version."},
+	{ObjectInvalid, "ObjectInvalid", slog.LevelError, "platform object cannot be decoded", "Inspect the object; the host keeps the last valid version. The entry of a server that is not valid names no server."},
 	{ConfigurationApplied, "ConfigurationApplied", slog.LevelInfo, "configuration applied", "None."},
 	{ConfigurationStale, "ConfigurationStale", slog.LevelWarn, "no contact with the platform or a relay within the promised time", "Check the links of the host; it serves its last configuration."},
 	{HostListChanged, "HostListChanged", slog.LevelInfo, "host list changed", "None."},
