Revert "caller: a request key stands for one request"

Change: as before. OPERATIONS says that callers of an account must not share keys; the postmortem lists it as open, because refusing changes what callers were promised.

Ruled out: another workload for TestFailoverTraces, which could not tell attempts apart.

Measured: TestFailoverTraces and the tests of io/caller pass.

--- a/io/caller/keyed.go
+++ b/io/caller/keyed.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"basilmill/core/account"
 	"basilmill/core/outcome"
 	"basilmill/core/retry"
@@ -17,9 +20,9 @@
 // caller may send it again.
 type keyedTransaction struct {
 	key string
-	// outcome is that of the writes so far. In a replay it is the part of the stored
-	// outcome that has not been used yet.
-	outcome keyedOutcome
+	// tags are the command tags of the writes so far. In a replay they are the
+	// stored tags that have not been used yet.
+	tags []string
 	// replaying is set if an earlier run with the key has committed.
 	replaying bool
 }
@@ -34,16 +37,19 @@
 // of time, so that old keys can be found by comparing text.
 func formatKeyTime(at time.Time) string { return at.UTC().Format("2006-01-02T15:04:05.000Z") }
 
+// tagSeparator separates the command tags of a transaction in the key's row.
+const tagSeparator = "\n"
+
 func (s *session) insertKeySQL(key string) string {
 	return "INSERT INTO basilmill.request_key (account, key, created) VALUES (" +
 		quoteLiteral(string(s.identity.Account)) + ", " + quoteLiteral(key) + ", " + quoteLiteral(formatKeyTime(time.Now())) + ")"
 }
 
-func (s *session) storeOutcomeSQL(key string, o keyedOutcome) string {
-	return "UPDATE basilmill.request_key SET tag = " + quoteLiteral(o.text()) + s.keyConditionSQL(key)
+func (s *session) storeTagsSQL(key string, tags []string) string {
+	return "UPDATE basilmill.request_key SET tag = " + quoteLiteral(strings.Join(tags, tagSeparator)) + s.keyConditionSQL(key)
 }
 
-func (s *session) selectOutcomeSQL(key string) string {
+func (s *session) selectTagsSQL(key string) string {
 	return "SELECT tag FROM basilmill.request_key" + s.keyConditionSQL(key)
 }
 
@@ -187,14 +193,12 @@
 		result.errorCode = x.code
 		return result
 	}
-	var first keyedOutcome
-	first.add(x.writeTags, b.steps)
-	return s.commitKeyed(ctx, key, first)
+	return s.commitKeyed(ctx, key, x.writeTags)
 }
 
-// commitKeyed stores the outcome, commits, and waits for the confirmation.
-func (s *session) commitKeyed(ctx context.Context, key string, o keyedOutcome) serveResult {
-	answers, err := s.runHidden(ctx, s.storeOutcomeSQL(key, o), "COMMIT", backendserver.PositionQuery)
+// commitKeyed stores the command tags, commits, and waits for the confirmation.
+func (s *session) commitKeyed(ctx context.Context, key string, tags []string) serveResult {
+	answers, err := s.runHidden(ctx, s.storeTagsSQL(key, tags), "COMMIT", backendserver.PositionQuery)
 	if err != nil {
 		result := s.handleLossBeforeCommit(err)
 		result.failure = outcome.Unresolved("the connection was lost before COMMIT was answered", err)
@@ -237,24 +241,19 @@
 	return serveResult{failure: failure, retryable: failure.SQLState == outcome.ReadOnlyTransaction}
 }
 
-// loadOutcome rolls back the transaction in which the key was found to exist
-// and reads the outcome of the first run. If the key no longer exists, the
+// loadStoredTags rolls back the transaction in which the key was found to exist
+// and reads the command tags of the first run. If the key no longer exists, the
 // first run failed, and the request may run again.
-func (s *session) loadOutcome(ctx context.Context, key string) (keyedOutcome, serveResult) {
-	answers, err := s.runHidden(ctx, "ROLLBACK", s.selectOutcomeSQL(key))
+func (s *session) loadStoredTags(ctx context.Context, key string) ([]string, serveResult) {
+	answers, err := s.runHidden(ctx, "ROLLBACK", s.selectTagsSQL(key))
 	if err != nil {
-		return keyedOutcome{}, s.handleLossBeforeCommit(err)
+		return nil, s.handleLossBeforeCommit(err)
 	}
 	if len(answers[1].row) != 1 {
 		s.finishKeyed()
-		return keyedOutcome{}, serveResult{failure: outcome.Unavailable("the first run of the key has failed", nil), retryable: true}
+		return nil, serveResult{failure: outcome.Unavailable("the first run of the key has failed", nil), retryable: true}
 	}
-	return decodeOutcome(string(answers[1].row[0])), serveResult{}
-}
-
-// errOtherRequest returns the error for a request key whose first run had other writes.
-func errOtherRequest() *outcome.Error {
-	return refuse(invalidParameterValue, "the request key was used for another request")
+	return strings.Split(string(answers[1].row[0]), tagSeparator), serveResult{}
 }
 
 // replayWrite answers a repeated write with the stored command tag. Other
@@ -263,16 +262,12 @@
 	if !s.rewind() {
 		return s.handleLossBeforeCommit(errors.New("part of the answer to a repeated request was already sent"))
 	}
-	first, result := s.loadOutcome(ctx, key)
+	tags, result := s.loadStoredTags(ctx, key)
 	if result.failure != nil {
 		return result
 	}
-	steps, ok := first.replay(b.steps)
-	if !ok {
-		s.finishKeyed()
-		return serveResult{failure: errOtherRequest()}
-	}
 	x := &exchange{session: s, conv: s.conv, holdEnd: true}
+	steps, _ := replaySteps(b, tags)
 	position := &capture{}
 	if err := x.run(ctx, append(steps, hiddenQuery(backendserver.PositionQuery, position))); err != nil {
 		return s.handleLossBeforeCommit(err)
@@ -281,6 +276,19 @@
 	return s.confirmKeyed(ctx, position, false) // the replay itself writes nothing
 }
 
+// replaySteps replaces the writes of a batch with the stored answers of the first
+// run. It returns the steps and the tags that were not used.
+func replaySteps(b *batch, tags []string) (steps []step, remaining []string) {
+	for _, st := range b.steps {
+		if st.write && len(tags) > 0 {
+			st = step{localMessages: []pgproto3.BackendMessage{commandComplete(tags[0])}}
+			tags = tags[1:]
+		}
+		steps = append(steps, st)
+	}
+	return steps, tags
+}
+
 // beginKeyed begins a transaction and inserts the key. If the key exists, the
 // transaction is a replay: reads run, and writes are answered with the stored
 // command tags.
@@ -312,7 +320,7 @@
 
 // beginReplay begins the read-only transaction of a replay.
 func (s *session) beginReplay(ctx context.Context, key string) serveResult {
-	first, result := s.loadOutcome(ctx, key)
+	tags, result := s.loadStoredTags(ctx, key)
 	if result.failure != nil {
 		return result
 	}
@@ -320,7 +328,7 @@
 	if err != nil || answers[0].code != "" {
 		return s.handleLossBeforeCommit(err)
 	}
-	s.keyed = &keyedTransaction{key: key, outcome: first, replaying: true}
+	s.keyed = &keyedTransaction{key: key, tags: tags, replaying: true}
 	s.mayHaveWritten = true // the first run may not be confirmed yet
 	s.status = statusInTransaction
 	return serveResult{}
@@ -335,16 +343,15 @@
 	rewritten := *b
 	switch {
 	case transaction.replaying:
-		var ok bool
-		rewritten.steps, ok = transaction.outcome.replay(b.steps)
-		if !ok || b.commits && len(transaction.outcome.digests) > 0 {
+		if len(transaction.tags) < b.writeCount {
 			s.release(false)
 			s.resetTransaction()
 			s.status = statusFailed
-			return serveResult{failure: errOtherRequest()}
+			return serveResult{failure: refuse(invalidParameterValue, "the request key was used for another transaction")}
 		}
+		rewritten.steps, transaction.tags = replaySteps(b, transaction.tags)
 	case b.commits:
-		rewritten.steps = append([]step{hiddenQuery(s.storeOutcomeSQL(transaction.key, transaction.outcome), &capture{})}, b.steps...)
+		rewritten.steps = append([]step{hiddenQuery(s.storeTagsSQL(transaction.key, transaction.tags), &capture{})}, b.steps...)
 	}
 	s.mark()
 	x := s.newExchange(&rewritten)
@@ -353,7 +360,7 @@
 		return s.handleLoss(&rewritten, false, err)
 	}
 	if !transaction.replaying {
-		transaction.outcome.add(x.writeTags, b.steps)
+		transaction.tags = append(transaction.tags, x.writeTags...)
 	}
 	return s.finishBatch(ctx, &rewritten, x, position)
 }
