--- a/core/proxy/proxy.go
+++ b/core/proxy/proxy.go
@@ -142,7 +142,9 @@
 	proxy    *Proxy
 	database string
 	// key is the digest of the caller's API key.
-	key              catalog.KeyDigest
+	key catalog.KeyDigest
+	// values and prepared are the session values and the prepared statements, by the
+	// caller's names.
 	values           map[string]string
 	prepared         map[string]preparedStatement
 	transactionState exchange.State
